--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds, and runs everything that CI runs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+step() { printf '== %s\n' "$*"; }
+step "install packages"
+scripts/install-packages.sh
+step "build"
+scripts/build.sh build
+step "formatter and linter"
+scripts/check-style.sh build
+step "build with address and undefined-behaviour sanitizers"
+scripts/build.sh build-sanitize -DOLEANDERTIDE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
+step "tests with sanitizers"
+scripts/run-tests.sh build-sanitize
+step "tests"
+scripts/run-tests.sh build
--- /dev/null
+++ b/tests/support/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
