--- a/libraries/http/client_pool.cc
+++ b/libraries/http/client_pool.cc
@@ -80,17 +80,15 @@
 
 ClientPool::~ClientPool() = default;
 
-SendOutcome ClientPool::Send(
-    const Request& request, MonotonicTime deadline,
-    const std::shared_ptr<Cancellation>& cancellation) {
+SendOutcome ClientPool::Send(const Request& request, MonotonicTime deadline,
+                             std::stop_token cancelled) {
   const Duration remaining = deadline - MonotonicClock::now();
   if (remaining <= Duration(0)) return Failure::kConnectFailed;
-  if (cancellation->is_cancelled()) return Failure::kConnectFailed;
+  if (cancelled.stop_requested()) return Failure::kConnectFailed;
 
   std::unique_ptr<Connection> connection = Take();
   connection->set_remaining(remaining);
   httplib::Client& client = connection->client();
-  cancellation->set_callback([&client] { client.stop(); });
 
   httplib::Request outgoing;
   outgoing.method = request.method;
@@ -103,21 +101,24 @@
   bool is_late = false;
   outgoing.progress = [&](std::uint64_t current, std::uint64_t total) {
     is_late = MonotonicClock::now() >= deadline;
-    return !is_late && !cancellation->is_cancelled() &&
+    return !is_late && !cancelled.stop_requested() &&
            std::max(current, total) <= maximum_answer_bytes_;
   };
 
   httplib::Response answer;
   httplib::Error error = httplib::Error::Success;
-  const bool is_answered = client.send(outgoing, answer, error);
-  cancellation->set_callback(nullptr);
+  bool is_answered = false;
+  {
+    const std::stop_callback stop(cancelled, [&client] { client.stop(); });
+    is_answered = client.send(outgoing, answer, error);
+  }
 
   if (!is_answered) {
     if (is_late || MonotonicClock::now() >= deadline) {
       const Failure failure = ToFailure(error, false);
       return failure == Failure::kConnectFailed ? failure : Failure::kTimeout;
     }
-    return ToFailure(error, cancellation->is_cancelled());
+    return ToFailure(error, cancelled.stop_requested());
   }
   connection->set_last_used(MonotonicClock::now());
   Return(std::move(connection));
--- a/libraries/http/client_pool.h
+++ b/libraries/http/client_pool.h
@@ -6,11 +6,11 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <stop_token>
 #include <variant>
 #include <vector>
 
 #include "core/address.h"
-#include "core/cancellation.h"
 #include "core/time.h"
 #include "http/server.h"
 
@@ -37,7 +37,7 @@
   // Sends `request` and blocks until its whole answer, `deadline`, or its
   // cancellation. `request.path` is not used.
   SendOutcome Send(const Request& request, MonotonicTime deadline,
-                   const std::shared_ptr<Cancellation>& cancellation);
+                   std::stop_token cancelled);
 
   // Whether the server accepts a new connection within `timeout`.
   bool IsAccepting(Duration timeout) const;
--- a/libraries/http/hang_up_monitor.cc
+++ b/libraries/http/hang_up_monitor.cc
@@ -24,10 +24,9 @@
   thread_.join();
 }
 
-void HangUpMonitor::Watch(int socket,
-                          std::shared_ptr<Cancellation> cancellation) {
+void HangUpMonitor::Watch(int socket, std::stop_source request) {
   std::lock_guard lock(mutex_);
-  watched_.emplace(socket, std::move(cancellation));
+  watched_.emplace(socket, std::move(request));
   if (watched_.size() == 1) changed_.notify_all();
 }
 
@@ -51,14 +50,14 @@
 void HangUpMonitor::CancelClosed() {
   std::vector<pollfd> sockets;
   sockets.reserve(watched_.size());
-  for (const auto& [socket, cancellation] : watched_) {
+  for (const auto& [socket, request] : watched_) {
     sockets.push_back({socket, POLLRDHUP, 0});
   }
   if (poll(sockets.data(), sockets.size(), 0) <= 0) return;
   for (const pollfd& socket : sockets) {
     if (socket.revents == 0) continue;
     const auto found = watched_.find(socket.fd);
-    found->second->Cancel();
+    found->second.request_stop();
     watched_.erase(found);
   }
 }
--- a/libraries/http/hang_up_monitor.h
+++ b/libraries/http/hang_up_monitor.h
@@ -5,12 +5,10 @@
 
 #include <condition_variable>
 #include <map>
-#include <memory>
 #include <mutex>
+#include <stop_token>
 #include <thread>
 
-#include "core/cancellation.h"
-
 namespace oleandertide::http {
 
 // Cancels requests whose peer closed the connection, within about 20 ms. The
@@ -24,7 +22,7 @@
   HangUpMonitor& operator=(const HangUpMonitor&) = delete;
 
   // Starts watching `socket`. Precondition: it is not watched yet.
-  void Watch(int socket, std::shared_ptr<Cancellation> cancellation);
+  void Watch(int socket, std::stop_source request);
 
   // Stops watching; after the return the socket may be closed.
   void Unwatch(int socket);
@@ -35,7 +33,7 @@
 
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::map<int, std::shared_ptr<Cancellation>> watched_;
+  std::map<int, std::stop_source> watched_;
   bool is_stopping_ = false;
   std::thread thread_;
 };
--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -221,12 +221,12 @@
 
   void Handle(const httplib::Request& request, httplib::Response& response) {
     is_handled = true;
-    auto cancellation = std::make_shared<Cancellation>();
+    std::stop_source cancellation;
     monitor_.Watch(current_socket, cancellation);
     const http::Response answer =
         handler_(http::Request{request.method, request.target, request.path,
                                CopyHeaders(request.headers), request.body},
-                 cancellation);
+                 cancellation.get_token());
     monitor_.Unwatch(current_socket);
     Fill(answer, response);
   }
--- a/libraries/http/server.h
+++ b/libraries/http/server.h
@@ -7,13 +7,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <stop_token>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "core/address.h"
-#include "core/cancellation.h"
 #include "core/result.h"
 #include "core/size.h"
 #include "core/time.h"
@@ -51,10 +51,10 @@
   Duration read_timeout = std::chrono::seconds(5);
 };
 
-// Runs on a thread per connection. `cancellation` is cancelled when the caller
+// Runs on a thread per connection. `cancelled` is requested when the caller
 // closes its connection, or its sending half, before the answer.
-using Handler = std::function<Response(
-    const Request& request, const std::shared_ptr<Cancellation>& cancellation)>;
+using Handler =
+    std::function<Response(const Request& request, std::stop_token cancelled)>;
 
 // Makes the body for errors that arise below the handler: a request that is
 // malformed or too large (status 400 to 414), or one connection too many
--- a/tests/stand_ins/backend_server/main.cc
+++ b/tests/stand_ins/backend_server/main.cc
@@ -49,10 +49,10 @@
   }
 
   http::Response Handle(const http::Request& request,
-                        const std::shared_ptr<Cancellation>& cancellation) {
+                        std::stop_token cancelled) {
     if (request.path == "/stand-in/control") return Control(request);
     if (request.path == "/stand-in/leave") return Leave();
-    return Run(request, cancellation);
+    return Run(request, cancelled);
   }
 
   // Tells the node about this backend server; false if it did not answer.
@@ -68,8 +68,7 @@
                                   {"leaving", is_leaving_.load()}}
                        .dump();
     const auto deadline = MonotonicClock::now() + std::chrono::seconds(1);
-    const auto outcome =
-        node.Send(request, deadline, std::make_shared<Cancellation>());
+    const auto outcome = node.Send(request, deadline, std::stop_token());
     return std::holds_alternative<http::Response>(outcome);
   }
 
@@ -90,15 +89,14 @@
     return {200, {}, "{}"};
   }
 
-  http::Response Run(const http::Request& request,
-                     const std::shared_ptr<Cancellation>& cancellation) {
+  http::Response Run(const http::Request& request, std::stop_token cancelled) {
     const std::string key(http::FindHeader(request.headers, "Idempotency-Key"));
     Record(key, request);
     if (request.path.starts_with("/crash")) _exit(3);
     ++running_;
     const auto end = MonotonicClock::now() +
                      std::chrono::milliseconds(service_time_ms_.load());
-    while (MonotonicClock::now() < end && !cancellation->is_cancelled()) {
+    while (MonotonicClock::now() < end && !cancelled.stop_requested()) {
       const Duration rest = end - MonotonicClock::now();
       std::this_thread::sleep_for(
           std::min<Duration>(rest, std::chrono::milliseconds(10)));
@@ -146,9 +144,8 @@
   options.maximum_connections = static_cast<std::size_t>(FLAGS_connections);
   auto server = http::Server::Start(
       listen.value(), options,
-      [&](const http::Request& request,
-          const std::shared_ptr<Cancellation>& cancellation) {
-        return stand_in.Handle(request, cancellation);
+      [&](const http::Request& request, std::stop_token cancelled) {
+        return stand_in.Handle(request, cancelled);
       },
       [](int status) {
         return http::Response{status, {}, "{}"};
--- a/tests/stand_ins/caller/main.cc
+++ b/tests/stand_ins/caller/main.cc
@@ -117,7 +117,7 @@
     const MonotonicTime deadline =
         MonotonicClock::now() + std::chrono::milliseconds(FLAGS_deadline_ms);
     const auto outcome = servers_[number % servers_.size()]->Send(
-        request, deadline, std::make_shared<Cancellation>());
+        request, deadline, std::stop_token());
     Sample sample = Classify(outcome);
     sample.latency = MonotonicClock::now() - due;
 
