routing: Choose endpoints by the better of two candidates

Random choice and round robin give a slow but healthy backend server its full share, and one that fails at once attracts calls. The choice uses what the node observed itself; reported load can only break near ties. Dividing the score by the warmth of a cold server was ruled out: it never gets a call beside warm ones.

--- /dev/null
+++ b/libraries/routing/atomic_timed_float.h
@@ -0,0 +1,70 @@
+// A float and the time of its last change in one atomic word.
+
+#ifndef OLEANDERTIDE_ROUTING_ATOMIC_TIMED_FLOAT_H_
+#define OLEANDERTIDE_ROUTING_ATOMIC_TIMED_FLOAT_H_
+
+#include <algorithm>
+#include <atomic>
+#include <bit>
+#include <cstdint>
+
+#include "core/time.h"
+
+namespace oleandertide::routing {
+
+// Holds a value that is read and replaced together with its time, without a
+// lock. Thread-safe. The time has a resolution of 10 ms and wraps: ages of
+// more than 248 days are not told apart from small ones.
+class AtomicTimedFloat {
+ public:
+  struct Reading {
+    float value = 0;
+    Duration age{0};        // Zero if the value was set later than `now`.
+    bool is_known = false;  // False until the first Update().
+  };
+
+  // Returns the value as seen at `now`.
+  Reading Read(MonotonicTime now) const {
+    return Unpack(word_.load(std::memory_order_relaxed), now);
+  }
+
+  // Replaces the value by change(Reading), and its time by `now`. `change` may
+  // be called several times.
+  template <typename Change>
+  void Update(MonotonicTime now, Change change) {
+    std::uint64_t old = word_.load(std::memory_order_relaxed);
+    while (!word_.compare_exchange_weak(
+        old, Pack(change(Unpack(old, now)), now), std::memory_order_relaxed)) {
+    }
+  }
+
+ private:
+  static constexpr Duration kTick{10'000};
+  // The sign bit of the float is free, because values are never negative.
+  static constexpr std::uint64_t kKnown = std::uint64_t{1} << 63;
+
+  static std::uint32_t Ticks(MonotonicTime time) {
+    return static_cast<std::uint32_t>(time.time_since_epoch() / kTick);
+  }
+
+  static std::uint64_t Pack(float value, MonotonicTime now) {
+    const auto bits = std::bit_cast<std::uint32_t>(std::max(value, 0.0F));
+    return kKnown | (std::uint64_t{bits} << 32) | Ticks(now);
+  }
+
+  static Reading Unpack(std::uint64_t word, MonotonicTime now) {
+    if ((word & kKnown) == 0) return {};
+    const auto bits = static_cast<std::uint32_t>((word & ~kKnown) >> 32);
+    const auto ticks = static_cast<std::int32_t>(
+        Ticks(now) - static_cast<std::uint32_t>(word));
+    return {.value = std::bit_cast<float>(bits),
+            .age = kTick * std::max(ticks, 0),
+            .is_known = true};
+  }
+
+  std::atomic<std::uint64_t> word_{0};
+};
+
+}  // namespace oleandertide::routing
+
+#endif  // OLEANDERTIDE_ROUTING_ATOMIC_TIMED_FLOAT_H_
--- /dev/null
+++ b/libraries/routing/endpoint_chooser.cc
@@ -0,0 +1,187 @@
+#include "routing/endpoint_chooser.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+
+namespace oleandertide::routing {
+namespace {
+
+// Random draws for one candidate before the search falls back to stepping.
+constexpr int kMaximumDraws = 4;
+
+constexpr Duration kSlowStart = std::chrono::seconds(10);
+// Share of a server that has just become ready. It must be above zero, or the
+// server would never warm up.
+constexpr double kMinimumWarmth = 0.1;
+
+// Knowledge of an endpoint's latency counts half after this time. An endpoint
+// that was slow long ago is tried again.
+constexpr Duration kKnowledgeHalfLife = std::chrono::seconds(10);
+
+// Scores closer than this factor count as equal and the first candidate is
+// taken. Otherwise small constant differences of latency, which every node
+// sees in the same way, would send most calls to the same few servers.
+constexpr double kTieFactor = 1.25;
+
+// Reported load changes a score by this share at most, so that a wrong report
+// alone never outweighs what the node has observed.
+constexpr double kReportedLoadShare = 0.2;
+
+// An endpoint with more recent failure weight is taken to lack capacity. One
+// refusal falls below it after four seconds.
+constexpr float kLackingCapacityWeight = 0.25F;
+
+struct Candidate {
+  const Endpoint* endpoint = nullptr;
+  double latency = 0;    // In microseconds; only valid if known.
+  double knowledge = 0;  // Weight of `latency`, 0 to 1.
+};
+
+bool IsExcluded(const Endpoint& endpoint, const ChoiceContext& context) {
+  return std::ranges::find(context.excluded, endpoint.id) !=
+         context.excluded.end();
+}
+
+double Warmth(const Endpoint& endpoint, MonotonicTime now) {
+  const Duration age = now - endpoint.ready_since;
+  if (age >= kSlowStart) return 1;
+  const double share = static_cast<double>(age.count()) /
+                       static_cast<double>(kSlowStart.count());
+  return std::max(share, kMinimumWarmth);
+}
+
+const Endpoint* Draw(std::span<const Endpoint> endpoints,
+                     RandomSource& random) {
+  return &endpoints[random.Below(endpoints.size())];
+}
+
+// Steps from a random position to the first endpoint that is not excluded. At
+// most one step more than there are exclusions is needed.
+const Endpoint* StepToAllowed(std::span<const Endpoint> endpoints,
+                              std::size_t start, const ChoiceContext& context) {
+  const std::size_t steps =
+      std::min(endpoints.size(), context.excluded.size() + 1);
+  for (std::size_t i = 0; i < steps; ++i) {
+    const Endpoint& endpoint = endpoints[(start + i) % endpoints.size()];
+    if (!IsExcluded(endpoint, context)) return &endpoint;
+  }
+  return nullptr;
+}
+
+// Draws an endpoint other than `first`; a cold one is accepted in proportion
+// to its warmth. Returns null if none was accepted.
+const Endpoint* DrawAccepted(std::span<const Endpoint> endpoints,
+                             const Endpoint* first,
+                             const ChoiceContext& context,
+                             RandomSource& random) {
+  for (int i = 0; i < kMaximumDraws; ++i) {
+    const Endpoint* drawn = Draw(endpoints, random);
+    if (drawn == first || IsExcluded(*drawn, context)) continue;
+    const double warmth = Warmth(*drawn, context.now);
+    if (warmth < 1 && random.Unit() >= warmth) continue;
+    return drawn;
+  }
+  return nullptr;
+}
+
+Candidate Describe(const Endpoint* endpoint, MonotonicTime now) {
+  const AtomicTimedFloat::Reading latency = endpoint->statistics->latency(now);
+  if (!latency.is_known) return {.endpoint = endpoint};
+  const double half_lives = static_cast<double>(latency.age.count()) /
+                            static_cast<double>(kKnowledgeHalfLife.count());
+  return {.endpoint = endpoint,
+          .latency = latency.value,
+          .knowledge = std::exp2(-half_lives)};
+}
+
+// Returns the latency expected of `candidate`. The part that is not known, or
+// known only from long ago, is taken to be like the pair's average.
+double ExpectedLatency(const Candidate& candidate, double average) {
+  return candidate.knowledge * candidate.latency +
+         (1 - candidate.knowledge) * average;
+}
+
+double Cost(const Endpoint& endpoint, MonotonicTime now) {
+  const EndpointStatistics& statistics = *endpoint.statistics;
+  const double queue =
+      (1.0 + std::max(statistics.in_flight(), 0)) / endpoint.slots;
+  const double load = std::clamp(endpoint.reported_load, 0.0F, 1.0F);
+  return queue * (1 + statistics.failure_weight(now)) *
+         (1 + kReportedLoadShare * load);
+}
+
+// Returns the better of two endpoints; the first one if they are about equal.
+const Endpoint* Better(const Endpoint* first, const Endpoint* second,
+                       MonotonicTime now) {
+  if (first == nullptr) return second;
+  if (second == nullptr) return first;
+  const Candidate a = Describe(first, now);
+  const Candidate b = Describe(second, now);
+  const double known = a.knowledge + b.knowledge;
+  double ratio = 1;
+  if (known > 0) {
+    const double average =
+        (a.knowledge * a.latency + b.knowledge * b.latency) / known;
+    ratio = ExpectedLatency(a, average) / ExpectedLatency(b, average);
+  }
+  const double cost_ratio = ratio * Cost(*first, now) / Cost(*second, now);
+  return cost_ratio > kTieFactor ? second : first;
+}
+
+const Endpoint* BetterOfTwo(std::span<const Endpoint> endpoints,
+                            const ChoiceContext& context,
+                            RandomSource& random) {
+  if (endpoints.empty()) return nullptr;
+  const Endpoint* first = DrawAccepted(endpoints, nullptr, context, random);
+  if (first == nullptr) {
+    // All draws were excluded or cold. When every server is cold, taking one
+    // anyway keeps the service available.
+    return StepToAllowed(endpoints, random.Below(endpoints.size()), context);
+  }
+  return Better(first, DrawAccepted(endpoints, first, context, random),
+                context.now);
+}
+
+bool LacksCapacity(const Endpoint& endpoint, MonotonicTime now) {
+  const EndpointStatistics& statistics = *endpoint.statistics;
+  return statistics.in_flight() >= endpoint.slots ||
+         statistics.failure_weight(now) >= kLackingCapacityWeight;
+}
+
+}  // namespace
+
+const Endpoint* BetterOfTwoChoice::Choose(const EndpointTable& table,
+                                          const ChoiceContext& context,
+                                          RandomSource& random) const {
+  const Endpoint* local = BetterOfTwo(table.local(), context, random);
+  if (local != nullptr && !LacksCapacity(*local, context.now)) return local;
+  const Endpoint* remote = BetterOfTwo(table.remote(), context, random);
+  return Better(local, remote, context.now);
+}
+
+const Endpoint* RandomChoice::Choose(const EndpointTable& table,
+                                     const ChoiceContext& context,
+                                     RandomSource& random) const {
+  if (table.all().empty()) return nullptr;
+  return StepToAllowed(table.all(), random.Below(table.all().size()), context);
+}
+
+const Endpoint* RoundRobinChoice::Choose(const EndpointTable& table,
+                                         const ChoiceContext& context,
+                                         RandomSource& /*random*/) {
+  if (table.all().empty()) return nullptr;
+  const std::uint64_t turn = next_.fetch_add(1, std::memory_order_relaxed);
+  return StepToAllowed(table.all(), turn % table.all().size(), context);
+}
+
+const Endpoint* EndpointChooser::Choose(const EndpointTable& table,
+                                        const ChoiceContext& context,
+                                        RandomSource& random) {
+  return std::visit(
+      [&](auto& strategy) { return strategy.Choose(table, context, random); },
+      strategy_);
+}
+
+}  // namespace oleandertide::routing
--- /dev/null
+++ b/libraries/routing/endpoint_statistics.cc
@@ -0,0 +1,103 @@
+#include "routing/endpoint_statistics.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace oleandertide::routing {
+namespace {
+
+// Share of a new sample in the average when the old value is recent. Rises are
+// followed faster than falls, so that a server that becomes slow is noticed
+// after one or two answers.
+constexpr float kRisingShare = 0.5F;
+constexpr float kFallingShare = 0.2F;
+
+// An old average loses half of its share against a new sample in this time.
+constexpr Duration kLatencyHalfLife = std::chrono::seconds(10);
+
+// A refusal or failure counts half after this time. A node sends a few calls a
+// second to one service; a shorter time would forget a refusal before the next
+// call.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
+
+constexpr float kRefusedWeight = 1;
+constexpr float kFailedWeight = 4;
+// Enough to avoid the endpoint until the member table says that it is
+// draining, which takes a few seconds.
+constexpr float kDrainingWeight = 16;
+constexpr float kMaximumFailureWeight = 32;
+
+float Decay(Duration age, Duration half_life) {
+  return std::exp2(-static_cast<float>(age.count()) /
+                   static_cast<float>(half_life.count()));
+}
+
+float NextAverage(const AtomicTimedFloat::Reading& old, float sample) {
+  if (!old.is_known) return sample;
+  const float share = sample > old.value ? kRisingShare : kFallingShare;
+  const float kept = (1 - share) * Decay(old.age, kLatencyHalfLife);
+  return kept * old.value + (1 - kept) * sample;
+}
+
+}  // namespace
+
+void EndpointStatistics::RecordEnd(MonotonicTime now, Duration elapsed,
+                                   AttemptEnd end) {
+  in_flight_.fetch_sub(1, std::memory_order_relaxed);
+  switch (end) {
+    case AttemptEnd::kCompleted:
+      RecordLatency(now, elapsed);
+      return;
+    case AttemptEnd::kRefused:
+      // The latency of a refusal is not recorded: refusals are fast, and an
+      // endpoint that refuses everything would look like the best one.
+      AddFailureWeight(now, kRefusedWeight);
+      return;
+    case AttemptEnd::kDraining:
+      AddFailureWeight(now, kDrainingWeight);
+      return;
+    case AttemptEnd::kFailed:
+      AddFailureWeight(now, kFailedWeight);
+      return;
+    case AttemptEnd::kTimedOut:
+      RecordLatencyAtLeast(now, elapsed);
+      AddFailureWeight(now, kRefusedWeight);
+      return;
+    case AttemptEnd::kAbandoned:
+      RecordLatencyAtLeast(now, elapsed);
+      return;
+  }
+}
+
+float EndpointStatistics::failure_weight(MonotonicTime now) const {
+  const AtomicTimedFloat::Reading reading = failures_.Read(now);
+  if (reading.value == 0) return 0;
+  return reading.value * Decay(reading.age, kFailureHalfLife);
+}
+
+void EndpointStatistics::RecordLatency(MonotonicTime now, Duration elapsed) {
+  const auto sample =
+      static_cast<float>(std::max<std::int64_t>(elapsed.count(), 1));
+  latency_.Update(now, [sample](const AtomicTimedFloat::Reading& old) {
+    return NextAverage(old, sample);
+  });
+}
+
+// An attempt that ended early only proves that the latency is at least
+// `elapsed`; it never improves the average.
+void EndpointStatistics::RecordLatencyAtLeast(MonotonicTime now,
+                                              Duration elapsed) {
+  const AtomicTimedFloat::Reading old = latency_.Read(now);
+  if (old.is_known && static_cast<float>(elapsed.count()) <= old.value) return;
+  RecordLatency(now, elapsed);
+}
+
+void EndpointStatistics::AddFailureWeight(MonotonicTime now, float weight) {
+  failures_.Update(now, [weight](const AtomicTimedFloat::Reading& old) {
+    const float kept = old.value * Decay(old.age, kFailureHalfLife);
+    return std::min(kept + weight, kMaximumFailureWeight);
+  });
+}
+
+}  // namespace oleandertide::routing
--- /dev/null
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -0,0 +1,208 @@
+#include "routing/endpoint_chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace oleandertide::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr MonotonicTime kStart{seconds(1000)};
+
+Endpoint MakeEndpoint(EndpointId id, std::string data_centre = "quito-1") {
+  Endpoint endpoint;
+  endpoint.id = id;
+  endpoint.data_centre = std::move(data_centre);
+  endpoint.slots = 4;
+  endpoint.ready_since = kStart - seconds(60);
+  return endpoint;
+}
+
+std::shared_ptr<const EndpointTable> MakeTable(
+    std::vector<Endpoint> endpoints, const EndpointTable* previous = nullptr) {
+  return EndpointTable::Build(std::move(endpoints), "quito-1", previous)
+      .value();
+}
+
+// Sends `count` calls, 20 ms apart, each ending at once as `end_of` says;
+// returns how many each endpoint got.
+std::vector<int> Send(
+    EndpointChooser& chooser, const EndpointTable& table, int count,
+    const std::function<std::pair<Duration, AttemptEnd>(EndpointId)>& end_of,
+    MonotonicTime start = kStart) {
+  RandomSource random(5);
+  std::vector<int> shares(64);
+  for (int i = 0; i < count; ++i) {
+    const MonotonicTime now = start + milliseconds(20) * i;
+    const Endpoint* chosen = chooser.Choose(table, {.now = now}, random);
+    REQUIRE(chosen != nullptr);
+    ++shares.at(chosen->id);
+    const auto [elapsed, end] = end_of(chosen->id);
+    chosen->statistics->RecordStart();
+    chosen->statistics->RecordEnd(now + elapsed, elapsed, end);
+  }
+  return shares;
+}
+
+std::pair<Duration, AttemptEnd> Quick(EndpointId /*id*/) {
+  return {milliseconds(5), AttemptEnd::kCompleted};
+}
+
+template <typename Strategy>
+EndpointChooser Baseline() {
+  return EndpointChooser(std::in_place_type<Strategy>);
+}
+
+// Guards against a server that is slow although it reports itself healthy.
+TEST_CASE("a slow but healthy backend server is avoided") {
+  const auto one_is_slow =
+      [](EndpointId id) -> std::pair<Duration, AttemptEnd> {
+    return {milliseconds(id == 3 ? 500 : 5), AttemptEnd::kCompleted};
+  };
+  std::vector<Endpoint> endpoints;
+  for (EndpointId id = 0; id < 10; ++id) endpoints.push_back(MakeEndpoint(id));
+  EndpointChooser random = Baseline<RandomChoice>();
+  EndpointChooser round_robin = Baseline<RoundRobinChoice>();
+  EndpointChooser better_of_two;
+  // Off: the slow server gets its full share of a tenth.
+  REQUIRE(Send(random, *MakeTable(endpoints), 2000, one_is_slow)[3] > 150);
+  REQUIRE(Send(round_robin, *MakeTable(endpoints), 2000, one_is_slow)[3] ==
+          200);
+  REQUIRE(Send(better_of_two, *MakeTable(endpoints), 2000, one_is_slow)[3] <
+          40);
+}
+
+// Guards against a server that attracts all calls because it fails at once.
+TEST_CASE("a backend server that fails fast is avoided") {
+  const auto one_fails = [](EndpointId id) -> std::pair<Duration, AttemptEnd> {
+    if (id == 3) return {Duration(100), AttemptEnd::kFailed};
+    return {milliseconds(5), AttemptEnd::kCompleted};
+  };
+  std::vector<Endpoint> endpoints;
+  for (EndpointId id = 0; id < 10; ++id) endpoints.push_back(MakeEndpoint(id));
+  EndpointChooser random = Baseline<RandomChoice>();
+  EndpointChooser better_of_two;
+  REQUIRE(Send(random, *MakeTable(endpoints), 2000, one_fails)[3] > 150);
+  REQUIRE(Send(better_of_two, *MakeTable(endpoints), 2000, one_fails)[3] < 40);
+}
+
+// Guards against a misleading report that outweighs what the node observes: a
+// server that reports no load but is slow, among honest loaded ones.
+TEST_CASE("a reported load never decides alone") {
+  std::vector<Endpoint> endpoints;
+  for (EndpointId id = 0; id < 4; ++id) endpoints.push_back(MakeEndpoint(id));
+  for (Endpoint& endpoint : endpoints) {
+    endpoint.reported_load = endpoint.id == 3 ? 0 : 0.95F;
+  }
+  EndpointChooser chooser;
+  const auto shares =
+      Send(chooser, *MakeTable(endpoints), 1000,
+           [](EndpointId id) -> std::pair<Duration, AttemptEnd> {
+             return {milliseconds(id == 3 ? 100 : 5), AttemptEnd::kCompleted};
+           });
+  REQUIRE(shares[3] < 100);
+}
+
+// Guards against a cold server that gets a full share in its first second.
+TEST_CASE("a cold backend server starts slowly") {
+  std::vector<Endpoint> endpoints;
+  for (EndpointId id = 0; id < 5; ++id) endpoints.push_back(MakeEndpoint(id));
+  endpoints[2].ready_since = kStart;
+  EndpointChooser random = Baseline<RandomChoice>();
+  EndpointChooser chooser;
+  REQUIRE(Send(random, *MakeTable(endpoints), 100, Quick)[2] > 10);
+  REQUIRE(Send(chooser, *MakeTable(endpoints), 100, Quick)[2] <= 5);
+  // Warm after ten seconds.
+  const auto later =
+      Send(chooser, *MakeTable(endpoints), 1000, Quick, kStart + seconds(11));
+  REQUIRE(later[2] > 120);
+}
+
+// Guards against a slow start that leaves no server, or sends everything to
+// one, when all of them have just started.
+TEST_CASE("when all are cold at once the load is spread") {
+  std::vector<Endpoint> endpoints;
+  for (EndpointId id = 0; id < 10; ++id) {
+    endpoints.push_back(MakeEndpoint(id));
+    endpoints.back().ready_since = kStart;
+  }
+  endpoints[4].ready_since = kStart - seconds(10);  // The first one is back.
+  EndpointChooser chooser;
+  const auto shares = Send(chooser, *MakeTable(endpoints), 100, Quick);
+  REQUIRE(shares[4] < 70);
+  endpoints[4].ready_since = kStart;
+  const auto even = Send(chooser, *MakeTable(endpoints), 1000, Quick);
+  REQUIRE(*std::max_element(even.begin(), even.begin() + 10) < 200);
+  REQUIRE(*std::min_element(even.begin(), even.begin() + 10) > 40);
+}
+
+// Guards against needless calls to another data centre, and against callers
+// that fail although another data centre has capacity.
+TEST_CASE("the local data centre is left only when it lacks capacity") {
+  std::vector<Endpoint> endpoints;
+  for (EndpointId id = 0; id < 3; ++id) endpoints.push_back(MakeEndpoint(id));
+  for (EndpointId id = 3; id < 9; ++id) {
+    endpoints.push_back(MakeEndpoint(id, "quito-2"));
+  }
+  const auto remote = [](const std::vector<int>& shares) {
+    int sum = 0;
+    for (std::size_t i = 3; i < shares.size(); ++i) sum += shares[i];
+    return sum;
+  };
+  EndpointChooser random = Baseline<RandomChoice>();
+  EndpointChooser chooser;
+  REQUIRE(remote(Send(random, *MakeTable(endpoints), 900, Quick)) > 500);
+  REQUIRE(remote(Send(chooser, *MakeTable(endpoints), 900, Quick)) == 0);
+  const auto refused_here =
+      [](EndpointId id) -> std::pair<Duration, AttemptEnd> {
+    if (id < 3) return {Duration(200), AttemptEnd::kRefused};
+    return {milliseconds(8), AttemptEnd::kCompleted};
+  };
+  REQUIRE(remote(Send(chooser, *MakeTable(endpoints), 900, refused_here)) >
+          850);
+}
+
+// Guards against retries on the same server and calls to a leaving one.
+TEST_CASE("excluded, draining and dead endpoints are not chosen") {
+  std::vector<Endpoint> endpoints;
+  for (EndpointId id = 0; id < 5; ++id) endpoints.push_back(MakeEndpoint(id));
+  endpoints[0].state = EndpointState::kDraining;
+  endpoints[1].state = EndpointState::kDead;
+  const auto table = MakeTable(endpoints);
+  RandomSource random(3);
+  const std::array<EndpointId, 2> excluded = {2, 4};
+  EndpointChooser chooser;
+  EndpointChooser round_robin = Baseline<RoundRobinChoice>();
+  for (int i = 0; i < 100; ++i) {
+    const ChoiceContext context{.now = kStart, .excluded = excluded};
+    REQUIRE(chooser.Choose(*table, context, random)->id == 3);
+    REQUIRE(round_robin.Choose(*table, context, random)->id == 3);
+  }
+  const std::array<EndpointId, 3> all = {2, 3, 4};
+  REQUIRE(chooser.Choose(*table, {.now = kStart, .excluded = all}, random) ==
+          nullptr);
+}
+
+// Guards against knowledge that is lost at each change of the member table,
+// and against knowledge of an earlier life that is held against a new one.
+TEST_CASE("statistics pass to the next table for the same life only") {
+  std::vector<Endpoint> endpoints = {MakeEndpoint(1), MakeEndpoint(2)};
+  const auto old_table = MakeTable(endpoints);
+  endpoints[1].life = 9;
+  const auto new_table = MakeTable(endpoints, old_table.get());
+  REQUIRE(new_table->all()[0].statistics == old_table->all()[0].statistics);
+  REQUIRE(new_table->all()[1].statistics != old_table->all()[1].statistics);
+  endpoints.push_back(MakeEndpoint(1));
+  REQUIRE(EndpointTable::Build(endpoints, "quito-1").error() ==
+          Error::kInvalidArgument);
+}
+
+}  // namespace
+}  // namespace oleandertide::routing
