--- /dev/null
+++ b/tests/routing/admission_gate_test.cc
@@ -0,0 +1,90 @@
+#include "routing/admission_gate.h"
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+namespace oleandertide::routing {
+namespace {
+
+using std::chrono::seconds;
+
+Admission OneSlot() {
+  return Admission::Create({.slots = 1, .queue_length = 100}).value();
+}
+
+MonotonicTime FarDeadline() { return MonotonicClock::now() + seconds(200); }
+
+void WaitUntilQueued(const AdmissionGate& gate, int count) {
+  while (gate.queued() < count) std::this_thread::yield();
+}
+
+// Guards against two worker threads in one slot and against a lost wake-up,
+// which would block a thread until its deadline.
+TEST_CASE("threads pass the gate one at a time and all get through") {
+  AdmissionGate gate(OneSlot());
+  std::atomic<int> inside{0};
+  std::atomic<int> most{0};
+  std::atomic<int> admitted{0};
+  std::vector<std::jthread> threads;
+  threads.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    threads.emplace_back([&] {
+      for (int n = 0; n < 50; ++n) {
+        const auto entry = gate.Enter(RequestClass::kOrder, FarDeadline());
+        if (!std::holds_alternative<AdmissionTicket>(entry)) continue;
+        most = std::max(most.load(), ++inside);
+        ++admitted;
+        --inside;
+      }
+    });
+  }
+  threads.clear();
+  REQUIRE(most == 1);
+  REQUIRE(admitted == 400);
+  REQUIRE(gate.connections() == 0);
+}
+
+// Guards against a cancelled or closed-out request that keeps its thread.
+TEST_CASE("cancellation and closing wake waiting threads") {
+  AdmissionGate gate(OneSlot());
+  const auto ticket = gate.Enter(RequestClass::kOrder, FarDeadline());
+  REQUIRE(std::holds_alternative<AdmissionTicket>(ticket));
+
+  std::stop_source cancel;
+  std::vector<Reason> reasons(2);
+  {
+    std::jthread cancelled([&] {
+      reasons[0] = std::get<Reason>(
+          gate.Enter(RequestClass::kOrder, FarDeadline(), cancel.get_token()));
+    });
+    WaitUntilQueued(gate, 1);
+    cancel.request_stop();
+  }
+  {
+    std::jthread closed([&] {
+      reasons[1] =
+          std::get<Reason>(gate.Enter(RequestClass::kOrder, FarDeadline()));
+    });
+    WaitUntilQueued(gate, 1);
+    gate.Close(Reason::kConnectFailed);
+  }
+  REQUIRE(reasons[0] == Reason::kCallerGone);
+  REQUIRE(reasons[1] == Reason::kConnectFailed);
+}
+
+// Guards against a wait beyond the deadline.
+TEST_CASE("a request in the queue is refused at its deadline") {
+  AdmissionGate gate(OneSlot());
+  const auto ticket = gate.Enter(RequestClass::kOrder, FarDeadline());
+  const auto late =
+      gate.Enter(RequestClass::kOrder,
+                 MonotonicClock::now() + std::chrono::milliseconds(50));
+  REQUIRE(std::get<Reason>(late) == Reason::kDeadlinePassed);
+}
+
+}  // namespace
+}  // namespace oleandertide::routing
