--- /dev/null
+++ b/libraries/routing/retry_policy.cc
@@ -0,0 +1,68 @@
+#include "routing/retry_policy.h"
+
+namespace oleandertide::routing {
+namespace {
+
+// Two retries find a free server in practice; more would hold a worker thread
+// for a request that most likely fails.
+constexpr int kMaximumAttempts = 3;
+
+// "Not run" together with a reason that implies a hand-over is a
+// contradiction; the doubt counts as unknown.
+AttemptResult WithoutDoubt(const AttemptResult& result) {
+  const bool is_contradiction = result.outcome == Outcome::kNotRun &&
+                                result.reason != Reason::kCallerGone &&
+                                DefaultOutcome(result.reason) != result.outcome;
+  if (!is_contradiction) return result;
+  return {Outcome::kUnknown, result.reason};
+}
+
+// Returns true if the request may be sent again at all, budget aside.
+bool IsPermitted(const RetryQuestion& question, const AttemptResult& last) {
+  if (question.attempts >= kMaximumAttempts) return false;
+  if (!question.has_other_endpoint) return false;
+  if (question.now + question.expected_time >= question.deadline) return false;
+  if (!IsWorthRetryingElsewhere(last.reason)) return false;
+  switch (last.outcome) {
+    case Outcome::kNotRun:
+      return true;
+    case Outcome::kUnknown:
+      return question.route_is_repeatable && !question.is_marked_as_retry;
+    case Outcome::kComplete:
+      return false;
+  }
+  return false;
+}
+
+AttemptResult ResultWithoutBudget(const AttemptResult& last) {
+  if (last.outcome != Outcome::kNotRun) return last;
+  return {Outcome::kNotRun, Reason::kRetryBudgetExhausted};
+}
+
+}  // namespace
+
+void BudgetedRetries::RecordFirstAttempt() {
+  not_run_.RecordFirstAttempt();
+  unknown_.RecordFirstAttempt();
+}
+
+bool BudgetedRetries::TryTake(Outcome outcome, MonotonicTime now) {
+  return (outcome == Outcome::kNotRun ? not_run_ : unknown_).TryTake(now);
+}
+
+void RetryPolicy::RecordFirstAttempt() {
+  std::visit([](auto& budget) { budget.RecordFirstAttempt(); }, budget_);
+}
+
+RetryDecision RetryPolicy::Decide(const RetryQuestion& question) {
+  const AttemptResult last = WithoutDoubt(question.last);
+  if (!IsPermitted(question, last)) return GiveUp{last};
+  const bool has_budget = std::visit(
+      [&](auto& budget) { return budget.TryTake(last.outcome, question.now); },
+      budget_);
+  if (!has_budget) return GiveUp{ResultWithoutBudget(last)};
+  return SendAgain{.is_marked_as_retry = question.is_marked_as_retry ||
+                                         last.outcome == Outcome::kUnknown};
+}
+
+}  // namespace oleandertide::routing
--- /dev/null
+++ b/libraries/routing/retry_policy.h
@@ -0,0 +1,97 @@
+// Decides whether a call that ended without an answer is sent again.
+
+#ifndef OLEANDERTIDE_ROUTING_RETRY_POLICY_H_
+#define OLEANDERTIDE_ROUTING_RETRY_POLICY_H_
+
+#include <cstdint>
+#include <utility>
+#include <variant>
+
+#include "core/time.h"
+#include "routing/reason.h"
+#include "routing/retry_budget.h"
+
+namespace oleandertide::routing {
+
+// How an attempt ended, as the node that sent it knows it.
+struct AttemptResult {
+  Outcome outcome;
+  Reason reason;
+};
+
+// All that the decision depends on.
+struct RetryQuestion {
+  // Outcome and reason of the attempt that has just ended; the outcome is not
+  // kComplete.
+  AttemptResult last;
+  // Attempts made so far for this request, including the first.
+  int attempts = 1;
+  // The route may be run more than once without harm.
+  bool route_is_repeatable = false;
+  // The request arrived marked as a retry, or was already retried after an
+  // unknown outcome (SendAgain::is_marked_as_retry of an earlier decision).
+  bool is_marked_as_retry = false;
+  // EndpointChooser::Choose() found an endpoint that was not tried yet.
+  bool has_other_endpoint = false;
+  MonotonicTime now;
+  MonotonicTime deadline;
+  // Time that an attempt needs to be of use.
+  Duration expected_time{1000};
+};
+
+// The request is sent to another endpoint.
+struct SendAgain {
+  // To be carried in the header of the request, so that nodes further down the
+  // chain do not retry after unknown outcomes.
+  bool is_marked_as_retry;
+};
+
+// The caller gets this outcome.
+struct GiveUp {
+  AttemptResult result;
+};
+
+using RetryDecision = std::variant<SendAgain, GiveUp>;
+
+// The budgets of one node: 5% after not-run, 0.3% after unknown outcomes.
+class BudgetedRetries {
+ public:
+  void RecordFirstAttempt();
+  bool TryTake(Outcome outcome, MonotonicTime now);
+
+ private:
+  RetryBudget not_run_{RetryBudget::NotRunOptions()};
+  RetryBudget unknown_{RetryBudget::UnknownOptions()};
+};
+
+// Baseline: every permitted retry is made.
+class UnlimitedRetries {
+ public:
+  void RecordFirstAttempt() {}
+  bool TryTake(Outcome /*outcome*/, MonotonicTime /*now*/) { return true; }
+};
+
+// Thread-safe without locks.
+class RetryPolicy {
+ public:
+  RetryPolicy() = default;
+
+  // Example: RetryPolicy policy(std::in_place_type<UnlimitedRetries>);
+  template <typename Budget>
+  explicit RetryPolicy(std::in_place_type_t<Budget> budget) : budget_(budget) {}
+
+  // Records the first attempt of a request. To be called for each request that
+  // is sent, including those that arrived marked as retries.
+  void RecordFirstAttempt();
+
+  // Decides what happens after an attempt without an answer. Takes from the
+  // budget if the result is SendAgain, so the caller must then send.
+  RetryDecision Decide(const RetryQuestion& question);
+
+ private:
+  std::variant<BudgetedRetries, UnlimitedRetries> budget_;
+};
+
+}  // namespace oleandertide::routing
+
+#endif  // OLEANDERTIDE_ROUTING_RETRY_POLICY_H_
