--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -100,12 +100,14 @@
 
 }  // namespace
 
+bool HasSameName(std::string_view first, std::string_view second) {
+  return first.size() == second.size() &&
+         strncasecmp(first.data(), second.data(), first.size()) == 0;
+}
+
 std::string_view FindHeader(const Headers& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
-    if (key.size() == name.size() &&
-        strncasecmp(key.data(), name.data(), name.size()) == 0) {
-      return value;
-    }
+    if (HasSameName(key, name)) return value;
   }
   return {};
 }
--- a/libraries/http/server.h
+++ b/libraries/http/server.h
@@ -22,6 +22,10 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+// Whether two header names are the same, compared without regard to case.
+// Thread-safe.
+bool HasSameName(std::string_view first, std::string_view second);
+
 // Returns the value of the first header with `name`, compared without regard
 // to case, or an empty view. Thread-safe.
 std::string_view FindHeader(const Headers& headers, std::string_view name);
