--- /dev/null
+++ b/libraries/config/field.h
@@ -0,0 +1,102 @@
+// Tables of the keys that a section may hold.
+
+#ifndef OLEANDERTIDE_CONFIG_FIELD_H_
+#define OLEANDERTIDE_CONFIG_FIELD_H_
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+#include "config/diagnostic.h"
+#include "config/ini_reader.h"
+#include "config/value.h"
+
+namespace oleandertide::config {
+
+// A key of a section: what it allows, what it means and where its value goes.
+struct FieldSpecification {
+  std::string_view section;
+  std::string_view key;
+  Rule rule;
+  std::string_view meaning;
+  // Text of the value if the key is missing.
+  std::optional<std::string_view> default_text = std::nullopt;
+  // What a missing key without default text stands for; if this is empty too,
+  // the key is required.
+  std::string_view when_missing = {};
+};
+
+template <typename Owner>
+struct Field {
+  FieldSpecification specification;
+  // Precondition: the value has the type that the rule gives.
+  void (*assign)(Owner&, const Value&);
+};
+
+// Assigns to a member of Owner, e.g. Assign<&Route::path>, or to a member of a
+// member, e.g. Assign<&NodeSettings::peers, &PeerSettings::fanout>.
+template <auto... Members>
+struct Assign {
+  template <typename Owner>
+  static void To(Owner& owner, const Value& value) {
+    auto& target = (owner.*....*Members);
+    target = std::get<std::decay_t<decltype(target)>>(value);
+  }
+};
+
+namespace detail {
+
+// Finds the value of one field: of its entry, or its default. Adds a
+// diagnostic if the value is not allowed or a required key is missing.
+std::optional<Value> FindValue(const FieldSpecification& specification,
+                               const IniSection& section,
+                               DiagnosticList& diagnostics);
+
+// Adds a diagnostic for each entry that is not among the known keys.
+void ReportUnknownKeys(std::span<const std::string_view> known,
+                       const IniSection& section, DiagnosticList& diagnostics);
+
+}  // namespace detail
+
+// Assigns the values of the fields of the kind of `section` to `owner`. Adds a
+// diagnostic for each entry that no field names, each value that is not
+// allowed and each required key that is missing. Thread-safe.
+template <typename Owner>
+void ReadFields(std::span<const Field<Owner>> fields, const IniSection& section,
+                Owner& owner, DiagnosticList& diagnostics) {
+  std::vector<std::string_view> known;
+  for (const Field<Owner>& field : fields) {
+    if (field.specification.section != section.kind) continue;
+    known.push_back(field.specification.key);
+    const auto value =
+        detail::FindValue(field.specification, section, diagnostics);
+    if (value) field.assign(owner, *value);
+  }
+  detail::ReportUnknownKeys(known, section, diagnostics);
+}
+
+// Describes key, default, range and meaning in one line. Thread-safe.
+std::string Describe(const FieldSpecification& specification);
+
+// Describes the fields, with a heading for each section. Thread-safe.
+template <typename Owner>
+std::string DescribeFields(std::span<const Field<Owner>> fields) {
+  std::string text;
+  std::string_view section;
+  for (const Field<Owner>& field : fields) {
+    if (field.specification.section != section) {
+      section = field.specification.section;
+      text += (text.empty() ? "[" : "\n[") + std::string(section) + "]\n";
+    }
+    text += "  " + Describe(field.specification) + "\n";
+  }
+  return text;
+}
+
+}  // namespace oleandertide::config
+
+#endif  // OLEANDERTIDE_CONFIG_FIELD_H_
