once: Add at-most-once claims with group commit

A key that must not be repeated is claimed in the table before hand-over. The writer batches claims, completions and releases into conditional transactions; a blocking wrapper runs it on one thread over platform::Store.

Each attempt carries a claimant of its own besides the token of its request. Comparing the token alone was ruled out: the late release of a refused attempt would free the key while a later attempt of the same request runs.

A claim that reaches its deadline while its write is possible is answered as already-running and withdrawn by a conditional write, which also voids a write that is still on its way.

--- /dev/null
+++ b/libraries/once/blocking_claim_writer.cc
@@ -0,0 +1,264 @@
+#include "once/blocking_claim_writer.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace oleandertide::once {
+namespace {
+
+// Inputs that wait for the thread while a store operation is in progress.
+constexpr std::size_t kMaximumInputs = 16384;
+
+// Extra wait of the caller, so that the writer, which knows whether the write
+// is possible, normally answers at the deadline itself.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(5);
+
+// Longest wait of one claim.
+constexpr Duration kMaximumWait = std::chrono::hours(1);
+
+// Time that Stop gives to record what waits.
+constexpr Duration kStopPatience = std::chrono::seconds(1);
+
+Moment ReadClocks() {
+  return {MonotonicClock::now(), std::chrono::floor<std::chrono::seconds>(
+                                     std::chrono::system_clock::now())};
+}
+
+}  // namespace
+
+// One caller of Claim. Its fields are guarded by the mutex of the writer.
+struct BlockingClaimWriter::Ticket {
+  std::condition_variable answered;
+  std::optional<ClaimResult> result;
+  // The thread has taken the claim; its write is possible from then on.
+  bool is_taken = false;
+  // The caller no longer waits.
+  bool is_abandoned = false;
+};
+
+// State of the thread; used by no other one.
+struct BlockingClaimWriter::Worker {
+  explicit Worker(BlockingClaimWriter& owner)
+      : owner(owner), writer(owner.options_) {}
+
+  void Accept(std::vector<Input> inputs);
+  void Take(ClaimWriterEffects effects);
+  void RunOne();
+  void Deliver(const AnswerClaim& answer);
+  void PublishCounters();
+
+  bool has_work() const { return !commits.empty() || !reads.empty(); }
+
+  BlockingClaimWriter& owner;
+  ClaimWriter writer;
+  ClaimId last_claim = 0;
+  absl::flat_hash_map<ClaimId, ClaimInput> waiting;
+  std::deque<CommitClaims> commits;
+  std::deque<ReadClaimRow> reads;
+};
+
+void BlockingClaimWriter::Worker::Accept(std::vector<Input> inputs) {
+  for (Input& input : inputs) {
+    const Moment now = ReadClocks();
+    if (ClaimInput* claim = std::get_if<ClaimInput>(&input)) {
+      const ClaimId id = ++last_claim;
+      ClaimRequest request = claim->request;
+      const MonotonicTime deadline = claim->deadline;
+      waiting.emplace(id, std::move(*claim));
+      Take(writer.AddClaim(id, std::move(request), deadline, now));
+    } else if (Completion* completion = std::get_if<Completion>(&input)) {
+      Take(writer.AddCompletion(std::move(*completion), now));
+    } else {
+      Take(writer.AddRelease(std::move(std::get<once::Release>(input)), now));
+    }
+  }
+}
+
+void BlockingClaimWriter::Worker::Take(ClaimWriterEffects effects) {
+  for (ClaimWriterEffect& effect : effects) {
+    if (CommitClaims* commit = std::get_if<CommitClaims>(&effect)) {
+      commits.push_back(std::move(*commit));
+    } else if (ReadClaimRow* read = std::get_if<ReadClaimRow>(&effect)) {
+      reads.push_back(std::move(*read));
+    } else {
+      Deliver(std::get<AnswerClaim>(effect));
+    }
+  }
+}
+
+// Runs one store operation; commits come first because more claims wait for
+// them.
+void BlockingClaimWriter::Worker::RunOne() {
+  if (!commits.empty()) {
+    const CommitClaims commit = std::move(commits.front());
+    commits.pop_front();
+    const Result<platform::TransactionOutcome> outcome =
+        owner.store_.Transact(commit.conditions, commit.writes);
+    Take(writer.HandleTransaction(commit.operation, outcome, ReadClocks()));
+    return;
+  }
+  const ReadClaimRow read = std::move(reads.front());
+  reads.pop_front();
+  const Result<platform::ReadOutcome> outcome =
+      owner.store_.ReadRow(read.key, std::nullopt);
+  Take(writer.HandleRead(read.operation, outcome, ReadClocks()));
+}
+
+void BlockingClaimWriter::Worker::Deliver(const AnswerClaim& answer) {
+  const auto found = waiting.find(answer.claim);
+  if (found == waiting.end()) return;
+  const ClaimInput claim = std::move(found->second);
+  waiting.erase(found);
+  const std::lock_guard lock(owner.mutex_);
+  if (!claim.ticket->is_abandoned) {
+    claim.ticket->result = answer.result;
+    claim.ticket->answered.notify_one();
+    return;
+  }
+  // The caller was told that the outcome is unknown and will not run the
+  // request, so the key is made free for a repeat.
+  if (std::holds_alternative<Granted>(answer.result)) {
+    owner.inputs_.emplace_back(
+        once::Release{.key = claim.request.key,
+                      .token = claim.request.token,
+                      .claimant = claim.request.claimant});
+  }
+}
+
+void BlockingClaimWriter::Worker::PublishCounters() {
+  const std::lock_guard lock(owner.mutex_);
+  owner.counters_ = writer.counters();
+}
+
+BlockingClaimWriter::BlockingClaimWriter(ClaimWriterOptions options,
+                                         platform::Store& store)
+    : store_(store), options_(std::move(options)), thread_([this] { Run(); }) {}
+
+BlockingClaimWriter::~BlockingClaimWriter() { Stop(); }
+
+ClaimResult BlockingClaimWriter::Claim(ClaimRequest request,
+                                       MonotonicTime deadline) {
+  const auto ticket = std::make_shared<Ticket>();
+  deadline = std::min(deadline, MonotonicClock::now() + kMaximumWait);
+  if (!Push(ClaimInput{ticket, std::move(request), deadline})) {
+    return StoreUnavailable{};
+  }
+  const auto latest = std::chrono::steady_clock::time_point(
+      (deadline + kDeadlineGrace).time_since_epoch());
+  std::unique_lock lock(mutex_);
+  ticket->answered.wait_until(lock, latest,
+                              [&ticket] { return ticket->result.has_value(); });
+  if (ticket->result) return *ticket->result;
+  ticket->is_abandoned = true;
+  if (ticket->is_taken) return AlreadyRunning{};
+  return StoreUnavailable{};
+}
+
+void BlockingClaimWriter::Complete(Completion completion) {
+  Push(std::move(completion));
+}
+
+void BlockingClaimWriter::Release(once::Release release) {
+  Push(std::move(release));
+}
+
+void BlockingClaimWriter::Stop() {
+  std::call_once(stopped_, [this] {
+    {
+      const std::lock_guard lock(mutex_);
+      is_stopping_ = true;
+    }
+    changed_.notify_one();
+    thread_.join();
+  });
+}
+
+ClaimWriterCounters BlockingClaimWriter::counters() const {
+  const std::lock_guard lock(mutex_);
+  return counters_;
+}
+
+bool BlockingClaimWriter::has_inputs() const {
+  const std::lock_guard lock(mutex_);
+  return !inputs_.empty();
+}
+
+std::uint64_t BlockingClaimWriter::dropped_inputs() const {
+  const std::lock_guard lock(mutex_);
+  return dropped_inputs_;
+}
+
+bool BlockingClaimWriter::Push(Input input) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (is_stopping_ || inputs_.size() >= kMaximumInputs) {
+      if (!std::holds_alternative<ClaimInput>(input)) ++dropped_inputs_;
+      return false;
+    }
+    inputs_.push_back(std::move(input));
+  }
+  changed_.notify_one();
+  return true;
+}
+
+std::vector<BlockingClaimWriter::Input> BlockingClaimWriter::TakeInputs(
+    const Worker& worker, bool& is_stopping) {
+  std::unique_lock lock(mutex_);
+  const auto is_awake = [this] { return !inputs_.empty() || is_stopping_; };
+  if (!worker.has_work() && !is_stopping_) {
+    const std::optional<MonotonicTime> wake = worker.writer.next_wake_time();
+    if (wake) {
+      changed_.wait_until(
+          lock, std::chrono::steady_clock::time_point(wake->time_since_epoch()),
+          is_awake);
+    } else {
+      changed_.wait(lock, is_awake);
+    }
+  }
+  is_stopping = is_stopping_;
+  std::vector<Input> taken;
+  taken.reserve(inputs_.size());
+  for (Input& input : inputs_) {
+    ClaimInput* claim = std::get_if<ClaimInput>(&input);
+    if (claim != nullptr) {
+      if (claim->ticket->is_abandoned) continue;
+      claim->ticket->is_taken = true;
+    }
+    taken.push_back(std::move(input));
+  }
+  inputs_.clear();
+  return taken;
+}
+
+void BlockingClaimWriter::Run() {
+  Worker worker(*this);
+  std::optional<MonotonicTime> stop_at;
+  while (true) {
+    bool is_stopping = false;
+    worker.Accept(TakeInputs(worker, is_stopping));
+    if (worker.has_work()) worker.RunOne();
+    worker.Take(worker.writer.Advance(ReadClocks()));
+    worker.PublishCounters();
+    if (!is_stopping) continue;
+    const MonotonicTime now = MonotonicClock::now();
+    if (!stop_at) stop_at = now + kStopPatience;
+    const bool is_finished =
+        worker.writer.is_idle() && !worker.has_work() && !has_inputs();
+    if (is_finished || now >= *stop_at) break;
+    if (worker.has_work() || has_inputs()) continue;
+    const MonotonicTime wake =
+        std::min(worker.writer.next_wake_time().value_or(*stop_at), *stop_at);
+    std::this_thread::sleep_until(
+        std::chrono::steady_clock::time_point(wake.time_since_epoch()));
+  }
+  // Lets all remaining deadlines pass.
+  Moment end = ReadClocks();
+  end.monotonic += 2 * kMaximumWait;
+  worker.Take(worker.writer.Advance(end));
+  worker.PublishCounters();
+}
+
+}  // namespace oleandertide::once
--- /dev/null
+++ b/tests/once/claim_writer_test.cc
@@ -0,0 +1,264 @@
+#include "once/claim_writer.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "support/fake_table.h"
+
+namespace oleandertide::once {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Attempts must differ over all writers.
+std::uint64_t NextClaimant() {
+  static std::uint64_t last = 0;
+  return ++last;
+}
+
+// One writer over a fake table. Effects are run by hand, so that a test can
+// place inputs between them.
+class Bench {
+ public:
+  explicit Bench(testing::FakeTable& table)
+      : table_(table), writer_([] {
+          ClaimWriterOptions options;
+          options.environment = "trial";
+          return options;
+        }()) {}
+
+  ClaimId Claim(const std::string& key, std::uint64_t token,
+                std::uint64_t fingerprint = 1) {
+    claimant_ = NextClaimant();
+    Take(writer_.AddClaim(++last_claim_, {key, fingerprint, token, claimant_},
+                          now_.monotonic + milliseconds(50), now_));
+    return last_claim_;
+  }
+  void Complete(const std::string& key, std::uint64_t token, std::string body) {
+    Take(writer_.AddCompletion({key, token, Answered{200, {}, std::move(body)}},
+                               now_));
+  }
+  void Release(const std::string& key, std::uint64_t token,
+               std::uint64_t claimant) {
+    Take(writer_.AddRelease({key, token, claimant}, now_));
+  }
+  // Lets time pass; operations are answered without delay.
+  void Run(Duration time) {
+    const MonotonicTime end = now_.monotonic + time;
+    while (now_.monotonic < end) {
+      now_.monotonic += milliseconds(1);
+      Take(writer_.Advance(now_));
+      while (RunOne()) {
+      }
+    }
+  }
+  // Lets time pass without running operations.
+  void Wait(Duration time) {
+    now_.monotonic += time;
+    Take(writer_.Advance(now_));
+  }
+  // Answers all operations in flight with an error; the table stays as it is.
+  void Fail(Error error) {
+    auto commits = std::exchange(commits_, {});
+    auto reads = std::exchange(reads_, {});
+    for (const auto& commit : commits) {
+      Take(writer_.HandleTransaction(commit.operation, error, now_));
+    }
+    for (const auto& read : reads) {
+      Take(writer_.HandleRead(read.operation, error, now_));
+    }
+  }
+  bool RunOne() {
+    if (!commits_.empty()) {
+      const CommitClaims commit = commits_.front();
+      commits_.pop_front();
+      Take(writer_.HandleTransaction(
+          commit.operation, table_.Transact(commit.conditions, commit.writes),
+          now_));
+      return true;
+    }
+    if (reads_.empty()) return false;
+    const ReadClaimRow read = reads_.front();
+    reads_.pop_front();
+    Take(writer_.HandleRead(read.operation,
+                            table_.ReadRow(read.key, std::nullopt), now_));
+    return true;
+  }
+
+  template <typename T>
+  bool Got(ClaimId id) const {
+    const auto found = answers_.find(id);
+    return found != answers_.end() && std::holds_alternative<T>(found->second);
+  }
+  bool has_answer(ClaimId id) const { return answers_.contains(id); }
+  const ClaimResult& answer(ClaimId id) const { return answers_.at(id); }
+  std::uint64_t claimant() const { return claimant_; }
+  std::deque<CommitClaims>& commits() { return commits_; }
+  const ClaimWriter& writer() const { return writer_; }
+
+ private:
+  void Take(ClaimWriterEffects effects) {
+    for (ClaimWriterEffect& effect : effects) {
+      if (auto* commit = std::get_if<CommitClaims>(&effect)) {
+        commits_.push_back(*commit);
+      } else if (auto* read = std::get_if<ReadClaimRow>(&effect)) {
+        reads_.push_back(*read);
+      } else {
+        const auto& answer = std::get<AnswerClaim>(effect);
+        REQUIRE(answers_.emplace(answer.claim, answer.result).second);
+      }
+    }
+  }
+
+  testing::FakeTable& table_;
+  ClaimWriter writer_;
+  Moment now_{MonotonicTime(std::chrono::hours(1)), WallTime()};
+  ClaimId last_claim_ = 0;
+  std::uint64_t claimant_ = 0;
+  std::deque<CommitClaims> commits_;
+  std::deque<ReadClaimRow> reads_;
+  std::map<ClaimId, ClaimResult> answers_;
+};
+
+// Guards against a platform write for every claim.
+TEST_CASE("claims that arrive together share transactions of 128 rows") {
+  testing::FakeTable table;
+  Bench bench(table);
+  std::vector<ClaimId> claims;
+  claims.reserve(300);
+  for (std::uint64_t i = 0; i < 300; ++i) {
+    claims.push_back(bench.Claim("key" + std::to_string(i), i));
+  }
+  bench.Run(milliseconds(20));
+  for (const ClaimId claim : claims) REQUIRE(bench.Got<Granted>(claim));
+  REQUIRE(table.transactions() == 3);
+  REQUIRE(table.reads() == 0);
+}
+
+// Guards against one repeated key that fails the claims of its batch.
+TEST_CASE("a refused row is resolved alone") {
+  testing::FakeTable table;
+  Bench first(table);
+  Bench second(table);
+  first.Claim("taken", 1);
+  first.Run(milliseconds(10));
+  const ClaimId fresh = second.Claim("fresh", 2);
+  const ClaimId repeated = second.Claim("taken", 3);
+  const ClaimId other = second.Claim("taken", 4, /*fingerprint=*/9);
+  second.Run(milliseconds(10));
+  REQUIRE(second.Got<Granted>(fresh));
+  REQUIRE(second.Got<AlreadyRunning>(repeated));
+  REQUIRE(second.Got<KeyReused>(other));
+  first.Complete("taken", 1, "booked");
+  first.Run(milliseconds(60));
+  second.Run(milliseconds(200));
+  const ClaimId late = second.Claim("taken", 5);
+  second.Run(milliseconds(10));
+  REQUIRE(std::get<Answered>(second.answer(late)).body == "booked");
+}
+
+// Guards against a repeat that waits for the table although the writer knows
+// the answer, in particular while the platform is down.
+TEST_CASE("a completed key is answered from memory") {
+  testing::FakeTable table;
+  Bench bench(table);
+  bench.Claim("key", 1);
+  bench.Run(milliseconds(10));
+  bench.Complete("key", 1, "booked");
+  const ClaimId before = bench.Claim("key", 2);
+  REQUIRE(bench.Got<Answered>(before));
+  bench.Wait(milliseconds(60));
+  bench.Fail(Error::kUnavailable);
+  REQUIRE(bench.Got<Answered>(bench.Claim("key", 3)));
+  REQUIRE(bench.Got<StoreUnavailable>(bench.Claim("other", 4)));
+  bench.Run(milliseconds(300));
+  REQUIRE(bench.writer().is_idle());
+  REQUIRE(bench.writer().counters().rows_written == 2);
+}
+
+// Guards against a waiting caller while the platform is certain to refuse.
+TEST_CASE("platform down refuses waiting claims as not run") {
+  testing::FakeTable table;
+  Bench bench(table);
+  const ClaimId sent = bench.Claim("sent", 1);
+  bench.Wait(milliseconds(5));
+  const ClaimId waiting = bench.Claim("waiting", 2);
+  bench.Fail(Error::kUnavailable);
+  REQUIRE(bench.Got<StoreUnavailable>(sent));
+  REQUIRE(bench.Got<StoreUnavailable>(waiting));
+  bench.Run(milliseconds(200));
+  const ClaimId again = bench.Claim("sent", 3);
+  bench.Run(milliseconds(10));
+  REQUIRE(bench.Got<Granted>(again));
+}
+
+// Guards against "not run" for a claim whose write takes effect afterwards,
+// and against a key that stays claimed by an attempt that never ran.
+TEST_CASE("a claim with a lost answer is resolved by its token") {
+  testing::FakeTable table;
+  Bench bench(table);
+  const ClaimId claim = bench.Claim("key", 1);
+  bench.Wait(milliseconds(5));
+  const CommitClaims late = bench.commits().front();
+  bench.Fail(Error::kOutcomeUnknown);
+  REQUIRE_FALSE(bench.has_answer(claim));
+
+  SECTION("the write took effect") {
+    REQUIRE(table.Transact(late.conditions, late.writes).has_value());
+    bench.Run(milliseconds(10));
+    REQUIRE(bench.Got<Granted>(claim));
+    REQUIRE(table.transactions() == 1);
+  }
+  SECTION("the write did not take effect") {
+    bench.Run(milliseconds(10));
+    REQUIRE(bench.Got<Granted>(claim));
+  }
+  SECTION("the platform is down until the deadline") {
+    bench.Fail(Error::kUnavailable);
+    REQUIRE_FALSE(bench.has_answer(claim));
+    bench.Wait(milliseconds(60));
+    REQUIRE(bench.Got<AlreadyRunning>(claim));
+    bench.Run(milliseconds(200));
+    REQUIRE(std::holds_alternative<platform::Refused>(
+        table.Transact(late.conditions, late.writes).value()));
+    const ClaimId repeat = bench.Claim("key", 2);
+    bench.Run(milliseconds(10));
+    REQUIRE(bench.Got<Granted>(repeat));
+  }
+}
+
+// Guards against the late release of a refused attempt that frees the key
+// while a later attempt of the same request runs.
+TEST_CASE("a release frees only the claim of its own attempt") {
+  testing::FakeTable table;
+  Bench first(table);
+  Bench second(table);
+  first.Claim("key", 1);
+  const std::uint64_t attempt = first.claimant();
+  first.Run(milliseconds(10));
+  const ClaimId retry = second.Claim("key", 1);
+  second.Run(milliseconds(10));
+  REQUIRE(second.Got<Granted>(retry));
+  first.Release("key", 1, attempt);
+  first.Run(milliseconds(60));
+  const ClaimId other = first.Claim("key", 2);
+  first.Run(milliseconds(10));
+  REQUIRE(first.Got<AlreadyRunning>(other));
+}
+
+// Guards against lost claims and against a writer that keeps its rate while
+// the platform limits it.
+TEST_CASE("a rate limit lengthens the commit interval") {
+  testing::FakeTable table;
+  Bench bench(table);
+  const ClaimId claim = bench.Claim("key", 1);
+  bench.Wait(milliseconds(5));
+  bench.Fail(Error::kRateLimited);
+  bench.Wait(milliseconds(9));
+  REQUIRE(bench.commits().empty());
+  bench.Run(milliseconds(2));
+  REQUIRE(bench.Got<Granted>(claim));
+}
+
+}  // namespace
+}  // namespace oleandertide::once
