routing: Quarantine requests that crash backend servers

Requests in flight beside the crashing one are told apart by completions, by deaths that another fingerprint explains better, and by admitting equals in turn. Refusing all of them for ten minutes was ruled out: it punishes callers who only shared a server.

--- /dev/null
+++ b/tests/routing/quarantine_test.cc
@@ -0,0 +1,197 @@
+#include "routing/quarantine.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <deque>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/hash.h"
+#include "core/random.h"
+
+namespace oleandertide::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr MonotonicTime kStart{seconds(1000)};
+constexpr std::array<Fingerprint, 1> kCrash = {42};
+
+// Guards against a crashing request that is sent on after two deaths, and
+// against one death or two deaths of one server being taken for proof.
+TEST_CASE("two different backend servers quarantine for ten minutes") {
+  Quarantine quarantine;
+  quarantine.RecordDeath(kStart, kCrash, "10.0.0.1:80");
+  quarantine.RecordDeath(kStart + seconds(60), kCrash, "10.0.0.1:80");
+  REQUIRE_FALSE(quarantine.IsRefused(kStart + seconds(60), 42));
+  quarantine.RecordDeath(kStart + seconds(90), kCrash, "10.0.0.2:80");
+  REQUIRE(quarantine.IsRefused(kStart + seconds(90), 42));
+  REQUIRE_FALSE(quarantine.IsRefused(kStart + seconds(90), 43));
+  REQUIRE(quarantine.IsRefused(kStart + seconds(90) + minutes(9), 42));
+  REQUIRE_FALSE(quarantine.IsRefused(kStart + seconds(90) + minutes(10), 42));
+}
+
+// Guards against a popular lookup that is refused because it is in flight
+// whenever a server dies.
+TEST_CASE("a completion clears the suspicion, here and at other nodes") {
+  Quarantine here;
+  Quarantine there;
+  here.RecordDeath(kStart, kCrash, "10.0.0.1:80");
+  here.RecordDeath(kStart + seconds(1), kCrash, "10.0.0.2:80");
+  const auto deaths = here.TakeReports(kStart + seconds(2), 100);
+  REQUIRE(there.Merge(kStart + seconds(2), deaths) == 2);
+  REQUIRE(there.IsRefused(kStart + seconds(2), 42));
+  here.RecordCompletion(kStart + seconds(3), 42);
+  REQUIRE_FALSE(here.IsRefused(kStart + seconds(3), 42));
+  there.Merge(kStart + seconds(4), here.TakeReports(kStart + seconds(4), 100));
+  REQUIRE_FALSE(there.IsRefused(kStart + seconds(4), 42));
+  // The old reports still circulate.
+  there.Merge(kStart + seconds(5), deaths);
+  REQUIRE_FALSE(there.IsRefused(kStart + seconds(5), 42));
+
+  Quarantine busy;
+  busy.RecordCompletion(kStart - seconds(1), 42);
+  busy.RecordDeath(kStart, kCrash, "10.0.0.1:80");
+  busy.RecordDeath(kStart, kCrash, "10.0.0.2:80");
+  REQUIRE_FALSE(busy.IsRefused(kStart, 42));
+}
+
+// Guards against innocent requests that are refused for ten minutes because
+// they were in flight beside the crashing one at both deaths.
+TEST_CASE("innocent requests beside the crashing one wait only a short while") {
+  const std::array<Fingerprint, 3> in_flight = {7, 42, 99};
+  Quarantine quarantine;
+  quarantine.RecordDeath(kStart, in_flight, "10.0.0.1:80");
+  quarantine.RecordDeath(kStart + seconds(1), in_flight, "10.0.0.2:80");
+  const MonotonicTime last = kStart + seconds(1);
+  std::vector<int> turns(3);
+  for (int i = 0; i < 20; ++i) {
+    int open = 0;
+    for (std::size_t k = 0; k < in_flight.size(); ++k) {
+      const bool is_open =
+          !quarantine.IsRefused(last + seconds(i), in_flight[k]);
+      open += is_open ? 1 : 0;
+      turns[k] += is_open ? 1 : 0;
+    }
+    REQUIRE(open <= 1);  // Never two suspects at the same time.
+  }
+  REQUIRE(turns == std::vector<int>{5, 5, 5});
+
+  // The cause kills a third server in its turn; the others are released.
+  quarantine.RecordDeath(last + seconds(12), kCrash, "10.0.0.3:80");
+  REQUIRE(quarantine.IsRefused(last + seconds(13), 42));
+  REQUIRE_FALSE(quarantine.IsRefused(last + seconds(13), 7));
+  REQUIRE_FALSE(quarantine.IsRefused(last + seconds(13), 99));
+}
+
+// Guards against memory that grows with the number of crashing requests, and
+// against reports that circulate for ever.
+TEST_CASE("quarantine and its reports are bounded") {
+  Quarantine quarantine(3);
+  for (Fingerprint i = 1; i <= 20'000; ++i) {
+    const std::array<Fingerprint, 1> one = {i};
+    quarantine.RecordDeath(kStart + Duration(i), one, "10.0.0.1:80");
+  }
+  REQUIRE(quarantine.size() == Quarantine::kMaximumFingerprints);
+  std::size_t sent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    sent += quarantine.TakeReports(kStart + seconds(1), 100).size();
+  }
+  REQUIRE(sent == 3 * Quarantine::kMaximumFingerprints);
+}
+
+// Nodes that exchange reports with one random node every 500 ms, each beside a
+// backend server that runs 4 requests at a time.
+class CrashingFleet {
+ public:
+  explicit CrashingFleet(bool is_on) : is_on_(is_on), nodes_(kNodes) {}
+
+  // One step of 100 ms with ordinary requests; returns those refused.
+  int Step() {
+    now_ += milliseconds(100);
+    if (now_.time_since_epoch() % milliseconds(500) == Duration(0)) Gossip();
+    int refused = 0;
+    for (int i = 0; i < 20; ++i) {
+      // Half of them are popular lookups, the others differ.
+      const Fingerprint request =
+          i % 2 == 0 ? Hash64("popular", static_cast<std::uint64_t>(i))
+                     : random_.Next();
+      if (!Send(request, false)) ++refused;
+    }
+    return refused;
+  }
+
+  // Sends the request through a random node; returns false if it is refused.
+  bool Send(Fingerprint request, bool is_crashing) {
+    const std::size_t ingress = random_.Below(kNodes);
+    if (is_on_ && nodes_[ingress].IsRefused(now_, request)) return false;
+    const std::size_t receiver = random_.Below(kNodes);
+    if (is_on_ && nodes_[receiver].IsRefused(now_, request)) return false;
+    std::deque<Fingerprint>& running = running_[receiver];
+    running.push_back(request);
+    if (is_crashing) {
+      dead_.insert(receiver);
+      const std::vector<Fingerprint> in_flight(running.begin(), running.end());
+      nodes_[receiver].RecordDeath(now_, in_flight,
+                                   "10.0.0." + std::to_string(receiver));
+      running.clear();
+    } else if (running.size() > 3) {
+      nodes_[receiver].RecordCompletion(now_, running.front());
+      running.pop_front();
+    }
+    return true;
+  }
+
+  std::size_t dead() const { return dead_.size(); }
+
+ private:
+  static constexpr std::size_t kNodes = 40;
+
+  void Gossip() {
+    for (Quarantine& node : nodes_) {
+      Quarantine& partner = nodes_[random_.Below(kNodes)];
+      if (&partner == &node) continue;
+      partner.Merge(now_, node.TakeReports(now_, 200));
+      node.Merge(now_, partner.TakeReports(now_, 200));
+    }
+  }
+
+  bool is_on_;
+  MonotonicTime now_ = kStart;
+  RandomSource random_{17};
+  std::vector<Quarantine> nodes_;
+  std::array<std::deque<Fingerprint>, kNodes> running_;
+  std::set<std::size_t> dead_;
+};
+
+struct CrashingRun {
+  std::size_t dead;
+  int refused;
+};
+
+// Sends the crashing request twenty times, every 5 s, through random nodes.
+CrashingRun SendCrashingRequest(bool is_on) {
+  CrashingFleet fleet(is_on);
+  int refused = 0;
+  for (int i = 0; i < 20; ++i) {
+    for (int step = 0; step < 50; ++step) refused += fleet.Step();
+    fleet.Send(42, true);
+  }
+  return {fleet.dead(), refused};
+}
+
+// Guards against one request that takes down the whole service because its
+// caller keeps sending it, and against a cure that refuses everyone else.
+TEST_CASE("a crashing request sent twenty times kills a few backend servers") {
+  REQUIRE(SendCrashingRequest(false).dead > 10);
+  const CrashingRun run = SendCrashingRequest(true);
+  REQUIRE(run.dead <= 3);
+  REQUIRE(run.refused <= 10);  // Of 20,000.
+}
+
+}  // namespace
+}  // namespace oleandertide::routing
