routing: Keep an unknown outcome after a refused retry

A request whose first attempt ended unknown and whose retry was refused was reported as not run, although the first attempt may have run. The question now carries had_unknown_attempt.

--- a/libraries/routing/retry_policy.cc
+++ b/libraries/routing/retry_policy.cc
@@ -34,9 +34,11 @@
   return false;
 }
 
-AttemptResult ResultWithoutBudget(const AttemptResult& last) {
-  if (last.outcome != Outcome::kNotRun) return last;
-  return {Outcome::kNotRun, Reason::kRetryBudgetExhausted};
+// Returns what the caller is told after the last attempt.
+AttemptResult ResultForCaller(const RetryQuestion& question,
+                              const AttemptResult& last) {
+  if (!question.had_unknown_attempt) return last;
+  return {Outcome::kUnknown, last.reason};
 }
 
 }  // namespace
@@ -56,11 +58,19 @@
 
 RetryDecision RetryPolicy::Decide(const RetryQuestion& question) {
   const AttemptResult last = WithoutDoubt(question.last);
-  if (!IsPermitted(question, last)) return GiveUp{last};
+  if (!IsPermitted(question, last)) {
+    return GiveUp{ResultForCaller(question, last)};
+  }
   const bool has_budget = std::visit(
       [&](auto& budget) { return budget.TryTake(last.outcome, question.now); },
       budget_);
-  if (!has_budget) return GiveUp{ResultWithoutBudget(last)};
+  if (!has_budget) {
+    AttemptResult refused = last;
+    if (last.outcome == Outcome::kNotRun) {
+      refused.reason = Reason::kRetryBudgetExhausted;
+    }
+    return GiveUp{ResultForCaller(question, refused)};
+  }
   return SendAgain{.is_marked_as_retry = question.is_marked_as_retry ||
                                          last.outcome == Outcome::kUnknown};
 }
--- a/libraries/routing/retry_policy.h
+++ b/libraries/routing/retry_policy.h
@@ -31,6 +31,9 @@
   // The request arrived marked as a retry, or was already retried after an
   // unknown outcome (SendAgain::is_marked_as_retry of an earlier decision).
   bool is_marked_as_retry = false;
+  // An earlier attempt of this request at this node ended unknown. Whatever
+  // follows, the caller must then not be told that the request has not run.
+  bool had_unknown_attempt = false;
   // EndpointChooser::Choose() found an endpoint that was not tried yet.
   bool has_other_endpoint = false;
   MonotonicTime now;
--- a/tests/routing/retry_test.cc
+++ b/tests/routing/retry_test.cc
@@ -77,6 +77,18 @@
   REQUIRE(unknown.reason == Reason::kConnectionLost);
 }
 
+// Guards against "not run" for a request whose first attempt may have run and
+// whose second one was refused.
+TEST_CASE("an unknown attempt is not forgotten after a refused retry") {
+  RetryPolicy policy(std::in_place_type<UnlimitedRetries>);
+  RetryQuestion question = Question(Outcome::kNotRun, Reason::kQueueFull);
+  question.had_unknown_attempt = true;
+  question.has_other_endpoint = false;
+  const auto result = std::get<GiveUp>(policy.Decide(question)).result;
+  REQUIRE(result.outcome == Outcome::kUnknown);
+  REQUIRE(result.reason == Reason::kQueueFull);
+}
+
 // One request through a chain of services that all fail. Every hop is one
 // policy, as if one node ran the service.
 class FailingChain {
