--- a/libraries/backend_servers/local_backend_server.cc
+++ b/libraries/backend_servers/local_backend_server.cc
@@ -27,7 +27,6 @@
   }
   announced_at_ = now;
   is_leaving_ = announcement.is_leaving;
-  if (is_leaving_) session_->gate().Drain();
   return Success();
 }
 
