--- a/libraries/config/address.h
+++ b/libraries/config/address.h
@@ -3,10 +3,10 @@
 #ifndef OLEANDERTIDE_CONFIG_ADDRESS_H_
 #define OLEANDERTIDE_CONFIG_ADDRESS_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "core/result.h"
 
@@ -25,7 +25,10 @@
   // Whether the IP number stands for all addresses of the instance.
   bool is_wildcard() const { return ip == "0.0.0.0" || ip == "::"; }
 
-  auto operator<=>(const Address&) const = default;
+  bool operator==(const Address&) const = default;
+  bool operator<(const Address& other) const {
+    return std::tie(ip, port) < std::tie(other.ip, other.port);
+  }
 };
 
 // Writes the form that Address::Parse reads. Thread-safe.
--- a/libraries/config/difference.h
+++ b/libraries/config/difference.h
@@ -21,7 +21,7 @@
   ItemKind kind = ItemKind::kService;
   std::string name;
 
-  auto operator<=>(const ItemName&) const = default;
+  bool operator==(const ItemName&) const = default;
 };
 
 // A key whose value differs, with both values as they stand in a document.
