--- a/libraries/calls/ingress.cc
+++ b/libraries/calls/ingress.cc
@@ -99,7 +99,7 @@
 
 CallResult Ingress::Handle(Request request, std::optional<Duration> timeout,
                            std::stop_token cancelled) {
-  ++parts_.counters.ingress_calls;
+  parts_.counters.ingress_calls.Add();
   const RouteResult found = FindRoute(request);
   if (const auto* reason = std::get_if<Reason>(&found)) {
     return Finish(NotRun(*reason));
@@ -116,8 +116,9 @@
 }
 
 CallResult Ingress::HandleJob(std::string_view job, std::string_view route,
-                              std::string idempotency_key, Duration timeout) {
-  ++parts_.counters.ingress_calls;
+                              std::string idempotency_key,
+                              MonotonicTime must_start_before) {
+  parts_.counters.ingress_calls.Add();
   Decision decision;
   Request request;
   {
@@ -137,8 +138,9 @@
   request.headers.push_back({"Idempotency-Key", idempotency_key});
   request.headers.push_back({"Oleandertide-Job", std::string(job)});
   request.idempotency_key = std::move(idempotency_key);
-  request.deadline = MonotonicClock::now() + decision.timeout.value_or(std::min(
-                                                 timeout, default_timeout_));
+  request.deadline = std::min(
+      must_start_before,
+      MonotonicClock::now() + decision.timeout.value_or(default_timeout_));
   // A due time runs at most once, also on repeatable routes.
   decision.policy.is_repeatable = false;
   return Finish(Forward(decision, std::move(request), job, {}));
@@ -148,7 +150,7 @@
   if (const auto* refusal = std::get_if<Refusal>(&result)) {
     parts_.counters.refusals.Add(refusal->reason);
   } else {
-    ++parts_.counters.completed;
+    parts_.counters.completed.Add();
   }
   return result;
 }
@@ -174,6 +176,7 @@
 CallResult Ingress::Forward(const Decision& decision, Request request,
                             std::string_view job, std::stop_token cancelled) {
   ++in_flight_;
+  const MonotonicTime start = MonotonicClock::now();
   ForwardedRequest forwarded;
   forwarded.id = next_id_++;
   forwarded.sequence = decision.sequence;
@@ -192,6 +195,8 @@
   } else if (table) {
     result = SendWithRetries(*table, forwarded, std::move(cancelled));
   }
+  const MonotonicTime end = MonotonicClock::now();
+  parts_.counters.call_latency.Record(end - start, end);
   --in_flight_;
   return result;
 }
--- a/libraries/calls/ingress.h
+++ b/libraries/calls/ingress.h
@@ -51,9 +51,11 @@
   CallResult Handle(Request request, std::optional<Duration> timeout,
                     std::stop_token cancelled);
 
-  // Sends the call of a scheduled job on the route of that name.
+  // Sends the call of a scheduled job on the route of that name, if it can be
+  // handed over before `must_start_before`.
   CallResult HandleJob(std::string_view job, std::string_view route,
-                       std::string idempotency_key, Duration timeout);
+                       std::string idempotency_key,
+                       MonotonicTime must_start_before);
 
   // Calls in progress.
   int in_flight() const { return in_flight_; }
--- a/libraries/calls/receiver.cc
+++ b/libraries/calls/receiver.cc
@@ -120,7 +120,7 @@
                           request.token, request.request.deadline);
   if (!std::holds_alternative<once::Granted>(outcome.result)) {
     if (std::holds_alternative<once::Answered>(outcome.result)) {
-      ++parts_.counters.replayed;
+      parts_.counters.replayed.Add();
     }
     return std::visit(ClaimRefusal{}, outcome.result);
   }
@@ -143,7 +143,7 @@
   if (MonotonicClock::now() >= request.request.deadline) {
     return NotRun(Reason::kDeadlinePassed);
   }
-  ++parts_.counters.handed_over;
+  parts_.counters.handed_over.Add();
   CallResult result = session.Send(request, std::move(cancelled));
   if (std::holds_alternative<Answer>(result)) {
     parts_.quarantine.RecordCompletion(MonotonicClock::now(),
@@ -164,7 +164,7 @@
   // The newer of the two configurations decides. A sender that is ahead has
   // already checked the route against the accepted document.
   if (request.sequence >= snapshot->sequence()) return std::nullopt;
-  ++parts_.counters.senders_behind;
+  parts_.counters.senders_behind.Add();
   const config::Route* route = snapshot->route(request.policy.route);
   // The calls of jobs are never repeated, whatever their route says.
   const bool is_same_route =
