routing: Do not start queued work that would end too late

A queued request whose remaining time is shorter than the expected service time most likely ends after its deadline and wastes the slot. A free slot still takes any new request, so a wrong estimate corrects itself.

--- a/libraries/routing/admission.cc
+++ b/libraries/routing/admission.cc
@@ -150,17 +150,20 @@
 }
 
 // Starts queued requests while there is capacity, higher classes first, and
-// refuses those whose deadline has passed.
+// refuses those whose deadline has passed or is too near.
 void Admission::StartQueued(MonotonicTime now, AdmissionDecisions& decisions) {
   for (Queue& queue : queues_) {
     while (!queue.empty()) {
       const Queued next = queue.front();
       if (next.deadline <= now) {
         decisions.refused.push_back({next.id, Reason::kDeadlinePassed});
-      } else if (has_capacity()) {
-        Start(now, next.id, decisions);
-      } else {
+      } else if (!has_capacity()) {
         break;
+      } else if (now + service_time_ > next.deadline) {
+        // It would most likely end too late and waste the slot.
+        decisions.refused.push_back({next.id, Reason::kShed});
+      } else {
+        Start(now, next.id, decisions);
       }
       queue.pop_front();
     }
