routing: Compare latency with the usual one of the service

A slow but healthy backend server that was alone in its data centre kept the calls of that data centre: nothing told the node that it was slow. Latencies below twice the usual one are now ignored, and refusals weigh at most 2: in overload the nodes followed queue times of the past to the same servers.

--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -20,25 +20,25 @@
 // that was slow long ago is tried again.
 constexpr Duration kKnowledgeHalfLife = std::chrono::seconds(10);
 
-// Scores closer than this factor count as equal and the first candidate is
-// taken. Otherwise small constant differences of latency, which every node
-// sees in the same way, would send most calls to the same few servers.
+// Costs closer than this factor count as equal and the first candidate is
+// taken.
 constexpr double kTieFactor = 1.25;
 
-// Reported load changes a score by this share at most, so that a wrong report
-// alone never outweighs what the node has observed.
+// Reported load changes a cost by this share at most, which is less than the
+// tie factor, so that a wrong report never decides alone.
 constexpr double kReportedLoadShare = 0.2;
 
+// An endpoint whose latency is above the usual one of the service by this
+// factor is slow or has a queue. Smaller differences are ignored: in overload
+// they show queues of a few hundred milliseconds ago, and nodes that follow
+// them fill the same queues in turn. A slow local endpoint is also compared
+// with one in another data centre, because the way there costs little.
+constexpr double kSlowFactor = 2;
+
 // An endpoint with more recent failure weight is taken to lack capacity. One
 // refusal falls below it after four seconds.
 constexpr float kLackingCapacityWeight = 0.25F;
 
-struct Candidate {
-  const Endpoint* endpoint = nullptr;
-  double latency = 0;    // In microseconds; only valid if known.
-  double knowledge = 0;  // Weight of `latency`, 0 to 1.
-};
-
 bool IsExcluded(const Endpoint& endpoint, const ChoiceContext& context) {
   return std::ranges::find(context.excluded, endpoint.id) !=
          context.excluded.end();
@@ -86,21 +86,16 @@
   return nullptr;
 }
 
-Candidate Describe(const Endpoint* endpoint, MonotonicTime now) {
-  const AtomicTimedFloat::Reading latency = endpoint->statistics->latency(now);
-  if (!latency.is_known) return {.endpoint = endpoint};
+// Returns the latency in microseconds to expect of the endpoint. As far as it
+// is not known, or known only from long ago, it is taken to be `usual`.
+double ExpectedLatency(const Endpoint& endpoint, double usual,
+                       MonotonicTime now) {
+  const AtomicTimedFloat::Reading latency = endpoint.statistics->latency(now);
+  if (!latency.is_known) return usual;
   const double half_lives = static_cast<double>(latency.age.count()) /
                             static_cast<double>(kKnowledgeHalfLife.count());
-  return {.endpoint = endpoint,
-          .latency = latency.value,
-          .knowledge = std::exp2(-half_lives)};
-}
-
-// Returns the latency expected of `candidate`. The part that is not known, or
-// known only from long ago, is taken to be like the pair's average.
-double ExpectedLatency(const Candidate& candidate, double average) {
-  return candidate.knowledge * candidate.latency +
-         (1 - candidate.knowledge) * average;
+  const double knowledge = std::exp2(-half_lives);
+  return knowledge * latency.value + (1 - knowledge) * usual;
 }
 
 double Cost(const Endpoint& endpoint, MonotonicTime now) {
@@ -112,25 +107,28 @@
          (1 + kReportedLoadShare * load);
 }
 
+// Returns how far the endpoint is beyond the latency that counts as slow; 1 if
+// it is not slow, or if no latency is known yet.
+double Slowness(const EndpointTable& table, const Endpoint& endpoint,
+                MonotonicTime now) {
+  const double usual = table.usual_latency();
+  if (usual <= 0) return 1;
+  const double latency = ExpectedLatency(endpoint, usual, now);
+  return std::max(1.0, latency / (kSlowFactor * usual));
+}
+
 // Returns the better of two endpoints; the first one if they are about equal.
-const Endpoint* Better(const Endpoint* first, const Endpoint* second,
-                       MonotonicTime now) {
+const Endpoint* Better(const EndpointTable& table, const Endpoint* first,
+                       const Endpoint* second, MonotonicTime now) {
   if (first == nullptr) return second;
   if (second == nullptr) return first;
-  const Candidate a = Describe(first, now);
-  const Candidate b = Describe(second, now);
-  const double known = a.knowledge + b.knowledge;
-  double ratio = 1;
-  if (known > 0) {
-    const double average =
-        (a.knowledge * a.latency + b.knowledge * b.latency) / known;
-    ratio = ExpectedLatency(a, average) / ExpectedLatency(b, average);
-  }
-  const double cost_ratio = ratio * Cost(*first, now) / Cost(*second, now);
-  return cost_ratio > kTieFactor ? second : first;
+  const double first_cost = Cost(*first, now) * Slowness(table, *first, now);
+  const double second_cost = Cost(*second, now) * Slowness(table, *second, now);
+  return first_cost > kTieFactor * second_cost ? second : first;
 }
 
-const Endpoint* BetterOfTwo(std::span<const Endpoint> endpoints,
+const Endpoint* BetterOfTwo(const EndpointTable& table,
+                            std::span<const Endpoint> endpoints,
                             const ChoiceContext& context,
                             RandomSource& random) {
   if (endpoints.empty()) return nullptr;
@@ -140,14 +138,16 @@
     // anyway keeps the service available.
     return StepToAllowed(endpoints, random.Below(endpoints.size()), context);
   }
-  return Better(first, DrawAccepted(endpoints, first, context, random),
+  return Better(table, first, DrawAccepted(endpoints, first, context, random),
                 context.now);
 }
 
-bool LacksCapacity(const Endpoint& endpoint, MonotonicTime now) {
+bool LacksCapacity(const EndpointTable& table, const Endpoint& endpoint,
+                   MonotonicTime now) {
   const EndpointStatistics& statistics = *endpoint.statistics;
-  return statistics.in_flight() >= endpoint.slots ||
-         statistics.failure_weight(now) >= kLackingCapacityWeight;
+  if (statistics.in_flight() >= endpoint.slots) return true;
+  if (statistics.failure_weight(now) >= kLackingCapacityWeight) return true;
+  return Slowness(table, endpoint, now) > 1;
 }
 
 }  // namespace
@@ -155,10 +155,12 @@
 const Endpoint* BetterOfTwoChoice::Choose(const EndpointTable& table,
                                           const ChoiceContext& context,
                                           RandomSource& random) const {
-  const Endpoint* local = BetterOfTwo(table.local(), context, random);
-  if (local != nullptr && !LacksCapacity(*local, context.now)) return local;
-  const Endpoint* remote = BetterOfTwo(table.remote(), context, random);
-  return Better(local, remote, context.now);
+  const Endpoint* local = BetterOfTwo(table, table.local(), context, random);
+  if (local != nullptr && !LacksCapacity(table, *local, context.now)) {
+    return local;
+  }
+  const Endpoint* remote = BetterOfTwo(table, table.remote(), context, random);
+  return Better(table, local, remote, context.now);
 }
 
 const Endpoint* RandomChoice::Choose(const EndpointTable& table,
--- a/libraries/routing/endpoint_statistics.cc
+++ b/libraries/routing/endpoint_statistics.cc
@@ -13,6 +13,10 @@
 constexpr float kRisingShare = 0.5F;
 constexpr float kFallingShare = 0.2F;
 
+// Shares of a new sample in the usual latency of the service.
+constexpr float kUsualRisingShare = 1.0F / 256;
+constexpr float kUsualFallingShare = 1.0F / 32;
+
 // An old average loses half of its share against a new sample in this time.
 constexpr Duration kLatencyHalfLife = std::chrono::seconds(10);
 
@@ -22,6 +26,9 @@
 constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
 
 constexpr float kRefusedWeight = 1;
+// Under overload every endpoint refuses. A higher limit lets their weights
+// differ by chance, and all nodes follow the differences to the same servers.
+constexpr float kMaximumRefusedWeight = 2;
 constexpr float kFailedWeight = 4;
 // Enough to avoid the endpoint until the member table says that it is
 // draining, which takes a few seconds.
@@ -42,27 +49,39 @@
 
 }  // namespace
 
+void ServiceLatency::Record(Duration elapsed) {
+  const auto sample =
+      static_cast<float>(std::max<std::int64_t>(elapsed.count(), 1));
+  float old = usual_.load(std::memory_order_relaxed);
+  float next = sample;
+  do {
+    const float share = sample > old ? kUsualRisingShare : kUsualFallingShare;
+    next = old == 0 ? sample : old + share * (sample - old);
+  } while (!usual_.compare_exchange_weak(old, next, std::memory_order_relaxed));
+}
+
 void EndpointStatistics::RecordEnd(MonotonicTime now, Duration elapsed,
                                    AttemptEnd end) {
   in_flight_.fetch_sub(1, std::memory_order_relaxed);
   switch (end) {
     case AttemptEnd::kCompleted:
       RecordLatency(now, elapsed);
+      service_->Record(elapsed);
       return;
     case AttemptEnd::kRefused:
       // The latency of a refusal is not recorded: refusals are fast, and an
       // endpoint that refuses everything would look like the best one.
-      AddFailureWeight(now, kRefusedWeight);
+      AddFailureWeight(now, kRefusedWeight, kMaximumRefusedWeight);
       return;
     case AttemptEnd::kDraining:
-      AddFailureWeight(now, kDrainingWeight);
+      AddFailureWeight(now, kDrainingWeight, kMaximumFailureWeight);
       return;
     case AttemptEnd::kFailed:
-      AddFailureWeight(now, kFailedWeight);
+      AddFailureWeight(now, kFailedWeight, kMaximumFailureWeight);
       return;
     case AttemptEnd::kTimedOut:
       RecordLatencyAtLeast(now, elapsed);
-      AddFailureWeight(now, kRefusedWeight);
+      AddFailureWeight(now, kRefusedWeight, kMaximumRefusedWeight);
       return;
     case AttemptEnd::kAbandoned:
       RecordLatencyAtLeast(now, elapsed);
@@ -93,10 +112,11 @@
   RecordLatency(now, elapsed);
 }
 
-void EndpointStatistics::AddFailureWeight(MonotonicTime now, float weight) {
-  failures_.Update(now, [weight](const AtomicTimedFloat::Reading& old) {
+void EndpointStatistics::AddFailureWeight(MonotonicTime now, float weight,
+                                          float limit) {
+  failures_.Update(now, [=](const AtomicTimedFloat::Reading& old) {
     const float kept = old.value * Decay(old.age, kFailureHalfLife);
-    return std::min(kept + weight, kMaximumFailureWeight);
+    return std::max(kept, std::min(kept + weight, limit));
   });
 }
 
--- a/libraries/routing/endpoint_statistics.h
+++ b/libraries/routing/endpoint_statistics.h
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 #include "core/time.h"
 #include "routing/atomic_timed_float.h"
@@ -21,10 +23,29 @@
   kAbandoned,  // The caller cancelled; says nothing about success.
 };
 
+// The usual latency of a service, shared by the statistics of its endpoints.
+// Thread-safe and free of locks.
+class ServiceLatency {
+ public:
+  // Records the latency of an answer.
+  void Record(Duration elapsed);
+
+  // Returns the usual latency in microseconds, or 0 before the first answer. It
+  // follows falls quickly and rises slowly, so that a few slow backend servers
+  // do not become the usual case.
+  float usual() const { return usual_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<float> usual_{0};
+};
+
 // Thread-safe and free of locks; every update is one or two atomic operations.
 // Aligned to a cache line so that endpoints do not share one.
 class alignas(64) EndpointStatistics {
  public:
+  explicit EndpointStatistics(std::shared_ptr<ServiceLatency> service)
+      : service_(std::move(service)) {}
+
   // Records that an attempt was sent. Each call is followed by exactly one
   // RecordEnd().
   void RecordStart() { in_flight_.fetch_add(1, std::memory_order_relaxed); }
@@ -47,8 +68,10 @@
  private:
   void RecordLatency(MonotonicTime now, Duration elapsed);
   void RecordLatencyAtLeast(MonotonicTime now, Duration elapsed);
-  void AddFailureWeight(MonotonicTime now, float weight);
+  // Adds to the weight, but not beyond `limit`.
+  void AddFailureWeight(MonotonicTime now, float weight, float limit);
 
+  const std::shared_ptr<ServiceLatency> service_;
   std::atomic<std::int32_t> in_flight_{0};
   AtomicTimedFloat latency_;
   AtomicTimedFloat failures_;
--- a/libraries/routing/endpoint_table.cc
+++ b/libraries/routing/endpoint_table.cc
@@ -4,6 +4,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace oleandertide::routing {
@@ -16,24 +17,6 @@
   });
 }
 
-void FillStatistics(std::span<Endpoint> endpoints,
-                    const EndpointTable* previous) {
-  absl::flat_hash_map<EndpointId, const Endpoint*> known;
-  if (previous != nullptr) {
-    for (const Endpoint& endpoint : previous->all()) {
-      known.emplace(endpoint.id, &endpoint);
-    }
-  }
-  for (Endpoint& endpoint : endpoints) {
-    if (endpoint.statistics != nullptr) continue;
-    const auto old = known.find(endpoint.id);
-    const bool is_same_life =
-        old != known.end() && old->second->life == endpoint.life;
-    endpoint.statistics = is_same_life ? old->second->statistics
-                                       : std::make_shared<EndpointStatistics>();
-  }
-}
-
 }  // namespace
 
 Result<std::shared_ptr<const EndpointTable>> EndpointTable::Build(
@@ -43,15 +26,36 @@
   std::erase_if(endpoints, [](const Endpoint& endpoint) {
     return endpoint.state != EndpointState::kReady;
   });
-  FillStatistics(endpoints, previous);
   const auto remote =
       std::partition(endpoints.begin(), endpoints.end(),
                      [local_data_centre](const Endpoint& endpoint) {
                        return endpoint.data_centre == local_data_centre;
                      });
-  const auto local_count = static_cast<std::size_t>(remote - endpoints.begin());
-  return std::shared_ptr<const EndpointTable>(
-      new EndpointTable(std::move(endpoints), local_count));
+  const std::shared_ptr<EndpointTable> table(new EndpointTable());
+  table->local_count_ = static_cast<std::size_t>(remote - endpoints.begin());
+  table->endpoints_ = std::move(endpoints);
+  table->FillStatistics(previous);
+  return std::shared_ptr<const EndpointTable>(table);
+}
+
+void EndpointTable::FillStatistics(const EndpointTable* previous) {
+  absl::flat_hash_map<EndpointId, const Endpoint*> known;
+  if (previous == nullptr) {
+    service_latency_ = std::make_shared<ServiceLatency>();
+  } else {
+    service_latency_ = previous->service_latency_;
+    for (const Endpoint& endpoint : previous->all()) {
+      known.emplace(endpoint.id, &endpoint);
+    }
+  }
+  for (Endpoint& endpoint : endpoints_) {
+    const auto old = known.find(endpoint.id);
+    const bool is_same_life =
+        old != known.end() && old->second->life == endpoint.life;
+    endpoint.statistics =
+        is_same_life ? old->second->statistics
+                     : std::make_shared<EndpointStatistics>(service_latency_);
+  }
 }
 
 }  // namespace oleandertide::routing
--- a/libraries/routing/endpoint_table.h
+++ b/libraries/routing/endpoint_table.h
@@ -35,7 +35,7 @@
   MonotonicTime ready_since;
   // Load it reports about itself, 0 to 1. A hint: it may be late or wrong.
   float reported_load = 0;
-  // Filled by EndpointTable::Build() if null.
+  // Filled by EndpointTable::Build(); never null in a table.
   std::shared_ptr<EndpointStatistics> statistics;
 };
 
@@ -61,15 +61,20 @@
     return std::span(endpoints_).subspan(local_count_);
   }
 
+  // Returns the usual latency of the service in microseconds, 0 if unknown.
+  float usual_latency() const { return service_latency_->usual(); }
+
   // Returns all ready endpoints, the local ones first.
   std::span<const Endpoint> all() const { return endpoints_; }
 
  private:
-  EndpointTable(std::vector<Endpoint> endpoints, std::size_t local_count)
-      : endpoints_(std::move(endpoints)), local_count_(local_count) {}
+  EndpointTable() = default;
+
+  void FillStatistics(const EndpointTable* previous);
 
   std::vector<Endpoint> endpoints_;
-  std::size_t local_count_;
+  std::size_t local_count_ = 0;
+  std::shared_ptr<ServiceLatency> service_latency_;
 };
 
 }  // namespace oleandertide::routing
