--- a/libraries/routing/reason.cc
+++ b/libraries/routing/reason.cc
@@ -7,6 +7,9 @@
 namespace oleandertide::routing {
 namespace {
 
+// backend-server-died is not worth retrying elsewhere: if the request was the
+// cause, the retry kills a second backend server before any other node has
+// heard of the first.
 struct ReasonRow {
   Reason reason;
   std::string_view name;
@@ -76,7 +79,7 @@
     {Reason::kCallerGone, "caller-gone", kUnknown, 499, "connection_terminated",
      false},
     {Reason::kBackendServerDied, "backend-server-died", kUnknown, 502,
-     "connection_terminated", true},
+     "connection_terminated", false},
 });
 
 constexpr auto kReasons = [] {
--- a/libraries/routing/reason.h
+++ b/libraries/routing/reason.h
@@ -83,8 +83,9 @@
 std::string_view ProxyStatusError(Reason reason);
 
 // Returns true if another backend server may accept a request that one
-// receiver refused for this reason. Reasons that would be the same everywhere
-// (a bad request, a retired route, a passed deadline) return false.
+// receiver refused, or failed to answer, for this reason. Reasons that would be
+// the same everywhere (a bad request, a retired route, a passed deadline) and
+// kBackendServerDied return false.
 bool IsWorthRetryingElsewhere(Reason reason);
 
 }  // namespace oleandertide::routing
--- a/libraries/routing/retry_budget.cc
+++ b/libraries/routing/retry_budget.cc
@@ -13,9 +13,9 @@
   }
 }
 
-bool RetryBudget::TryTake(MonotonicTime now) {
+bool RetryBudget::TryTake(MonotonicTime now, std::int64_t reserve) {
   std::int64_t old = balance_.load(std::memory_order_relaxed);
-  while (old >= kRetry) {
+  while (old >= (reserve + 1) * kRetry) {
     if (balance_.compare_exchange_weak(old, old - kRetry,
                                        std::memory_order_relaxed)) {
       return true;
--- a/libraries/routing/retry_budget.h
+++ b/libraries/routing/retry_budget.h
@@ -55,8 +55,9 @@
   // Records a first attempt (not a retry).
   void RecordFirstAttempt();
 
-  // Takes one retry from the budget; returns false if none is left.
-  bool TryTake(MonotonicTime now);
+  // Takes one retry from the budget, but leaves `reserve` saved retries;
+  // returns false if that is not possible. Precondition: reserve >= 0.
+  bool TryTake(MonotonicTime now, std::int64_t reserve = 0);
 
  private:
   // Balances are counted in thousandths of a retry.
--- a/libraries/routing/retry_policy.cc
+++ b/libraries/routing/retry_policy.cc
@@ -7,6 +7,11 @@
 // for a request that most likely fails.
 constexpr int kMaximumAttempts = 3;
 
+// In overload mostly lookups are refused. Without a reserve their retries use
+// up the budget, and refused bookings are not tried at a server that has room.
+constexpr std::int64_t kReservedFromLookups =
+    RetryBudget::NotRunOptions().saved_retries / 2;
+
 // "Not run" together with a reason that implies a hand-over is a
 // contradiction; the doubt counts as unknown.
 AttemptResult WithoutDoubt(const AttemptResult& result) {
@@ -48,8 +53,11 @@
   unknown_.RecordFirstAttempt();
 }
 
-bool BudgetedRetries::TryTake(Outcome outcome, MonotonicTime now) {
-  return (outcome == Outcome::kNotRun ? not_run_ : unknown_).TryTake(now);
+bool BudgetedRetries::TryTake(Outcome outcome, RequestClass request_class,
+                              MonotonicTime now) {
+  if (outcome == Outcome::kUnknown) return unknown_.TryTake(now);
+  return not_run_.TryTake(
+      now, IsShedFirst(request_class) ? kReservedFromLookups : 0);
 }
 
 void RetryPolicy::RecordFirstAttempt() {
@@ -62,7 +70,10 @@
     return GiveUp{ResultForCaller(question, last)};
   }
   const bool has_budget = std::visit(
-      [&](auto& budget) { return budget.TryTake(last.outcome, question.now); },
+      [&](auto& budget) {
+        return budget.TryTake(last.outcome, question.request_class,
+                              question.now);
+      },
       budget_);
   if (!has_budget) {
     AttemptResult refused = last;
--- a/libraries/routing/retry_policy.h
+++ b/libraries/routing/retry_policy.h
@@ -9,6 +9,7 @@
 
 #include "core/time.h"
 #include "routing/reason.h"
+#include "routing/request_class.h"
 #include "routing/retry_budget.h"
 
 namespace oleandertide::routing {
@@ -24,6 +25,7 @@
   // Outcome and reason of the attempt that has just ended; the outcome is not
   // kComplete.
   AttemptResult last;
+  RequestClass request_class = RequestClass::kLookup;
   // Attempts made so far for this request, including the first.
   int attempts = 1;
   // The route may be run more than once without harm.
@@ -56,11 +58,12 @@
 
 using RetryDecision = std::variant<SendAgain, GiveUp>;
 
-// The budgets of one node: 5% after not-run, 0.3% after unknown outcomes.
+// The budgets of one node: 5% after not-run, 0.3% after unknown outcomes. After
+// not-run, lookups leave half of the saved retries to other classes.
 class BudgetedRetries {
  public:
   void RecordFirstAttempt();
-  bool TryTake(Outcome outcome, MonotonicTime now);
+  bool TryTake(Outcome outcome, RequestClass request_class, MonotonicTime now);
 
  private:
   RetryBudget not_run_{RetryBudget::NotRunOptions()};
@@ -71,7 +74,10 @@
 class UnlimitedRetries {
  public:
   void RecordFirstAttempt() {}
-  bool TryTake(Outcome /*outcome*/, MonotonicTime /*now*/) { return true; }
+  bool TryTake(Outcome /*outcome*/, RequestClass /*request_class*/,
+               MonotonicTime /*now*/) {
+    return true;
+  }
 };
 
 // Thread-safe without locks.
