benchmarks: Replay traces and measure the routing decisions

The decisions influence each other: the herd, the slow server and the crashing request need choice, admission, retries and quarantine together. Each kept trace has its stated outcomes beside it, and each mechanism can be switched off to show what it prevents.

--- /dev/null
+++ b/tests/routing/replay_test.cc
@@ -0,0 +1,160 @@
+#include "routing/replay.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <numeric>
+#include <string>
+#include <utility>
+
+#include "routing/trace_expectations.h"
+#include "routing/trace_generator.h"
+
+namespace oleandertide::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Trace ReadKept(const std::string& name) {
+  const std::string path = std::string(TRACE_FOLDER) + "/" + name + ".jsonl";
+  std::ifstream input(path);
+  REQUIRE(input);
+  return std::get<Trace>(ReadTrace(input, path));
+}
+
+// Guards against a change of any decision that spoils a whole evening: the
+// stated outcomes lie beside each trace.
+TEST_CASE("kept traces have their stated outcomes") {
+  for (const NamedTrace& named : GenerateTraces()) {
+    const ReplayResult result = Replay(ReadKept(named.name), {});
+    const std::string path =
+        std::string(TRACE_FOLDER) + "/" + named.name + ".expected";
+    std::ifstream expected(path);
+    REQUIRE(expected);
+    CHECK(CheckExpectations(expected, path, result.figures) ==
+          std::vector<std::string>{});
+  }
+}
+
+// Guards against callers that return all at once and keep a service down after
+// the load has long fallen: without admission it runs only requests whose
+// callers have given up.
+TEST_CASE("a returning herd does not keep a service down") {
+  const Trace trace = ReadKept("cantoria-labs-quito-herd");
+  ReplayOptions off;
+  off.has_admission = false;
+  REQUIRE(Replay(trace, off).figure("late-complete-share") < 0.5);
+  REQUIRE(Replay(trace, {}).figure("late-complete-share") >= 0.999);
+}
+
+double Goodput(const Trace& trace, const ReplayOptions& options) {
+  constexpr int kFrom = 1;
+  constexpr int kTo = 4;
+  std::vector<int> complete = Replay(trace, options).complete_per_second;
+  complete.resize(std::max<std::size_t>(complete.size(), kTo));
+  return std::accumulate(complete.begin() + kFrom, complete.begin() + kTo,
+                         0.0) /
+         (kTo - kFrom) / Capacity(trace.header.services[0]);
+}
+
+// Guards against a service that does less useful work the more it is asked.
+TEST_CASE("goodput at ten times the capacity is at least 0.9 of it") {
+  const Trace trace = GenerateConstantLoad(10, 4, 4);
+  ReplayOptions off;
+  off.has_admission = false;
+  REQUIRE(Goodput(trace, off) < 0.5);
+  REQUIRE(Goodput(trace, {}) >= 0.9);
+}
+
+// Guards against retries that add to the overload that caused them, against
+// bookings that are shed with the lookups, and against work past its deadline.
+TEST_CASE("overload keeps retries few and sheds lookups first") {
+  const Trace trace = GenerateConstantLoad(3, 4, 4);
+  ReplayOptions unlimited;
+  unlimited.has_retry_budget = false;
+  REQUIRE(Replay(trace, unlimited).figure("attempts-per-request") > 1.5);
+  const ReplayResult result = Replay(trace, {});
+  REQUIRE(result.figure("attempts-per-request") <= 1.1);
+  REQUIRE(result.figure("booking-complete-share") >= 0.99);
+  REQUIRE(result.figure("lookup-complete-share") < 0.4);
+  REQUIRE(result.figure("started-late") == 0);
+  ReplayOptions no_admission;
+  no_admission.has_admission = false;
+  const ReplayResult late = Replay(trace, no_admission);
+  REQUIRE(late.figure("started-late") > 0);
+  REQUIRE(late.figure("booking-complete-share") < 0.5);
+}
+
+// Half load on four backend servers for `duration` seconds, and other events.
+Trace HalfLoad(int duration, std::vector<TraceEvent> events) {
+  Trace trace = GenerateConstantLoad(0.5, duration, 4);
+  std::ranges::move(events, std::back_inserter(trace.events));
+  std::ranges::stable_sort(trace.events, {}, &TraceEvent::at);
+  return trace;
+}
+
+// Guards against planned stops that cut requests or refuse them: every backend
+// server is replaced, one after the other.
+TEST_CASE("a rolling drain cuts no request") {
+  std::vector<TraceEvent> events;
+  for (int i = 0; i < 4; ++i) {
+    const std::string name = "service/" + std::to_string(i);
+    events.push_back({milliseconds(1100 + 6000 * i), TraceDrain{name}});
+    events.push_back({milliseconds(5100 + 6000 * i), TraceRestart{name}});
+  }
+  const Trace trace = HalfLoad(26, events);
+  ReplayOptions off;
+  off.has_drain = false;
+  REQUIRE(Replay(trace, off).figure("cut") > 0);
+  const ReplayResult result = Replay(trace, {});
+  REQUIRE(result.figure("cut") == 0);
+  REQUIRE(result.figure("complete") == result.figure("arrivals"));
+}
+
+// Guards against a slow backend server that reports itself healthy and, as the
+// only one in its data centre, is preferred by the callers there.
+TEST_CASE("a slow backend server is avoided even where it is preferred") {
+  Trace trace = HalfLoad(12, {{seconds(2), TraceSlow{"service/0", 8}}});
+  trace.header.data_centres = {"a", "b", "c", "d"};
+  ReplayOptions off;
+  off.choice = ChoiceKind::kRandom;
+  const ReplayResult random = Replay(trace, off);
+  const ReplayResult result = Replay(trace, {});
+  const auto failed = [](const ReplayResult& replayed) {
+    return replayed.figure("arrivals") - replayed.figure("complete");
+  };
+  REQUIRE(failed(random) > 300);
+  REQUIRE(failed(result) * 10 < failed(random));
+}
+
+// Guards against one lookup that takes down a service, in the whole path:
+// choice, retries, gossip and quarantine.
+TEST_CASE("a crashing lookup sent twenty times leaves the service up") {
+  std::vector<TraceEvent> events;
+  for (int i = 0; i < 20; ++i) {
+    TraceArrivals crashing;
+    crashing.service = "service";
+    crashing.route = "service/broken";
+    crashing.deadline = seconds(1);
+    crashing.is_repeatable = true;
+    crashing.is_crashing = true;
+    events.push_back({seconds(2 + i), crashing});
+    for (int server = 0; server < 4 && i % 5 == 4; ++server) {
+      events.push_back(
+          {seconds(2 + i), TraceRestart{"service/" + std::to_string(server)}});
+    }
+  }
+  const Trace trace = HalfLoad(24, events);
+  ReplayOptions off;
+  off.has_quarantine = false;
+  REQUIRE(Replay(trace, off).figure("deaths") > 8);
+  const ReplayResult result = Replay(trace, {});
+  REQUIRE(result.figure("deaths") <= 3);
+  REQUIRE(result.figure("complete-share") > 0.99);
+}
+
+}  // namespace
+}  // namespace oleandertide::routing
--- a/tests/routing/retry_test.cc
+++ b/tests/routing/retry_test.cc
@@ -1,9 +1,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <memory>
-#include <vector>
 
-#include "core/random.h"
+#include "routing/retry_chain.h"
 #include "routing/retry_policy.h"
 
 namespace oleandertide::routing {
@@ -33,7 +31,7 @@
       IsSentAgain(Question(Outcome::kUnknown, Reason::kConnectionLost)));
   // A contradictory report counts as unknown.
   REQUIRE_FALSE(
-      IsSentAgain(Question(Outcome::kNotRun, Reason::kBackendServerDied)));
+      IsSentAgain(Question(Outcome::kNotRun, Reason::kConnectionLost)));
 }
 
 // Guards against retries that cannot succeed or that multiply along a chain.
@@ -42,6 +40,10 @@
   question.route_is_repeatable = true;
   REQUIRE(IsSentAgain(question));
 
+  RetryQuestion crashing = question;
+  crashing.last.reason = Reason::kBackendServerDied;
+  REQUIRE_FALSE(IsSentAgain(crashing));
+
   RetryQuestion marked = question;
   marked.is_marked_as_retry = true;
   REQUIRE_FALSE(IsSentAgain(marked));
@@ -77,6 +79,21 @@
   REQUIRE(unknown.reason == Reason::kConnectionLost);
 }
 
+// Guards against refused lookups that use up the retries of refused bookings.
+TEST_CASE("lookups leave retries to bookings") {
+  RetryPolicy policy;
+  for (int i = 0; i < 10'000; ++i) policy.RecordFirstAttempt();
+  RetryQuestion question = Question(Outcome::kNotRun, Reason::kQueueFull);
+  const auto count = [&] {
+    int sent = 0;
+    while (std::holds_alternative<SendAgain>(policy.Decide(question))) ++sent;
+    return sent;
+  };
+  REQUIRE(count() == 6);  // Five of ten saved retries, and the floor.
+  question.request_class = RequestClass::kBooking;
+  REQUIRE(count() == 4);
+}
+
 // Guards against "not run" for a request whose first attempt may have run and
 // whose second one was refused.
 TEST_CASE("an unknown attempt is not forgotten after a refused retry") {
@@ -89,106 +106,21 @@
   REQUIRE(result.reason == Reason::kQueueFull);
 }
 
-// One request through a chain of services that all fail. Every hop is one
-// policy, as if one node ran the service.
-class FailingChain {
- public:
-  FailingChain(int depth, bool has_budget, double not_run_share,
-               double unknown_share)
-      : not_run_share_(not_run_share), unknown_share_(unknown_share) {
-    for (int i = 0; i < depth; ++i) {
-      if (has_budget) {
-        policies_.push_back(std::make_unique<RetryPolicy>());
-      } else {
-        policies_.push_back(std::make_unique<RetryPolicy>(
-            std::in_place_type<UnlimitedRetries>));
-      }
-    }
-    arrivals_.resize(static_cast<std::size_t>(depth) + 1);
-  }
-
-  // Sends one request from hop `hop`; returns the outcome of its last attempt.
-  Outcome Call(std::size_t hop, bool is_marked, MonotonicTime now) {
-    if (hop == policies_.size()) return Outcome::kComplete;
-    policies_[hop]->RecordFirstAttempt();
-    RetryQuestion question = Question(Outcome::kNotRun, Reason::kShed);
-    question.now = now;
-    question.deadline = now + seconds(1);
-    question.route_is_repeatable = true;
-    question.is_marked_as_retry = is_marked;
-    for (;; ++question.attempts) {
-      question.last = Attempt(hop, question.is_marked_as_retry, now);
-      if (question.last.outcome == Outcome::kComplete) {
-        return Outcome::kComplete;
-      }
-      const RetryDecision decision = policies_[hop]->Decide(question);
-      if (!std::holds_alternative<SendAgain>(decision)) {
-        return question.last.outcome;
-      }
-      question.is_marked_as_retry =
-          std::get<SendAgain>(decision).is_marked_as_retry;
-    }
-  }
-
-  // Attempts that arrived at the last service.
-  double last_arrivals() const {
-    return static_cast<double>(arrivals_[policies_.size() - 1]);
-  }
-
- private:
-  AttemptResult Attempt(std::size_t hop, bool is_marked, MonotonicTime now) {
-    ++arrivals_[hop];
-    if (random_.Unit() < not_run_share_) {
-      return {Outcome::kNotRun, Reason::kShed};
-    }
-    const Outcome further = Call(hop + 1, is_marked, now);
-    if (further != Outcome::kComplete || random_.Unit() < unknown_share_) {
-      return {Outcome::kUnknown, Reason::kConnectionLost};
-    }
-    return {Outcome::kComplete, Reason::kConnectionLost};
-  }
-
-  RandomSource random_{11};
-  double not_run_share_;
-  double unknown_share_;
-  std::vector<std::unique_ptr<RetryPolicy>> policies_;
-  std::vector<std::int64_t> arrivals_;
-};
-
-double Amplification(bool has_budget, double not_run_share,
-                     double unknown_share, int requests) {
-  constexpr int kDepth = 14;
-  FailingChain chain(kDepth, has_budget, not_run_share, unknown_share);
-  for (int i = 0; i < requests; ++i) {
-    // 67 requests a second, the load of one node.
-    chain.Call(0, false, MonotonicTime(Duration(i * 15'000)));
-  }
-  // Requests that reach the last service without any retry.
-  double expected = requests;
-  for (int i = 1; i < kDepth; ++i) expected *= 1 - not_run_share;
-  return chain.last_arrivals() / expected;
+double Amplification(const RetryChainOptions& options) {
+  return RetryChain(options).MeasureAmplification();
 }
 
-// Guards against a retry storm: retries at 14 levels multiply. In a full
-// failure nothing is refused on the way, and the last service always fails.
+// Guards against a retry storm: retries at 14 levels multiply.
 TEST_CASE("retries along a chain of 14 stay within 1.1") {
-  // Off: 3 attempts at each of 14 levels would be 3^14; few requests suffice.
-  REQUIRE(Amplification(false, 0, 0.05, 300) > 1.5);
-  REQUIRE(Amplification(true, 0, 0.05, 20'000) <= 1.1);
-  REQUIRE(Amplification(true, 0, 1, 20'000) <= 1.1);
-}
-
-// Guards against the same storm out of refusals: the last service refuses all.
-TEST_CASE("retries after not-run do not multiply along the chain") {
-  const auto at_last_service = [](bool has_budget) {
-    FailingChain chain(1, has_budget, 1, 0);
-    for (int i = 0; i < 20'000; ++i) {
-      chain.Call(0, false, MonotonicTime(Duration(i * 15'000)));
+  // Off: few failures suffice. All failing would cost 3^14 attempts.
+  REQUIRE(Amplification({.has_budget = false, .unknown_share = 0.02}) > 1.3);
+  REQUIRE(Amplification({.has_budget = false, .not_run_share = 0.5}) > 2);
+  for (const double not_run : {0.0, 0.05, 0.5, 1.0}) {
+    for (const double unknown : {0.0, 0.02, 0.5, 1.0}) {
+      REQUIRE(Amplification(
+                  {.not_run_share = not_run, .unknown_share = unknown}) <= 1.1);
     }
-    return chain.last_arrivals() / 20'000;
-  };
-  REQUIRE(at_last_service(false) > 2.9);
-  REQUIRE(at_last_service(true) <= 1.051);
+  }
 }
 
 // Guards against a floor that is not bounded: a node with little traffic may
