--- a/libraries/calls/ingress.cc
+++ b/libraries/calls/ingress.cc
@@ -203,7 +203,7 @@
 
 CallResult Ingress::SendWithRetries(const routing::EndpointTable& table,
                                     ForwardedRequest& request,
-                                    std::stop_token cancelled) {
+                                    const std::stop_token& cancelled) {
   absl::InlinedVector<routing::EndpointId, 4> tried;
   RandomSource& random = ThreadRandom();
   const routing::Endpoint* endpoint =
--- a/libraries/calls/ingress.h
+++ b/libraries/calls/ingress.h
@@ -74,7 +74,7 @@
                      std::string_view job, std::stop_token cancelled);
   CallResult SendWithRetries(const routing::EndpointTable& table,
                              ForwardedRequest& request,
-                             std::stop_token cancelled);
+                             const std::stop_token& cancelled);
   CallResult SendOnce(const routing::Endpoint& endpoint,
                       const ForwardedRequest& request,
                       std::stop_token cancelled);
--- a/libraries/peers/peer_server.cc
+++ b/libraries/peers/peer_server.cc
@@ -1,3 +1,8 @@
+// g++ 12 reports a false positive inside kj::Maybe.
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
 #include "peers/peer_server.h"
 
 #include <capnp/rpc-twoparty.h>
--- a/programs/node/status.cc
+++ b/programs/node/status.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -90,19 +91,25 @@
   return counts;
 }
 
-void AppendCounters(std::string& text, const std::string& group,
+void AppendMetric(std::string& text, std::string_view name,
+                  std::string_view kind, std::string_view value) {
+  text.append("# TYPE ").append(name).append(" ").append(kind);
+  text.append("\n").append(name).append(" ").append(value).append("\n");
+}
+
+void AppendCounters(std::string& text, std::string_view group,
                     const NamedCounts& counts) {
   for (const auto& [name, count] : counts) {
-    const std::string metric = "oleandertide_" + group + "_" + name + "_total";
-    text += "# TYPE " + metric + " counter\n" + metric + " " +
-            std::to_string(count) + "\n";
+    std::string metric = "oleandertide_";
+    metric.append(group).append("_").append(name).append("_total");
+    AppendMetric(text, metric, "counter", std::to_string(count));
   }
 }
 
-void AppendGauge(std::string& text, const std::string& name, double value) {
-  const std::string metric = "oleandertide_" + name;
-  text += "# TYPE " + metric + " gauge\n" + metric + " " +
-          std::to_string(value) + "\n";
+void AppendGauge(std::string& text, std::string_view name, double value) {
+  std::string metric = "oleandertide_";
+  metric.append(name);
+  AppendMetric(text, metric, "gauge", std::to_string(value));
 }
 
 double AgeSeconds(const StatusReport& report) {
