config: Refuse request paths that servers may read differently

A path such as /rooms/%62ookings or /x/../bookings matched the prefix of another route byte by byte, while a backend server that normalizes it runs the booking. Such paths have no route now.

--- a/libraries/config/document.h
+++ b/libraries/config/document.h
@@ -41,7 +41,7 @@
   std::string service;
   // Prefix that matches whole segments of a request's path.
   std::string path;
-  // At least one, in the order of the document.
+  // At least one, in the order of the document. GET does not include HEAD.
   std::vector<Method> methods;
   RouteClass route_class = RouteClass::kLookup;
   // Whether a request may run more than once.
--- a/libraries/config/snapshot.cc
+++ b/libraries/config/snapshot.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/request_path.h"
+
 namespace oleandertide::config {
 namespace {
 
@@ -67,7 +69,7 @@
                                  std::string_view path) const {
   const auto parsed = ParseMethod(method);
   path = path.substr(0, path.find_first_of("?#"));
-  if (!parsed || !path.starts_with('/') || paths_.empty()) return nullptr;
+  if (!parsed || paths_.empty() || !IsNormalPath(path)) return nullptr;
   for (path = LimitToSegments(path, longest_path_);; path = Parent(path)) {
     if (const auto found = paths_.find(path); found != paths_.end()) {
       if (const Route* route = FindByMethod(found->second, *parsed)) {
--- a/libraries/config/snapshot.h
+++ b/libraries/config/snapshot.h
@@ -33,7 +33,9 @@
 
   // Finds the route that has `method` and the longest path that is a prefix of
   // `path` in whole segments; the query is ignored. Paths are compared byte by
-  // byte without decoding. Returns null if there is none.
+  // byte. Returns null if there is none, or if IsNormalPath does not hold: a
+  // backend server could take such a path for that of another route, whose
+  // class requires a claim.
   const Route* FindRoute(std::string_view method, std::string_view path) const;
 
   // Returns the route of that name, or null.
--- a/libraries/config/value.cc
+++ b/libraries/config/value.cc
@@ -70,7 +70,7 @@
 
 std::string FormatQuantity(std::int64_t quantity, std::span<const Unit> units) {
   const auto unit = std::ranges::find_if(units, [&](const Unit& candidate) {
-    return quantity != 0 && quantity % candidate.factor == 0;
+    return quantity % candidate.factor == 0;
   });
   const Unit& chosen = unit == units.end() ? units.back() : *unit;
   return std::to_string(quantity / chosen.factor) + std::string(chosen.name);
@@ -247,6 +247,7 @@
   }
 
   std::string operator()(const IntegerRule& rule) const {
+    if (rule.minimum == rule.maximum) return std::to_string(rule.minimum);
     return "a whole number from " + std::to_string(rule.minimum) + " to " +
            std::to_string(rule.maximum);
   }
@@ -326,6 +327,7 @@
 }
 
 std::string FormatDuration(Duration duration) {
+  if (duration == Duration(0)) return "0s";
   return FormatQuantity(duration.count(), kDurationUnits);
 }
 
--- a/tests/config/document_test.cc
+++ b/tests/config/document_test.cc
@@ -46,6 +46,14 @@
   REQUIRE(job.missed == Missed::kRunLatest);
 }
 
+// Guards against an editor's line ends that become part of the values.
+TEST_CASE("lines may end in CR LF") {
+  std::string text;
+  for (const char c : kSampleDocument)
+    text += c == '\n' ? "\r\n" : std::string(1, c);
+  REQUIRE(ParseValid(text) == ParseValid(kSampleDocument));
+}
+
 // Guards against a written document that means something else.
 TEST_CASE("a written document reads as the same document") {
   const Document document = ParseValid(kSampleDocument);
