--- a/libraries/config/field.cc
+++ b/libraries/config/field.cc
@@ -39,7 +39,8 @@
     return std::nullopt;
   }
   if (specification.default_text) return ParseDefault(specification);
-  if (specification.when_missing.empty()) {
+  // The earlier section of the same title may have the key.
+  if (specification.when_missing.empty() && !section.is_duplicate) {
     diagnostics.Add(section.line, specification.key,
                     "missing in [" + section.title() + "], required is " +
                         Describe(specification.rule));
--- a/libraries/config/field.h
+++ b/libraries/config/field.h
@@ -51,7 +51,8 @@
 namespace detail {
 
 // Finds the value of one field: of its entry, or its default. Adds a
-// diagnostic if the value is not allowed or a required key is missing.
+// diagnostic if the value is not allowed or a required key is missing from a
+// section that is no duplicate.
 std::optional<Value> FindValue(const FieldSpecification& specification,
                                const IniSection& section,
                                DiagnosticList& diagnostics);
--- a/libraries/config/value.cc
+++ b/libraries/config/value.cc
@@ -332,6 +332,7 @@
 }
 
 std::string FormatSize(std::int64_t bytes) {
+  if (bytes == 0) return "0B";
   return FormatQuantity(bytes, kSizeUnits);
 }
 
--- a/tests/config/settings_test.cc
+++ b/tests/config/settings_test.cc
@@ -71,6 +71,11 @@
   REQUIRE_THAT(ErrorsWith("[logs]\n"),
                Contains("unknown section") && Contains("[drain], [log]"));
   REQUIRE_THAT(ErrorsWith("[peers extra]\n"), Contains("unknown section"));
+  REQUIRE(ErrorsWith("[node]\nregion = Andes\n") ==
+          "node.ini:14: node: duplicate section, first given in line 1, "
+          "allowed once\n"
+          "node.ini:15: region: 'Andes' is not allowed, allowed is a name of "
+          "1 to 64 characters of a-z, 0-9 and '-'\n");
 }
 
 // Guards against a node that others cannot reach at its own address.
