--- a/libraries/metrics/latency_accumulator.h
+++ b/libraries/metrics/latency_accumulator.h
@@ -27,8 +27,9 @@
 };
 
 // Estimates quantiles with the P² algorithm (Jain and Chlamtac, 1985), in
-// constant memory. Thread-safe: each thread updates one of a few shards, which
-// have a mutex each and are merged when they are read.
+// constant memory: about 23 kB, so a node has few accumulators and none for
+// each route. Thread-safe: each thread updates one of a few shards, which have
+// a mutex each and are merged when they are read.
 class LatencyAccumulator {
  public:
   LatencyAccumulator();
