--- /dev/null
+++ b/benchmarks/once/claim_scheme.h
@@ -0,0 +1,43 @@
+// Ways to decide claims, measured against each other.
+
+#ifndef OLEANDERTIDE_BENCHMARKS_ONCE_CLAIM_SCHEME_H_
+#define OLEANDERTIDE_BENCHMARKS_ONCE_CLAIM_SCHEME_H_
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+#include "core/hash.h"
+#include "core/time.h"
+#include "once/claim.h"
+
+namespace oleandertide::once {
+
+// Processes that decide claims: a few for each data centre.
+inline constexpr std::size_t kDeciders = 8;
+
+class ClaimScheme {
+ public:
+  using Callback = std::function<void(ClaimResult)>;
+
+  virtual ~ClaimScheme() = default;
+
+  // `decider` is the process that the receiver takes to be responsible. The
+  // receiver ignores an answer after `deadline`.
+  virtual void Claim(std::size_t decider, ClaimRequest request,
+                     MonotonicTime deadline, Callback callback) = 0;
+  virtual void Complete(std::size_t decider, Completion completion) = 0;
+
+  // The process ends and another takes its place with empty memory.
+  virtual void Restart(std::size_t decider) = 0;
+  // The process stops for `time` and continues unaware of it.
+  virtual void Pause(std::size_t decider, Duration time) = 0;
+};
+
+inline std::size_t DeciderOf(const std::string& key) {
+  return Hash64(key) % kDeciders;
+}
+
+}  // namespace oleandertide::once
+
+#endif  // OLEANDERTIDE_BENCHMARKS_ONCE_CLAIM_SCHEME_H_
--- /dev/null
+++ b/benchmarks/once/group_commit_scheme.cc
@@ -0,0 +1,106 @@
+#include "once/group_commit_scheme.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleandertide::once {
+
+GroupCommitScheme::GroupCommitScheme(testing::EventQueue& events,
+                                     VirtualPlatform& platform,
+                                     std::size_t writers)
+    : events_(events), platform_(platform), writers_(writers) {
+  for (std::size_t decider = 0; decider < kDeciders; ++decider) {
+    Restart(decider);
+  }
+}
+
+void GroupCommitScheme::Claim(std::size_t decider, ClaimRequest request,
+                              MonotonicTime deadline, Callback callback) {
+  decider %= writers_;
+  const ClaimId id = ++last_claim_;
+  processes_[decider].waiting.emplace(id, std::move(callback));
+  Deliver(decider,
+          [this, id, request = std::move(request), deadline](ClaimWriter& w) {
+            return w.AddClaim(id, request, deadline, now());
+          });
+}
+
+void GroupCommitScheme::Complete(std::size_t decider, Completion completion) {
+  Deliver(decider % writers_,
+          [this, completion = std::move(completion)](ClaimWriter& writer) {
+            return writer.AddCompletion(completion, now());
+          });
+}
+
+void GroupCommitScheme::Restart(std::size_t decider) {
+  Process& process = processes_[decider];
+  ClaimWriterOptions options;
+  options.environment = "bench";
+  process.writer = std::make_unique<ClaimWriter>(options);
+  ++process.life;
+  process.paused_until = events_.now();
+  // Receivers that hear nothing have not handed over: unknown to their callers.
+  for (const auto& [id, callback] : std::exchange(process.waiting, {})) {
+    callback(AlreadyRunning{});
+  }
+}
+
+void GroupCommitScheme::Pause(std::size_t decider, Duration time) {
+  processes_[decider].paused_until = events_.now() + time;
+}
+
+void GroupCommitScheme::Deliver(
+    std::size_t decider,
+    std::function<ClaimWriterEffects(ClaimWriter&)> input) {
+  Process& process = processes_[decider];
+  if (events_.now() >= process.paused_until) {
+    Take(decider, input(*process.writer));
+    return;
+  }
+  events_.After(process.paused_until - events_.now(),
+                [this, decider, life = process.life, input = std::move(input)] {
+                  if (processes_[decider].life == life) Deliver(decider, input);
+                });
+}
+
+void GroupCommitScheme::Take(std::size_t decider, ClaimWriterEffects effects) {
+  Process& process = processes_[decider];
+  const auto deliver = [this, decider, life = process.life](auto input) {
+    if (processes_[decider].life == life) Deliver(decider, input);
+  };
+  for (ClaimWriterEffect& effect : effects) {
+    if (auto* commit = std::get_if<CommitClaims>(&effect)) {
+      platform_.Transact(
+          std::move(commit->conditions), std::move(commit->writes),
+          [this, deliver, operation = commit->operation](auto outcome) {
+            deliver([this, operation, outcome](ClaimWriter& writer) {
+              return writer.HandleTransaction(operation, outcome, now());
+            });
+          });
+    } else if (auto* read = std::get_if<ReadClaimRow>(&effect)) {
+      platform_.Read(
+          std::move(read->key),
+          [this, deliver, operation = read->operation](auto outcome) {
+            deliver([this, operation, outcome](ClaimWriter& writer) {
+              return writer.HandleRead(operation, outcome, now());
+            });
+          });
+    } else {
+      AnswerClaim& answer = std::get<AnswerClaim>(effect);
+      const auto waiting = process.waiting.extract(answer.claim);
+      if (!waiting.empty()) waiting.mapped()(std::move(answer.result));
+    }
+  }
+  const auto wake = process.writer->next_wake_time();
+  if (!wake) return;
+  events_.After(std::max(*wake - events_.now(), Duration(1)), [this, deliver] {
+    deliver([this](ClaimWriter& writer) {
+      // Wakes overlap; only one that is due continues the chain.
+      const auto due = writer.next_wake_time();
+      if (!due || *due > events_.now()) return ClaimWriterEffects{};
+      return writer.Advance(now());
+    });
+  });
+}
+
+}  // namespace oleandertide::once
--- /dev/null
+++ b/benchmarks/once/virtual_platform.h
@@ -0,0 +1,75 @@
+// The platform's table under virtual time, with limited rates and faults.
+
+#ifndef OLEANDERTIDE_BENCHMARKS_ONCE_VIRTUAL_PLATFORM_H_
+#define OLEANDERTIDE_BENCHMARKS_ONCE_VIRTUAL_PLATFORM_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "platform/store.h"
+#include "support/event_queue.h"
+#include "support/fake_table.h"
+
+namespace oleandertide::once {
+
+// Permits a number of operations a second, and short bursts above it.
+class RateLimit {
+ public:
+  RateLimit(double per_second, double burst)
+      : per_second_(per_second), burst_(burst), permits_(burst) {}
+
+  bool Take(MonotonicTime now);
+
+ private:
+  double per_second_;
+  double burst_;
+  double permits_;
+  MonotonicTime updated_;
+};
+
+class VirtualPlatform {
+ public:
+  using TransactionCallback =
+      std::function<void(Result<platform::TransactionOutcome>)>;
+  using ReadCallback = std::function<void(Result<platform::ReadOutcome>)>;
+
+  // Precondition: `events` outlives this object.
+  explicit VirtualPlatform(testing::EventQueue& events);
+
+  void Transact(std::vector<platform::Condition> conditions,
+                std::vector<platform::Write> writes,
+                TransactionCallback callback);
+  void Read(std::string key, ReadCallback callback);
+
+  void set_is_down(bool is_down) { is_down_ = is_down; }
+  // Share of transactions that take effect while their answer is lost.
+  void set_lost_answer_percent(std::uint64_t percent) {
+    lost_answer_percent_ = percent;
+  }
+
+  // Transactions and reads that were carried out, also if refused by their
+  // conditions.
+  std::uint64_t transactions() const { return transactions_; }
+  std::uint64_t reads() const { return reads_; }
+  // Operations refused because of the rate.
+  std::uint64_t rate_limited() const { return rate_limited_; }
+
+ private:
+  testing::EventQueue& events_;
+  testing::FakeTable table_;
+  RandomSource random_{17};
+  RateLimit write_limit_;
+  RateLimit read_limit_;
+  bool is_down_ = false;
+  std::uint64_t lost_answer_percent_ = 0;
+  std::uint64_t transactions_ = 0;
+  std::uint64_t reads_ = 0;
+  std::uint64_t rate_limited_ = 0;
+};
+
+}  // namespace oleandertide::once
+
+#endif  // OLEANDERTIDE_BENCHMARKS_ONCE_VIRTUAL_PLATFORM_H_
