acceptance: Name the environment of an accepted record

Callers that print an outcome need it, as the other outcomes have it. A test now covers a lost answer that is resolved when an outage ends within the resolve timeout; a resolution that gave up at the first failed read passed all tests before.

--- a/libraries/acceptance/acceptance.cc
+++ b/libraries/acceptance/acceptance.cc
@@ -226,7 +226,7 @@
   if (const auto* refused = std::get_if<platform::Refused>(&answer.value())) {
     return ResolveRefusal(move, refused->failed_keys, document);
   }
-  return Accepted{move.to, {}, {}};
+  return Accepted{move.environment, move.to, {}, {}};
 }
 
 Result<Acceptance::Fate> Acceptance::ReadFate(const Move& move) {
@@ -242,7 +242,7 @@
     // A failed read says nothing; the platform may return before the deadline.
     const auto fate = ReadFate(move);
     if (fate.has_value() && fate.value() == Fate::kTookEffect) {
-      return Accepted{move.to, {}, {}};
+      return Accepted{move.environment, move.to, {}, {}};
     }
     if (fate.has_value() && fate.value() == Fate::kAnotherDid) {
       return MakeConflict(move.environment, move.from.record.sequence,
@@ -261,7 +261,7 @@
   // although it took effect.
   const auto fate = ReadFate(move);
   if (fate.has_value() && fate.value() == Fate::kTookEffect) {
-    return Accepted{move.to, {}, {}};
+    return Accepted{move.environment, move.to, {}, {}};
   }
   const bool only_trial_moved =
       failed_keys.size() == 1 && failed_keys.front() == EnvironmentKey(kTrial);
--- a/libraries/acceptance/acceptance.h
+++ b/libraries/acceptance/acceptance.h
@@ -57,8 +57,9 @@
   std::optional<Sequence> trial_sequence;
 };
 
-// The document is the environment's current one.
+// The record is the environment's, though a later one may have followed it.
 struct Accepted {
+  std::string environment;
   EnvironmentRecord record;
   // Items that this change retired or revived; only promotions do.
   std::vector<DocumentItem> retired;
--- a/tests/acceptance/acceptance_property_test.cc
+++ b/tests/acceptance/acceptance_property_test.cc
@@ -257,5 +257,17 @@
   CHECK(person.waiter().Now() == MonotonicTime());
 }
 
+TEST_CASE("an answer lost before an outage is resolved when it ends in time") {
+  MemoryStore store;
+  TestOperator person(store, "ana", 1);
+  static_cast<void>(person.Submit(kDocument).value());
+  store.AddTransactionFault(TransactionFault::kLoseAnswer);
+  store.set_before_transaction([&store] { store.set_calls_until_down(1); });
+  person.waiter().set_on_wait([&store](Duration now) {
+    if (now >= std::chrono::seconds(9)) store.set_down(false);
+  });
+  CHECK(ToReport(person.Promote()).told == Told::kAccepted);
+}
+
 }  // namespace
 }  // namespace oleandertide::acceptance
