membership: Shorten convergence after a start of all nodes

Full synchronisation now names the records that the requester has and repeats every 0.5 s while parts bring many changes; changes learned from it are not retransmitted; an equal table hash counts as a transmission of all queued changes.

A node counts holders and answers only once its N has stopped growing, because a majority of an incomplete table proves nothing.

--- a/libraries/distribution/distributor.cc
+++ b/libraries/distribution/distributor.cc
@@ -208,23 +208,29 @@
   }
 }
 
-void Distributor::MergeRecords(MonotonicTime now,
-                               const std::vector<MemberPointer>& records,
-                               std::size_t limit) {
+std::size_t Distributor::MergeRecords(MonotonicTime now,
+                                      const std::vector<MemberPointer>& records,
+                                      std::size_t limit, bool spreads) {
+  std::size_t changes = 0;
   const std::size_t used = std::min(records.size(), limit);
   counters_.input_rejected += records.size() - used;
   for (std::size_t i = 0; i < used; ++i) {
-    switch (table_.Merge(now, records[i])) {
+    switch (table_.Merge(now, records[i], spreads)) {
       case membership::MergeOutcome::kRejected:
         ++counters_.input_rejected;
         break;
       case membership::MergeOutcome::kRefuted:
         has_own_news_ = true;
         break;
-      default:
+      case membership::MergeOutcome::kAdded:
+      case membership::MergeOutcome::kUpdated:
+        ++changes;
+        break;
+      case membership::MergeOutcome::kKnown:
         break;
     }
   }
+  return changes;
 }
 
 void Distributor::MergeDigest(MonotonicTime now, const Digest& digest) {
@@ -291,7 +297,11 @@
       restart_rule_.Confirm(confirmation.row_sequence);
     }
   }
-  if (digest.table_hash != table_.hash()) differing_peer_ = sender.address;
+  if (digest.table_hash != table_.hash()) {
+    differing_peer_ = sender.address;
+  } else {
+    table_.NoteEqualTable();
+  }
   if (!is_local(sender)) return;
   if (!is_ready_ && sender.state == MemberState::kReady) {
     restart_rule_.Answer(sender.address, digest.held.sequence,
@@ -366,7 +376,7 @@
   if (!is_ready_) {
     if (options_.restart_rule_enabled && !options_.every_node_polls) {
       // Without the member table N is unknown and no quorum can be counted.
-      const std::size_t members = has_table_
+      const std::size_t members = is_settled(now)
                                       ? LargestMembers(now)
                                       : std::numeric_limits<std::size_t>::max();
       const auto bound = restart_rule_.Bound(members);
@@ -395,7 +405,7 @@
   if (!options_.commit_rule_enabled || options_.every_node_polls) return;
   const std::uint64_t held = tracker_.held().sequence;
   if (!is_reader_ || held <= committed_) return;
-  if (now - started_at_ < options_.settling_time || !may_read(now)) return;
+  if (!is_settled(now)) return;
   const std::size_t members = LargestMembers(now);
   if (!commit_counter_.Begin(now, held, committed_, members,
                              options_.verification_limit)) {
--- a/libraries/distribution/distributor.h
+++ b/libraries/distribution/distributor.h
@@ -125,9 +125,10 @@
 
   // Uses the parts of a digest that are facts regardless of their age.
   void MergeDigest(MonotonicTime now, const Digest& digest);
-  void MergeRecords(MonotonicTime now,
-                    const std::vector<membership::MemberPointer>& records,
-                    std::size_t limit);
+  // Returns the number of records that changed the table.
+  std::size_t MergeRecords(
+      MonotonicTime now, const std::vector<membership::MemberPointer>& records,
+      std::size_t limit, bool spreads = true);
   // Uses the parts of a reply that need the time of the request.
   void UseReply(MonotonicTime now, MonotonicTime sent_at, const Digest& digest);
   void FailExchange(MonotonicTime now, const Outstanding& outstanding);
@@ -161,6 +162,9 @@
     return member.data_centre == table_.own().data_centre;
   }
   bool may_read(MonotonicTime now) const;
+  // True if N can be relied on: the member table has been received and N has
+  // stopped growing.
+  bool is_settled(MonotonicTime now) const;
   bool HearsHalfOfDataCentre(MonotonicTime now) const;
   bool HearsAllRegions(MonotonicTime now) const;
 
@@ -202,7 +206,7 @@
   bool is_reader_ = false;
   bool needs_roles_ = true;
   std::size_t members_ = 1;  // N of the own data centre
-  MonotonicTime members_at_;
+  MonotonicTime members_grew_at_;
 
   MonotonicTime next_gossip_;
   MonotonicTime next_probe_;
--- a/libraries/distribution/distributor_tick.cc
+++ b/libraries/distribution/distributor_tick.cc
@@ -1,6 +1,7 @@
 // Periodic work of the distributor.
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "distribution/distributor.h"
@@ -17,8 +18,12 @@
 constexpr std::size_t kSmallTable = 64;
 constexpr Duration kRolesInterval = std::chrono::milliseconds(500);
 constexpr Duration kRolesRefresh = std::chrono::seconds(5);
-constexpr Duration kMembersInterval = std::chrono::seconds(1);
+
+// Members that join later change N by few at a time, which needs no delay.
+constexpr Duration kLongestSettling = std::chrono::seconds(30);
 constexpr Duration kLongestReportDelay = std::chrono::seconds(2);
+// A part with at least this many changes shows that the tables differ much.
+constexpr std::size_t kManyChanges = 8;
 constexpr Duration kSyncTimeout = std::chrono::milliseconds(800);
 constexpr Duration kUnreachableInterval = std::chrono::seconds(60);
 // Unknown addresses of one contacts row that are tried.
@@ -37,12 +42,20 @@
   return (is_joined_ && has_table_) || now >= alone_at_;
 }
 
+bool Distributor::is_settled(MonotonicTime now) const {
+  if (!may_read(now) || now - started_at_ < options_.settling_time) {
+    return false;
+  }
+  return now - members_grew_at_ >= options_.settling_time ||
+         now - started_at_ >= kLongestSettling;
+}
+
 void Distributor::RefreshRoles(MonotonicTime now) {
   const bool is_small = table_.size() < kSmallTable;
-  if (is_small || now - members_at_ >= kMembersInterval) {
-    members_ = table_.CountedMembers(table_.own().data_centre, now);
-    members_at_ = now;
-  }
+  const std::size_t members =
+      table_.CountedMembers(table_.own().data_centre, now);
+  if (members > members_) members_grew_at_ = now;
+  members_ = members;
   const bool changed =
       needs_roles_ || table_.liveness_count() != roles_liveness_;
   const Duration since = now - roles_at_;
@@ -212,6 +225,7 @@
   request.sender = table_.own_pointer();
   request.first_bucket = bucket;
   request.hashes = table_.bucket_hashes();
+  request.known = table_.ShortHashes(bucket, options_.known_hashes_per_request);
   effects_.emplace_back(SendSyncRequest{peer, std::move(request)});
 }
 
@@ -237,15 +251,19 @@
 }
 
 SyncReply Distributor::OnSyncRequest(const SyncRequest& request) const {
+  const std::span<const std::uint32_t> known(
+      request.known.data(),
+      std::min(request.known.size(), kMaximumKnownHashes));
   const membership::TablePart part = table_.DifferingPart(
-      request.hashes, request.first_bucket, options_.records_per_part);
+      request.hashes, request.first_bucket, known, options_.records_per_part);
   return SyncReply{part.records, static_cast<std::uint32_t>(part.next_bucket)};
 }
 
 Effects Distributor::OnSyncReply(MonotonicTime now, std::string_view from,
                                  const SyncReply& reply) {
   BeginStep(now);
-  MergeRecords(now, reply.records, kMaximumPartRecords);
+  const std::size_t changes =
+      MergeRecords(now, reply.records, kMaximumPartRecords, false);
   if (!synchronisation_.has_value() || synchronisation_->peer != from) {
     return EndStep(now);
   }
@@ -256,6 +274,9 @@
   if (!has_table_) {
     if (is_last) {
       has_table_ = true;
+      // The peers may have had incomplete tables themselves.
+      next_synchronisation_ =
+          now + WithJitter(random_, options_.fast_synchronisation_interval);
       needs_roles_ = true;
     } else {
       BeginSynchronisation(now, reply.next_bucket, ChooseSyncPeer());
@@ -263,6 +284,11 @@
   } else {
     // One part per interval bounds the bytes while many records change.
     repair_bucket_ = is_last ? 0 : reply.next_bucket;
+    if (changes >= kManyChanges) {
+      next_synchronisation_ =
+          now + WithJitter(random_, options_.fast_synchronisation_interval);
+      differing_peer_ = ChooseSyncPeer();
+    }
   }
   return EndStep(now);
 }
--- a/libraries/distribution/messages.cc
+++ b/libraries/distribution/messages.cc
@@ -55,7 +55,8 @@
   const std::size_t sender = message.sender == nullptr
                                  ? 0
                                  : membership::EstimatedBytes(*message.sender);
-  return kOverheadBytes + 2 * kWord + sender + sizeof(message.hashes);
+  return kOverheadBytes + 2 * kWord + sender + sizeof(message.hashes) + kWord +
+         message.known.size() * sizeof(std::uint32_t);
 }
 
 std::size_t EstimatedBytes(const SyncReply& message) {
--- a/libraries/distribution/messages.h
+++ b/libraries/distribution/messages.h
@@ -19,6 +19,7 @@
 inline constexpr std::size_t kMaximumDeltas = 64;
 inline constexpr std::size_t kMaximumPartRecords = 1024;
 inline constexpr std::size_t kMaximumHeardEntries = 32;
+inline constexpr std::size_t kMaximumKnownHashes = 1024;
 inline constexpr std::size_t kDigestCharacters = 32;
 
 // A version of the environment's document. Sequence 0 stands for none.
@@ -79,6 +80,9 @@
   membership::MemberPointer sender;
   std::uint32_t first_bucket = 0;
   membership::BucketHashes hashes{};
+  // Short hashes of records from first_bucket on that the sender has. While
+  // most buckets differ, they keep the reply from repeating known records.
+  std::vector<std::uint32_t> known;
 };
 
 struct SyncReply {
--- a/libraries/distribution/options.h
+++ b/libraries/distribution/options.h
@@ -57,9 +57,10 @@
   // A node that no contact answered reads the platform after this time, with
   // up to the same time again as jitter.
   Duration alone_delay = std::chrono::seconds(3);
-  // A started node counts no holders of a version before this time, because
-  // its N is too small until it has received the member table.
-  Duration settling_time = std::chrono::seconds(2);
+  // A started node counts neither holders nor answers before this time, nor
+  // while its N has grown within it: N is too small until the node has
+  // received the member table.
+  Duration settling_time = std::chrono::seconds(1);
 
   Duration report_interval = std::chrono::milliseconds(500);
   // The second step of the commit count starts anew after this time.
@@ -70,9 +71,12 @@
   std::size_t quorum_queries_per_round = 16;
 
   Duration synchronisation_interval = std::chrono::seconds(5);
+  // Interval while the tables differ much, as after a restart of all nodes.
+  Duration fast_synchronisation_interval = std::chrono::milliseconds(500);
   Duration dead_probe_interval = std::chrono::seconds(10);
   std::size_t deltas_per_message = 8;
   std::size_t records_per_part = 64;
+  std::size_t known_hashes_per_request = 128;
 
   // Mechanisms that tests and benchmarks switch off.
   bool every_node_polls = false;  // the baseline: no readers, no partners
--- a/libraries/membership/member_table.cc
+++ b/libraries/membership/member_table.cc
@@ -1,5 +1,7 @@
 #include "membership/member_table.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -16,13 +18,19 @@
   return state == MemberState::kDead || state == MemberState::kLeft;
 }
 
-std::size_t BucketOf(std::string_view address) {
-  return Hash64(address) % kBuckets;
+std::uint64_t KeyOf(std::string_view address) { return Hash64(address); }
+
+// The highest bits, so that a bucket is a range of keys.
+std::size_t BucketOf(std::uint64_t key) {
+  return static_cast<std::size_t>(key / (~std::uint64_t{0} / kBuckets + 1));
 }
 
-std::uint64_t RingPosition(std::string_view address, std::uint64_t ring) {
-  // The offset keeps ring positions independent of the bucket hash.
-  return Hash64(address, ring + 1);
+std::uint64_t FirstKeyOf(std::size_t bucket) {
+  return bucket * (~std::uint64_t{0} / kBuckets + 1);
+}
+
+std::uint64_t RingPosition(std::uint64_t key, std::uint64_t ring) {
+  return CombineHashes(key, ring);
 }
 
 }  // namespace
@@ -61,28 +69,28 @@
   Store(now, own_, false);
 }
 
-MergeOutcome MemberTable::Merge(MonotonicTime now,
-                                const MemberPointer& record) {
+MergeOutcome MemberTable::Merge(MonotonicTime now, const MemberPointer& record,
+                                bool spreads) {
   if (record == nullptr) return MergeOutcome::kRejected;
-  if (record->address == own_->address) {
-    if (record == own_) return MergeOutcome::kKnown;
-    if (!is_valid(*record)) return MergeOutcome::kRejected;
-    return MergeOwn(now, *record);
-  }
-  const auto found = entries_.find(record->address);
+  if (record == own_) return MergeOutcome::kKnown;
+  const auto found = entries_.find(KeyOf(record->address));
   if (found != entries_.end() && found->second.member == record) {
     return MergeOutcome::kKnown;
   }
   if (!is_valid(*record)) return MergeOutcome::kRejected;
+  if (record->address == own_->address) return MergeOwn(now, *record);
   if (found == entries_.end()) {
     if (entries_.size() >= options_.maximum_members) {
       return MergeOutcome::kRejected;
     }
-    Store(now, record, false);
+    Store(now, record, false, spreads);
     return MergeOutcome::kAdded;
   }
-  if (!is_newer(*record, *found->second.member)) return MergeOutcome::kKnown;
-  Store(now, record, false);
+  const Member& stored = *found->second.member;
+  // Two addresses with one hash; the first keeps the entry.
+  if (stored.address != record->address) return MergeOutcome::kRejected;
+  if (!is_newer(*record, stored)) return MergeOutcome::kKnown;
+  Store(now, record, false, spreads);
   return MergeOutcome::kUpdated;
 }
 
@@ -100,9 +108,8 @@
 }
 
 bool MemberTable::Suspect(MonotonicTime now, std::string_view address) {
-  if (address == own_->address) return false;
-  const auto found = entries_.find(address);
-  if (found == entries_.end()) return false;
+  const auto found = entries_.find(KeyOf(address));
+  if (found == entries_.end() || found->second.member == own_) return false;
   if (found->second.member->state == MemberState::kSuspect) {
     found->second.own_suspicion = true;
     return false;
@@ -115,9 +122,13 @@
 }
 
 void MemberTable::Tick(MonotonicTime now) {
+  while (!recent_deaths_.empty() &&
+         now - recent_deaths_.front().at >= options_.dead_counted_time) {
+    recent_deaths_.pop_front();
+  }
   if (suspects_ > 0) {
     std::vector<MemberPointer> expired;
-    for (const auto& [address, entry] : entries_) {
+    for (const auto& [key, entry] : entries_) {
       if (entry.member->state != MemberState::kSuspect) continue;
       const Duration limit = entry.own_suspicion
                                  ? options_.suspicion_time
@@ -133,60 +144,79 @@
   }
   if (now < next_forget_) return;
   next_forget_ = now + kForgetInterval;
-  std::vector<std::string> forgotten;
-  for (const auto& [address, entry] : entries_) {
+  std::vector<std::uint64_t> forgotten;
+  for (const auto& [key, entry] : entries_) {
     if (is_gone(entry.member->state) && entry.member != own_ &&
         now - entry.since >= options_.dead_retention) {
-      forgotten.push_back(address);
+      forgotten.push_back(key);
     }
   }
-  for (const std::string& address : forgotten) {
-    entries_.erase(address);
-    ++change_count_;
-  }
+  for (const std::uint64_t key : forgotten) Remove(key);
 }
 
 void MemberTable::ForgetDataCentre(std::string_view data_centre) {
   if (data_centre == own_->data_centre) return;
-  for (auto entry = entries_.begin(); entry != entries_.end();) {
-    if (entry->second.member->data_centre != data_centre) {
-      ++entry;
-      continue;
-    }
-    ToggleHash(entry->second);
-    if (entry->second.member->state == MemberState::kSuspect) --suspects_;
-    entry = entries_.erase(entry);
-    ++change_count_;
-    ++liveness_count_;
+  std::vector<std::uint64_t> forgotten;
+  for (const auto& [key, entry] : entries_) {
+    if (entry.member->data_centre == data_centre) forgotten.push_back(key);
   }
+  for (const std::uint64_t key : forgotten) Remove(key);
+}
+
+void MemberTable::Remove(std::uint64_t key) {
+  const auto found = entries_.find(key);
+  ToggleHash(found->second);
+  Count(*found->second.member, -1);
+  if (found->second.member->state == MemberState::kSuspect) --suspects_;
+  entries_.erase(found);
+  ++change_count_;
+  ++liveness_count_;
 }
 
 void MemberTable::Store(MonotonicTime now, MemberPointer member,
-                        bool own_suspicion) {
-  Entry& entry = entries_[member->address];
-  const bool was_usable = entry.member != nullptr && is_alive(*entry.member);
-  const MemberState old_state =
-      entry.member != nullptr ? entry.member->state : MemberState::kLeft;
-  if (entry.member != nullptr) ToggleHash(entry);
-  if (old_state == MemberState::kSuspect) --suspects_;
+                        bool own_suspicion, bool spreads) {
+  const std::uint64_t key = KeyOf(member->address);
+  Entry& entry = entries_[key];
+  const bool is_new = entry.member == nullptr;
+  const bool changes_state = is_new || entry.member->state != member->state;
+  if (!is_new) {
+    ToggleHash(entry);
+    Count(*entry.member, -1);
+    if (entry.member->state == MemberState::kSuspect) --suspects_;
+  }
+  Count(*member, 1);
   if (member->state == MemberState::kSuspect) ++suspects_;
-  if (entry.member == nullptr || old_state != member->state) entry.since = now;
+  if (changes_state) {
+    entry.since = now;
+    ++liveness_count_;
+    if (member->state == MemberState::kDead) {
+      recent_deaths_.push_back(Death{now, key});
+    }
+  }
   entry.own_suspicion = own_suspicion;
   entry.member = std::move(member);
   entry.hash = RecordHash(*entry.member);
   ToggleHash(entry);
-  if (was_usable != is_alive(*entry.member) ||
-      old_state != entry.member->state) {
-    ++liveness_count_;
-  }
   ++change_count_;
-  Queue(entry.member->address);
+  if (spreads) Queue(key, entry);
+}
+
+void MemberTable::Count(const Member& member, std::ptrdiff_t change) {
+  auto& count = data_centres_[member.data_centre];
+  if (count.region.empty()) count.region = member.region;
+  const auto add = [change](std::size_t& value) {
+    value =
+        static_cast<std::size_t>(static_cast<std::ptrdiff_t>(value) + change);
+  };
+  if (is_alive(member)) add(count.alive);
+  if (!is_gone(member.state)) add(count.present);
+  if (member.state != MemberState::kLeft) add(count.known);
 }
 
 void MemberTable::ToggleHash(const Entry& entry) {
   if (is_gone(entry.member->state)) return;
   hash_ ^= entry.hash;
-  bucket_hashes_[BucketOf(entry.member->address)] ^=
+  bucket_hashes_[BucketOf(KeyOf(entry.member->address))] ^=
       static_cast<std::uint32_t>(entry.hash);
 }
 
@@ -196,59 +226,58 @@
                 std::log2(static_cast<double>(entries_.size()) + 1.0)));
 }
 
-void MemberTable::Queue(const std::string& address) {
-  const int transmissions = TransmissionsPerChange();
-  if (queued_.insert(address).second) {
-    queue_.push_front(Queued{address, transmissions});
-    return;
-  }
-  // Only the latest record of an address is transmitted; its count restarts.
-  for (Queued& queued : queue_) {
-    if (queued.address == address) {
-      queued.remaining = transmissions;
-      return;
-    }
-  }
+void MemberTable::Queue(std::uint64_t key, Entry& entry) {
+  // Transmissions are counted down against equal_tables_, so that one equal
+  // table counts for all queued changes. Only the latest record of a member is
+  // transmitted; its count restarts.
+  entry.transmissions_end =
+      equal_tables_ + static_cast<std::uint64_t>(TransmissionsPerChange());
+  if (entry.is_queued) return;
+  entry.is_queued = true;
+  queue_.push_front(key);
 }
 
 std::vector<MemberPointer> MemberTable::TakeDeltas(std::size_t limit,
                                                    std::string_view target) {
   std::vector<MemberPointer> deltas;
-  const std::size_t considered = std::min(queue_.size(), limit);
-  for (std::size_t i = 0; i < considered; ++i) {
-    Queued queued = std::move(queue_.front());
+  for (std::size_t i = queue_.size(); i > 0 && deltas.size() < limit; --i) {
+    const std::uint64_t key = queue_.front();
     queue_.pop_front();
-    const auto found = entries_.find(queued.address);
-    const bool is_target = queued.address == target;
-    if (found != entries_.end() &&
-        (!is_target || !is_alive(*found->second.member))) {
-      deltas.push_back(found->second.member);
-    }
-    --queued.remaining;
-    if (found == entries_.end() || queued.remaining <= 0) {
-      queued_.erase(queued.address);
-    } else {
-      queue_.push_back(std::move(queued));
+    const auto found = entries_.find(key);
+    if (found == entries_.end()) continue;
+    Entry& entry = found->second;
+    if (entry.transmissions_end <= equal_tables_) {
+      entry.is_queued = false;
+      continue;
     }
+    --entry.transmissions_end;
+    queue_.push_back(key);
+    const bool is_target = entry.member->address == target;
+    if (!is_target || !is_alive(*entry.member)) deltas.push_back(entry.member);
   }
   return deltas;
 }
 
 TablePart MemberTable::DifferingPart(const BucketHashes& theirs,
                                      std::size_t first_bucket,
+                                     std::span<const std::uint32_t> known,
                                      std::size_t limit) const {
-  std::array<std::vector<MemberPointer>, kBuckets> differing;
-  for (const auto& [address, entry] : entries_) {
-    const std::size_t bucket = BucketOf(address);
-    if (bucket < first_bucket || theirs[bucket] == bucket_hashes_[bucket]) {
-      continue;
-    }
-    differing[bucket].push_back(entry.member);
-  }
+  const absl::flat_hash_set<std::uint32_t> known_set(known.begin(),
+                                                     known.end());
   TablePart part;
+  std::vector<MemberPointer> records;
   std::size_t bucket = first_bucket;
   for (; bucket < kBuckets; ++bucket) {
-    const auto& records = differing[bucket];
+    if (theirs[bucket] == bucket_hashes_[bucket]) continue;
+    const auto begin = entries_.lower_bound(FirstKeyOf(bucket));
+    const auto end = bucket + 1 == kBuckets
+                         ? entries_.end()
+                         : entries_.lower_bound(FirstKeyOf(bucket + 1));
+    records.clear();
+    for (auto entry = begin; entry != end; ++entry) {
+      const auto hash = static_cast<std::uint32_t>(entry->second.hash);
+      if (!known_set.contains(hash)) records.push_back(entry->second.member);
+    }
     if (!part.records.empty() && part.records.size() + records.size() > limit) {
       break;
     }
@@ -258,72 +287,77 @@
   return part;
 }
 
+std::vector<std::uint32_t> MemberTable::ShortHashes(std::size_t first_bucket,
+                                                    std::size_t limit) const {
+  std::vector<std::uint32_t> hashes;
+  for (auto entry = entries_.lower_bound(FirstKeyOf(first_bucket));
+       entry != entries_.end() && hashes.size() < limit; ++entry) {
+    hashes.push_back(static_cast<std::uint32_t>(entry->second.hash));
+  }
+  return hashes;
+}
+
 MemberPointer MemberTable::Find(std::string_view address) const {
-  const auto found = entries_.find(address);
-  return found == entries_.end() ? nullptr : found->second.member;
+  const auto found = entries_.find(KeyOf(address));
+  if (found == entries_.end() || found->second.member->address != address) {
+    return nullptr;
+  }
+  return found->second.member;
 }
 
 std::size_t MemberTable::CountedMembers(std::string_view data_centre,
                                         MonotonicTime now) const {
-  std::size_t count = 0;
-  for (const auto& [address, entry] : entries_) {
-    const Member& member = *entry.member;
-    if (member.data_centre != data_centre) continue;
-    const bool counted = member.state == MemberState::kDead
-                             ? now - entry.since < options_.dead_counted_time
-                             : member.state != MemberState::kLeft;
-    if (counted) ++count;
+  const auto count = data_centres_.find(data_centre);
+  if (count == data_centres_.end()) return 0;
+  std::size_t counted = count->second.present;
+  for (const Death& death : recent_deaths_) {
+    if (now - death.at >= options_.dead_counted_time) continue;
+    const auto found = entries_.find(death.key);
+    // A later death of the same member has its own item.
+    if (found != entries_.end() && found->second.since == death.at &&
+        found->second.member->state == MemberState::kDead &&
+        found->second.member->data_centre == data_centre) {
+      ++counted;
+    }
   }
-  return count;
+  return counted;
 }
 
 std::size_t MemberTable::AliveMembers(std::string_view data_centre) const {
-  return static_cast<std::size_t>(
-      std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
-        return item.second.member->data_centre == data_centre &&
-               is_alive(*item.second.member);
-      }));
+  const auto count = data_centres_.find(data_centre);
+  return count == data_centres_.end() ? 0 : count->second.alive;
 }
 
 std::size_t MemberTable::KnownMembers(std::string_view data_centre) const {
-  return static_cast<std::size_t>(
-      std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
-        return item.second.member->data_centre == data_centre &&
-               item.second.member->state != MemberState::kLeft;
-      }));
+  const auto count = data_centres_.find(data_centre);
+  return count == data_centres_.end() ? 0 : count->second.known;
 }
 
 std::vector<std::pair<std::string, std::string>> MemberTable::DataCentres()
     const {
   std::vector<std::pair<std::string, std::string>> found;
-  for (const auto& [address, entry] : entries_) {
-    const Member& member = *entry.member;
-    if (is_gone(member.state)) continue;
-    const bool known = std::any_of(
-        found.begin(), found.end(),
-        [&](const auto& item) { return item.first == member.data_centre; });
-    if (!known) found.emplace_back(member.data_centre, member.region);
+  for (const auto& [data_centre, count] : data_centres_) {
+    if (count.present > 0) found.emplace_back(data_centre, count.region);
   }
-  std::sort(found.begin(), found.end());
   return found;
 }
 
 std::vector<std::string> MemberTable::Successors(std::uint64_t ring,
                                                  std::size_t count) const {
-  const std::uint64_t own_position = RingPosition(own_->address, ring);
+  const std::uint64_t own_position = RingPosition(KeyOf(own_->address), ring);
   std::vector<std::pair<std::uint64_t, const std::string*>> best;
-  for (const auto& [address, entry] : entries_) {
+  for (const auto& [key, entry] : entries_) {
     const Member& member = *entry.member;
     if (is_gone(member.state) || entry.member == own_ ||
         member.data_centre != own_->data_centre) {
       continue;
     }
-    const std::uint64_t distance = RingPosition(address, ring) - own_position;
+    const std::uint64_t distance = RingPosition(key, ring) - own_position;
     if (best.size() == count && distance >= best.back().first) continue;
     const auto place = std::upper_bound(
         best.begin(), best.end(), distance,
         [](std::uint64_t key, const auto& item) { return key < item.first; });
-    best.insert(place, {distance, &address});
+    best.insert(place, {distance, &member.address});
     if (best.size() > count) best.pop_back();
   }
   std::vector<std::string> addresses;
@@ -350,7 +384,7 @@
 std::vector<MemberPointer> MemberTable::RankByRendezvous(
     std::string_view key, const MemberFilter& filter, std::size_t count) const {
   RendezvousRank rank(key, count);
-  for (const auto& [address, entry] : entries_) {
+  for (const auto& [key, entry] : entries_) {
     if (filter(*entry.member)) rank.Offer(entry.member);
   }
   return rank.Take();
@@ -358,8 +392,6 @@
 
 MemberPointer MemberTable::RandomMember(RandomSource& random,
                                         const MemberFilter& filter) const {
-  // The iteration order of the table is not reproducible, so the choice is
-  // made by rank for a random key.
   const std::string key = std::to_string(random.Next());
   const auto chosen = RankByRendezvous(
       key,
@@ -374,7 +406,7 @@
   if (view_ == nullptr || view_change_count_ != change_count_) {
     std::vector<MemberPointer> members;
     members.reserve(entries_.size());
-    for (const auto& [address, entry] : entries_) {
+    for (const auto& [key, entry] : entries_) {
       members.push_back(entry.member);
     }
     view_ = std::make_shared<const MemberView>(own_, std::move(members));
--- a/libraries/membership/member_table.h
+++ b/libraries/membership/member_table.h
@@ -4,7 +4,6 @@
 #define OLEANDERTIDE_MEMBERSHIP_MEMBER_TABLE_H_
 
 #include <absl/container/btree_map.h>
-#include <absl/container/btree_set.h>
 
 #include <array>
 #include <cstddef>
@@ -13,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,8 +77,11 @@
   void SetOwnBackend(MonotonicTime now, std::string_view backend_address,
                      std::uint32_t slots, std::uint32_t connections);
 
-  // Merges a record from a peer. Null and invalid records are rejected.
-  MergeOutcome Merge(MonotonicTime now, const MemberPointer& record);
+  // Merges a record from a peer. Null and invalid records are rejected. With
+  // `spreads`, a change is passed on; records from a full synchronisation are
+  // not, because their source spreads them already.
+  MergeOutcome Merge(MonotonicTime now, const MemberPointer& record,
+                     bool spreads = true);
 
   // Marks a member as suspect, by the node's own observation. Returns false
   // if it is unknown, not alive or the node itself.
@@ -91,6 +94,9 @@
   // counts the transmission.
   std::vector<MemberPointer> TakeDeltas(std::size_t limit,
                                         std::string_view target);
+  // Counts a transmission of all queued changes: a peer had the same hash, so
+  // it knows them.
+  void NoteEqualTable() { ++equal_tables_; }
   bool has_deltas() const { return !queue_.empty(); }
 
   // Hash over all records that are neither dead nor left. Dead and left
@@ -99,10 +105,16 @@
   const BucketHashes& bucket_hashes() const { return bucket_hashes_; }
 
   // Returns the records of the buckets from `first_bucket` on that differ from
-  // `theirs`, at most about `limit` of them (whole buckets).
+  // `theirs`, at most about `limit` of them (whole buckets). Records whose
+  // short hash is in `known` are left out.
   TablePart DifferingPart(const BucketHashes& theirs, std::size_t first_bucket,
+                          std::span<const std::uint32_t> known,
                           std::size_t limit) const;
 
+  // Short hashes of the own records from `first_bucket` on, at most `limit`.
+  std::vector<std::uint32_t> ShortHashes(std::size_t first_bucket,
+                                         std::size_t limit) const;
+
   // Returns the record of `address`, or null.
   MemberPointer Find(std::string_view address) const;
   std::size_t size() const { return entries_.size(); }
@@ -162,25 +174,40 @@
     std::uint64_t hash = 0;
     MonotonicTime since;  // when the state was last changed in this table
     bool own_suspicion = false;
+    bool is_queued = false;
+    std::uint64_t transmissions_end = 0;  // see Queue
+  };
+  // Records of one data centre by state.
+  struct DataCentreCount {
+    std::string region;
+    std::size_t alive = 0;
+    std::size_t present = 0;  // neither dead nor left
+    std::size_t known = 0;    // not left
   };
-  struct Queued {
-    std::string address;
-    int remaining;
+  struct Death {
+    MonotonicTime at;
+    std::uint64_t key;
   };
 
-  void Store(MonotonicTime now, MemberPointer member, bool own_suspicion);
+  void Store(MonotonicTime now, MemberPointer member, bool own_suspicion,
+             bool spreads = true);
+  void Count(const Member& member, std::ptrdiff_t change);
+  void Remove(std::uint64_t key);
   void ReplaceOwn(MonotonicTime now, Member own);
   MergeOutcome MergeOwn(MonotonicTime now, const Member& record);
   void ToggleHash(const Entry& entry);
-  void Queue(const std::string& address);
+  void Queue(std::uint64_t key, Entry& entry);
   int TransmissionsPerChange() const;
 
   TableOptions options_;
   MemberPointer own_;
-  // Ordered, so that runs with the same input are the same.
-  absl::btree_map<std::string, Entry, std::less<>> entries_;
-  std::deque<Queued> queue_;
-  absl::btree_set<std::string, std::less<>> queued_;
+  // By the hash of the address. Ordered, so that runs with the same input are
+  // the same, and so that each bucket is one range.
+  absl::btree_map<std::uint64_t, Entry> entries_;
+  absl::btree_map<std::string, DataCentreCount, std::less<>> data_centres_;
+  std::deque<Death> recent_deaths_;
+  std::deque<std::uint64_t> queue_;
+  std::uint64_t equal_tables_ = 0;
   BucketHashes bucket_hashes_{};
   std::uint64_t hash_ = 0;
   std::size_t suspects_ = 0;
--- a/tests/membership/member_table_test.cc
+++ b/tests/membership/member_table_test.cc
@@ -131,7 +131,7 @@
   int parts = 0;
   for (std::size_t bucket = 0; bucket < kBuckets; ++parts) {
     const TablePart part =
-        full.DifferingPart(empty.bucket_hashes(), bucket, 64);
+        full.DifferingPart(empty.bucket_hashes(), bucket, {}, 64);
     REQUIRE(part.records.size() <= 64);
     REQUIRE(part.next_bucket > bucket);
     for (const auto& record : part.records) empty.Merge(At(2), record);
