distribution: Test invariants over a fake mesh

Fixed scenarios and random schedules drive many nodes over a lossy, reordering, duplicating network with a virtual clock. Checked after every step: no sequence goes back across lives, nothing unaccepted or unvalidated is acted on, and no node is confirmed on a version that was replaced longer ago than the confirmation limit.

--- a/libraries/distribution/options.h
+++ b/libraries/distribution/options.h
@@ -25,8 +25,8 @@
   // Interval between exchanges with partners that are not monitored.
   Duration gossip_interval = std::chrono::milliseconds(500);
   // Partners in the own data centre besides the monitored successors. Each is
-  // the successor on another hash ring, which keeps the graph of partners
-  // well connected.
+  // the first member after a pseudo-random point of the hash ring, which keeps
+  // the distance between any two nodes small.
   std::size_t fanout = 3;
   // Partners in each other data centre.
   std::size_t remote_partners = 1;
--- a/libraries/distribution/partner_set.cc
+++ b/libraries/distribution/partner_set.cc
@@ -25,7 +25,7 @@
                          const membership::MemberTable& table,
                          RandomSource& random) {
   const std::vector<std::string> successors =
-      table.Successors(0, options_->monitored_successors);
+      table.Successors(options_->monitored_successors);
   absl::btree_map<std::string, Monitored, std::less<>> monitored;
   for (const std::string& address : successors) {
     const auto known = monitored_.find(address);
@@ -39,8 +39,13 @@
   monitored_ = std::move(monitored);
   local_ = successors;
   gossip_.clear();
+  const auto is_present = [](const membership::Member& member) {
+    return member.state != membership::MemberState::kDead &&
+           member.state != membership::MemberState::kLeft;
+  };
   for (std::size_t ring = 1; ring <= options_->fanout; ++ring) {
-    for (const std::string& address : table.Successors(ring, 1)) {
+    for (const std::string& address :
+         table.RingPartners(table.own().data_centre, ring, is_present, 1)) {
       if (!monitored_.contains(address)) AddOnce(gossip_, address);
       AddOnce(local_, address);
     }
@@ -67,9 +72,9 @@
       return avoided == avoided_.end() ||
              avoided->second.failures < kFailuresBeforeAvoiding;
     };
-    for (const auto& member : table.RankByRendezvous(
-             own.address, is_candidate, options_->remote_partners)) {
-      AddOnce(gossip_, member->address);
+    for (const std::string& address : table.RingPartners(
+             data_centre, 0, is_candidate, options_->remote_partners)) {
+      AddOnce(gossip_, address);
     }
   }
 }
--- a/libraries/membership/member_table.cc
+++ b/libraries/membership/member_table.cc
@@ -29,10 +29,6 @@
   return bucket * (~std::uint64_t{0} / kBuckets + 1);
 }
 
-std::uint64_t RingPosition(std::uint64_t key, std::uint64_t ring) {
-  return CombineHashes(key, ring);
-}
-
 }  // namespace
 
 MemberTable::MemberTable(Member own, TableOptions options)
@@ -184,7 +180,7 @@
     Count(*entry.member, -1);
     if (entry.member->state == MemberState::kSuspect) --suspects_;
   }
-  Count(*member, 1);
+  entry.data_centre = Count(*member, 1);
   if (member->state == MemberState::kSuspect) ++suspects_;
   if (changes_state) {
     entry.since = now;
@@ -201,7 +197,8 @@
   if (spreads) Queue(key, entry);
 }
 
-void MemberTable::Count(const Member& member, std::ptrdiff_t change) {
+const MemberTable::DataCentreCount* MemberTable::Count(const Member& member,
+                                                       std::ptrdiff_t change) {
   auto& count = data_centres_[member.data_centre];
   if (count.region.empty()) count.region = member.region;
   const auto add = [change](std::size_t& value) {
@@ -211,6 +208,7 @@
   if (is_alive(member)) add(count.alive);
   if (!is_gone(member.state)) add(count.present);
   if (member.state != MemberState::kLeft) add(count.known);
+  return &count;
 }
 
 void MemberTable::ToggleHash(const Entry& entry) {
@@ -342,40 +340,55 @@
   return found;
 }
 
-std::vector<std::string> MemberTable::Successors(std::uint64_t ring,
+std::vector<std::string> MemberTable::Successors(std::size_t count) const {
+  return AfterPoint(
+      KeyOf(own_->address), own_->data_centre,
+      [](const Member& member) { return !is_gone(member.state); }, count);
+}
+
+std::vector<std::string> MemberTable::RingPartners(std::string_view data_centre,
+                                                   std::uint64_t number,
+                                                   const MemberFilter& filter,
+                                                   std::size_t count) const {
+  const std::uint64_t point = CombineHashes(
+      KeyOf(own_->address), CombineHashes(Hash64(data_centre), number));
+  return AfterPoint(point, data_centre, filter, count);
+}
+
+std::vector<std::string> MemberTable::AfterPoint(std::uint64_t point,
+                                                 std::string_view data_centre,
+                                                 const MemberFilter& filter,
                                                  std::size_t count) const {
-  const std::uint64_t own_position = RingPosition(KeyOf(own_->address), ring);
-  std::vector<std::pair<std::uint64_t, const std::string*>> best;
-  for (const auto& [key, entry] : entries_) {
-    const Member& member = *entry.member;
-    if (is_gone(member.state) || entry.member == own_ ||
-        member.data_centre != own_->data_centre) {
-      continue;
+  std::vector<std::string> addresses;
+  const auto wanted = data_centres_.find(data_centre);
+  if (wanted == data_centres_.end()) return addresses;
+  auto entry = entries_.lower_bound(point);
+  for (std::size_t i = 0; i < entries_.size() && addresses.size() < count;
+       ++i, ++entry) {
+    if (entry == entries_.end()) entry = entries_.begin();
+    const MemberPointer& member = entry->second.member;
+    if (entry->second.data_centre == &wanted->second && member != own_ &&
+        filter(*member)) {
+      addresses.push_back(member->address);
     }
-    const std::uint64_t distance = RingPosition(key, ring) - own_position;
-    if (best.size() == count && distance >= best.back().first) continue;
-    const auto place = std::upper_bound(
-        best.begin(), best.end(), distance,
-        [](std::uint64_t key, const auto& item) { return key < item.first; });
-    best.insert(place, {distance, &member.address});
-    if (best.size() > count) best.pop_back();
   }
-  std::vector<std::string> addresses;
-  addresses.reserve(best.size());
-  for (const auto& [distance, address] : best) addresses.push_back(*address);
   return addresses;
 }
 
 std::vector<std::string> MemberTable::ReadersOf(std::string_view data_centre,
                                                 std::size_t count) const {
-  const auto can_read = [&](const Member& member) {
-    return member.data_centre == data_centre &&
-           (member.state == MemberState::kStarting ||
-            member.state == MemberState::kReady);
-  };
   std::vector<std::string> addresses;
-  for (const MemberPointer& member :
-       RankByRendezvous(data_centre, can_read, count)) {
+  const auto wanted = data_centres_.find(data_centre);
+  if (wanted == data_centres_.end()) return addresses;
+  RendezvousRank rank(data_centre, count);
+  for (const auto& [key, entry] : entries_) {
+    if (entry.data_centre != &wanted->second) continue;
+    const MemberState state = entry.member->state;
+    if (state == MemberState::kStarting || state == MemberState::kReady) {
+      rank.Offer(entry.member);
+    }
+  }
+  for (const MemberPointer& member : rank.Take()) {
     addresses.push_back(member->address);
   }
   return addresses;
@@ -392,14 +405,13 @@
 
 MemberPointer MemberTable::RandomMember(RandomSource& random,
                                         const MemberFilter& filter) const {
-  const std::string key = std::to_string(random.Next());
-  const auto chosen = RankByRendezvous(
-      key,
-      [&](const Member& member) {
-        return member.address != own_->address && filter(member);
-      },
-      1);
-  return chosen.empty() ? nullptr : chosen.front();
+  auto entry = entries_.lower_bound(random.Next());
+  for (std::size_t i = 0; i < entries_.size(); ++i, ++entry) {
+    if (entry == entries_.end()) entry = entries_.begin();
+    const MemberPointer& member = entry->second.member;
+    if (member != own_ && filter(*member)) return member;
+  }
+  return nullptr;
 }
 
 std::shared_ptr<const MemberView> MemberTable::view() const {
--- a/libraries/membership/member_table.h
+++ b/libraries/membership/member_table.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -133,11 +134,17 @@
   // with its region.
   std::vector<std::pair<std::string, std::string>> DataCentres() const;
 
-  // The next `count` members after the node on ring number `ring` of its data
+  // The next `count` members after the node on the hash ring of its data
   // centre. Suspect members are included; they stay monitored until declared
   // dead.
-  std::vector<std::string> Successors(std::uint64_t ring,
-                                      std::size_t count) const;
+  std::vector<std::string> Successors(std::size_t count) const;
+
+  // The first `count` other members of a data centre that pass `filter`, after
+  // a point on its hash ring that depends on the node and on `number`.
+  std::vector<std::string> RingPartners(std::string_view data_centre,
+                                        std::uint64_t number,
+                                        const MemberFilter& filter,
+                                        std::size_t count) const;
 
   // Addresses of the readers of a data centre, first in rank first: the
   // highest ranked members that are starting or ready.
@@ -169,9 +176,11 @@
   std::shared_ptr<const MemberView> view() const;
 
  private:
+  struct DataCentreCount;
   struct Entry {
     MemberPointer member;
     std::uint64_t hash = 0;
+    const DataCentreCount* data_centre = nullptr;
     MonotonicTime since;  // when the state was last changed in this table
     bool own_suspicion = false;
     bool is_queued = false;
@@ -191,7 +200,11 @@
 
   void Store(MonotonicTime now, MemberPointer member, bool own_suspicion,
              bool spreads = true);
-  void Count(const Member& member, std::ptrdiff_t change);
+  const DataCentreCount* Count(const Member& member, std::ptrdiff_t change);
+  std::vector<std::string> AfterPoint(std::uint64_t point,
+                                      std::string_view data_centre,
+                                      const MemberFilter& filter,
+                                      std::size_t count) const;
   void Remove(std::uint64_t key);
   void ReplaceOwn(MonotonicTime now, Member own);
   MergeOutcome MergeOwn(MonotonicTime now, const Member& record);
@@ -204,7 +217,8 @@
   // By the hash of the address. Ordered, so that runs with the same input are
   // the same, and so that each bucket is one range.
   absl::btree_map<std::uint64_t, Entry> entries_;
-  absl::btree_map<std::string, DataCentreCount, std::less<>> data_centres_;
+  // Entries point to these counts, which therefore must not move.
+  std::map<std::string, DataCentreCount, std::less<>> data_centres_;
   std::deque<Death> recent_deaths_;
   std::deque<std::uint64_t> queue_;
   std::uint64_t equal_tables_ = 0;
--- a/tests/distribution/fake_mesh.cc
+++ b/tests/distribution/fake_mesh.cc
@@ -28,12 +28,13 @@
                      "." + std::to_string(n % 250) + ":700";
       node.data_centre = config_.data_centres[d].first;
       node.region = config_.data_centres[d].second;
-      if (n < 2) contacts.push_back(node.address);
+      if (n < config_.contacts_per_data_centre)
+        contacts.push_back(node.address);
       index_[node.address] = nodes_.size();
       nodes_.push_back(std::move(node));
     }
   }
-  if (config_.has_contacts) config_.options.contacts = contacts;
+  config_.options.contacts = contacts;
 }
 
 void FakeMesh::StartNode(std::size_t index) {
@@ -85,13 +86,14 @@
 std::uint64_t FakeMesh::Promote(ObjectState state) {
   ++row_.sequence;
   row_.digest = ContentDigest(std::to_string(row_.sequence));
-  accepted_[row_.sequence] = row_.digest;
+  accepted_[row_.sequence] = Accepted{row_.digest, now_};
   objects_[row_.sequence] = state;
   return row_.sequence;
 }
 
 void FakeMesh::SetObject(std::uint64_t sequence, ObjectState state) {
   objects_[sequence] = state;
+  accepted_[sequence].at = now_;  // usable from now on
 }
 
 void FakeMesh::RunFor(Duration duration) {
@@ -186,6 +188,7 @@
     Schedule(now_ + kTickInterval,
              Event{IndexOf(node), node.life, TickEvent{}});
     Perform(node, distributor.Tick(now_));
+    CheckStanding(node);
   } else if (const auto* read = std::get_if<PlatformEvent>(&payload)) {
     Perform(node,
             distributor.OnPlatformRead(now_, read->started_at, read->result));
@@ -243,14 +246,16 @@
       ReadRow(node, *read);
     } else if (const auto* contacts = std::get_if<ReadContacts>(&effect)) {
       CountRead(node);
-      if (!platform_is_up) continue;
+      if (!PlatformAnswers(node)) continue;
       Schedule(now_ + config_.platform_latency + platform_delay,
                Event{IndexOf(node), node.life,
                      ContactsEvent{contacts->data_centre,
                                    contacts_[contacts->data_centre]}});
     } else if (const auto* write = std::get_if<WriteContacts>(&effect)) {
       ++platform_writes_;
-      if (platform_is_up) contacts_[write->data_centre] = write->addresses;
+      if (PlatformAnswers(node)) {
+        contacts_[write->data_centre] = write->addresses;
+      }
     } else if (const auto* activate = std::get_if<Activate>(&effect)) {
       NoteActive(node, activate->version);
     }
@@ -263,7 +268,8 @@
                           std::to_string(version.sequence) + ": " + what);
   };
   const auto accepted = accepted_.find(version.sequence);
-  if (accepted == accepted_.end() || accepted->second != version.digest) {
+  if (accepted == accepted_.end() ||
+      accepted->second.digest != version.digest) {
     report("not accepted");
   }
   if (!node.documents.contains(version.sequence)) report("not validated");
@@ -274,6 +280,25 @@
   node.highest = std::max(node.highest, version.sequence);
 }
 
+// A confirmed node acts on every version that was accepted, with a document
+// that can be used, before the confirmation limit.
+void FakeMesh::CheckStanding(const Node& node) {
+  if (row_.sequence <= node.active || config_.options.every_node_polls ||
+      node.distributor->standing(now_) != Standing::kConfirmed) {
+    return;
+  }
+  for (auto version = accepted_.upper_bound(node.active);
+       version != accepted_.end(); ++version) {
+    if (objects_[version->first] == ObjectState::kStored &&
+        now_ - version->second.at > config_.options.confirmation_limit) {
+      violations_.push_back(node.address + " is confirmed on " +
+                            std::to_string(node.active) + " although " +
+                            std::to_string(version->first) + " was accepted");
+      return;
+    }
+  }
+}
+
 void FakeMesh::Send(Node& from, const std::string& to, const Message& message) {
   const auto found = index_.find(to);
   if (found == index_.end()) return;
@@ -324,7 +349,7 @@
   }
   CountRead(node);
   const Duration delay = config_.platform_latency + platform_delay;
-  if (!platform_is_up) {
+  if (!PlatformAnswers(node)) {
     answer(delay, DocumentOutcome::kUnavailable);
     return;
   }
@@ -354,7 +379,7 @@
 void FakeMesh::ReadRow(Node& node, const ReadEnvironmentRow& read) {
   CountRead(node);
   RowResult result = RowError{};
-  if (platform_is_up) {
+  if (PlatformAnswers(node)) {
     if (row_.sequence == 0) {
       result = RowAbsent{};
     } else if (row_.sequence == read.known_sequence) {
--- a/tests/distribution/fake_mesh.h
+++ b/tests/distribution/fake_mesh.h
@@ -38,8 +38,8 @@
   Duration remote_latency = std::chrono::milliseconds(1);
   Duration platform_latency = std::chrono::milliseconds(5);
   std::size_t document_bytes = 20000;
-  // False: nodes have no contacts in their settings.
-  bool has_contacts = true;
+  // The first nodes of each data centre, named in the settings of all nodes.
+  std::size_t contacts_per_data_centre = 2;
 };
 
 enum class ObjectState { kStored, kMissing, kDamaged, kInvalid };
@@ -102,6 +102,8 @@
 
   // Faults, to be changed at any time.
   bool platform_is_up = true;
+  // True if a node cannot reach the platform.
+  std::function<bool(const Node&)> is_cut_from_platform;
   Duration platform_delay{};
   double loss = 0.0;
   // True if messages between the nodes are lost.
@@ -158,6 +160,11 @@
   void Fetch(Node& node, const FetchDocument& fetch);
   void ReadRow(Node& node, const ReadEnvironmentRow& read);
   void NoteActive(Node& node, const Version& version);
+  void CheckStanding(const Node& node);
+  bool PlatformAnswers(const Node& node) const {
+    return platform_is_up &&
+           !(is_cut_from_platform && is_cut_from_platform(node));
+  }
   void CountRead(Node& node);
   Duration Latency(const Node& from, const Node& to);
   bool Loses(const Node& from, const Node& to, const Message* message);
@@ -176,7 +183,11 @@
   std::uint64_t next_order_ = 0;
   std::uint64_t next_life_ = 1;
   Version row_;
-  std::map<std::uint64_t, std::string> accepted_;
+  struct Accepted {
+    std::string digest;
+    MonotonicTime at;
+  };
+  std::map<std::uint64_t, Accepted> accepted_;
   std::map<std::uint64_t, ObjectState> objects_;
   std::map<std::string, std::vector<std::string>> contacts_;
   std::vector<std::string> violations_;
