--- a/libraries/distribution/distributor.h
+++ b/libraries/distribution/distributor.h
@@ -76,7 +76,8 @@
   // Result of a ReadEnvironmentRow, with the time at which the read started.
   Effects OnPlatformRead(MonotonicTime now, MonotonicTime started_at,
                          const RowResult& result);
-  // Result of a ReadContacts; empty after an error or without a row.
+  // Result of a ReadContacts; empty without a row. After an error it must not
+  // be called: an empty row means that this may be the first node.
   Effects OnContactsRead(MonotonicTime now, std::string_view data_centre,
                          const std::vector<std::string>& addresses);
   // Result of a FetchDocument.
@@ -165,6 +166,7 @@
   // True if N can be relied on: the member table has been received and N has
   // stopped growing.
   bool is_settled(MonotonicTime now) const;
+  bool has_configured_contacts() const;
   bool HearsHalfOfDataCentre(MonotonicTime now) const;
   bool HearsAllRegions(MonotonicTime now) const;
 
@@ -227,6 +229,7 @@
   MonotonicTime next_contacts_;
   std::size_t next_contacts_row_ = 0;
   std::vector<std::string> known_contacts_;
+  bool has_read_contacts_ = false;
 
   struct Synchronisation {
     std::uint32_t next_bucket = 0;
--- a/libraries/distribution/distributor_tick.cc
+++ b/libraries/distribution/distributor_tick.cc
@@ -43,13 +43,26 @@
 }
 
 bool Distributor::is_settled(MonotonicTime now) const {
-  if (!may_read(now) || now - started_at_ < options_.settling_time) {
-    return false;
+  const Duration running = now - started_at_;
+  if (running < options_.settling_time) return false;
+  if (!has_table_) {
+    // Others may exist that this node cannot reach. Like dead members, they
+    // count for a limited time.
+    const bool is_first = has_read_contacts_ && known_contacts_.empty() &&
+                          !has_configured_contacts();
+    return is_first || running >= options_.table.dead_counted_time;
   }
   return now - members_grew_at_ >= options_.settling_time ||
          now - started_at_ >= kLongestSettling;
 }
 
+bool Distributor::has_configured_contacts() const {
+  return std::any_of(options_.contacts.begin(), options_.contacts.end(),
+                     [&](const std::string& address) {
+                       return address != table_.own().address;
+                     });
+}
+
 void Distributor::RefreshRoles(MonotonicTime now) {
   const bool is_small = table_.size() < kSmallTable;
   const std::size_t members =
@@ -144,6 +157,7 @@
                                     std::string_view data_centre,
                                     const std::vector<std::string>& addresses) {
   BeginStep(now);
+  has_read_contacts_ = true;
   known_contacts_.clear();
   const bool joins = !is_joined_ || partners_.all().empty();
   for (const std::string& address : addresses) {
--- a/tests/distribution/property_test.cc
+++ b/tests/distribution/property_test.cc
@@ -100,6 +100,32 @@
   }));
 }
 
+// Found by a random schedule: a node that restarted cut off from the others
+// took itself for the only member, committed a version alone and lost it with
+// the next restart.
+TEST_CASE("a node that reaches no other member commits nothing alone") {
+  MeshConfig config;
+  config.nodes_per_data_centre = 2;
+  FakeMesh mesh(config);
+  mesh.Promote();
+  mesh.StartAll();
+  mesh.RunFor(seconds(10));
+  mesh.is_cut = [](const auto&, const auto&) { return true; };
+  mesh.is_cut_from_platform = [&](const auto& node) {
+    return node.address == mesh.nodes()[0].address;
+  };
+  mesh.Promote();
+  mesh.Restart(1);
+  mesh.RunFor(seconds(10));
+  REQUIRE(mesh.nodes()[1].documents.contains(2));
+  mesh.platform_is_up = false;
+  mesh.is_cut = nullptr;
+  mesh.Restart(1);
+  mesh.RunFor(seconds(10));
+  REQUIRE(mesh.nodes()[1].active == 1);
+  REQUIRE(mesh.violations().empty());
+}
+
 Digest RandomDigest(RandomSource& random) {
   const auto text = [&] { return std::string(random.Below(80), 'x'); };
   const auto record = [&]() -> membership::MemberPointer {
