--- a/libraries/distribution/distributor.h
+++ b/libraries/distribution/distributor.h
@@ -76,7 +76,8 @@
   // Result of a ReadEnvironmentRow, with the time at which the read started.
   Effects OnPlatformRead(MonotonicTime now, MonotonicTime started_at,
                          const RowResult& result);
-  // Result of a ReadContacts; empty after an error or without a row.
+  // Result of a ReadContacts; empty without a row. After an error it must not
+  // be called: an empty row means that this may be the first node.
   Effects OnContactsRead(MonotonicTime now, std::string_view data_centre,
                          const std::vector<std::string>& addresses);
   // Result of a FetchDocument.
@@ -125,9 +126,10 @@
 
   // Uses the parts of a digest that are facts regardless of their age.
   void MergeDigest(MonotonicTime now, const Digest& digest);
-  void MergeRecords(MonotonicTime now,
-                    const std::vector<membership::MemberPointer>& records,
-                    std::size_t limit);
+  // Returns the number of records that changed the table.
+  std::size_t MergeRecords(
+      MonotonicTime now, const std::vector<membership::MemberPointer>& records,
+      std::size_t limit, bool spreads = true);
   // Uses the parts of a reply that need the time of the request.
   void UseReply(MonotonicTime now, MonotonicTime sent_at, const Digest& digest);
   void FailExchange(MonotonicTime now, const Outstanding& outstanding);
@@ -161,6 +163,10 @@
     return member.data_centre == table_.own().data_centre;
   }
   bool may_read(MonotonicTime now) const;
+  // True if N can be relied on: the member table has been received and N has
+  // stopped growing.
+  bool is_settled(MonotonicTime now) const;
+  bool has_configured_contacts() const;
   bool HearsHalfOfDataCentre(MonotonicTime now) const;
   bool HearsAllRegions(MonotonicTime now) const;
 
@@ -202,7 +208,7 @@
   bool is_reader_ = false;
   bool needs_roles_ = true;
   std::size_t members_ = 1;  // N of the own data centre
-  MonotonicTime members_at_;
+  MonotonicTime members_grew_at_;
 
   MonotonicTime next_gossip_;
   MonotonicTime next_probe_;
@@ -223,6 +229,7 @@
   MonotonicTime next_contacts_;
   std::size_t next_contacts_row_ = 0;
   std::vector<std::string> known_contacts_;
+  bool has_read_contacts_ = false;
 
   struct Synchronisation {
     std::uint32_t next_bucket = 0;
