--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -28,6 +28,7 @@
 constexpr std::array<std::string_view, 4> kAddedHeaders = {
     "REMOTE_ADDR", "REMOTE_PORT", "LOCAL_ADDR", "LOCAL_PORT"};
 
+constexpr int kBacklog = 1024;
 constexpr std::size_t kRequestsPerConnection = 1000000;
 constexpr Duration kIdleCheckInterval = std::chrono::milliseconds(200);
 
@@ -123,6 +124,13 @@
       return new PoolTaskQueue(threads, 2 * threads);
     };
     set_tcp_nodelay(true);
+    set_socket_options([this](socket_t socket) {
+      // Not SO_REUSEPORT, the library's default: a second process that binds
+      // the same port must fail instead of taking a share of the connections.
+      const int is_set = 1;
+      setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &is_set, sizeof(is_set));
+      listening_socket_ = socket;
+    });
     set_payload_max_length(options_.maximum_body_bytes);
     // Announced to callers; the loop in ServeConnection decides.
     set_keep_alive_max_count(kRequestsPerConnection);
@@ -155,6 +163,8 @@
       port_ = bind_to_port(address.ip, address.port) ? address.port : -1;
     }
     if (port_ <= 0) return Error::kUnavailable;
+    // The library's backlog of 5 drops connections when many arrive at once.
+    ::listen(listening_socket_, kBacklog);
     thread_ = std::thread([this] { listen_after_bind(); });
     return Success();
   }
@@ -240,6 +250,7 @@
   std::atomic<std::size_t> open_connections_{0};
   std::atomic<bool> is_draining_{false};
   std::atomic<bool> is_stopping_{false};
+  int listening_socket_ = -1;
   int port_ = 0;
   std::thread thread_;
 };
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -263,6 +263,7 @@
                 self.binary("oleandertide"),
                 *map(str, arguments),
                 f"--platform={self.platform_address()}",
+                "--operator=test",
             ],
             capture_output=True,
             text=True,
