platform: Count a transaction's rows over conditions and writes

The limit of 256 rows holds for both lists together; counting each list alone let a transaction through that the platform refuses. Tests now also cover that a kept connection that fails is replaced for repeatable requests and that a transaction is never sent twice.

--- a/libraries/platform/http_store.cc
+++ b/libraries/platform/http_store.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <csignal>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 namespace oleandertide::platform {
@@ -176,8 +177,10 @@
 
 bool IsTooLong(std::span<const Condition> conditions,
                std::span<const Write> writes) {
-  return conditions.size() > kMaximumTransactionRows ||
-         writes.size() > kMaximumTransactionRows;
+  std::set<std::string_view> keys;
+  for (const Condition& condition : conditions) keys.insert(condition.key);
+  for (const Write& write : writes) keys.insert(write.key);
+  return keys.size() > kMaximumTransactionRows;
 }
 
 // Text that JSON cannot carry would be altered on the way.
--- a/tests/platform/http_store_test.cc
+++ b/tests/platform/http_store_test.cc
@@ -216,6 +216,40 @@
   }
 }
 
+// A kept connection may have been closed by the platform. Sending a
+// transaction again could apply it twice under a condition that holds again.
+TEST_CASE("a kept connection that fails is replaced, except for transactions") {
+  const ServedPlatform platform;
+  const auto store = MakeStore(platform.address());
+  REQUIRE(store->ReadRow("row", {}).has_value());
+  platform.Control(R"({"lose_next_answers":1})");
+  CHECK(store->PutObject("digest", "bytes").has_value());
+  CHECK(store->statistics().failures == 1);
+
+  platform.Control(R"({"lose_next_answers":1})");
+  const Write write{"row", "value"};
+  CHECK(ErrorOf(store->Transact({}, {&write, 1})) == Error::kOutcomeUnknown);
+  CHECK(store->statistics().requests == 4);
+  const auto row = std::get<Row>(store->ReadRow("row", {}).value());
+  CHECK(row.version == 1);
+}
+
+TEST_CASE("a transaction of more rows than allowed is not sent") {
+  const ServedPlatform platform;
+  const auto store = MakeStore(platform.address());
+  std::vector<Condition> conditions;
+  std::vector<Write> writes;
+  for (std::size_t i = 0; i < kMaximumTransactionRows; ++i) {
+    const std::string key = std::to_string(i);
+    conditions.push_back({key, kAbsent});
+    writes.push_back({key, "value"});
+  }
+  CHECK(store->Transact(conditions, writes).has_value());
+  conditions.push_back({"one more", kAbsent});
+  CHECK(ErrorOf(store->Transact(conditions, writes)) ==
+        Error::kInvalidArgument);
+}
+
 TEST_CASE("an unchanged row without Content-Length does not wait") {
   const ScriptedListener listener("HTTP/1.1 304 Not Modified\r\n\r\n", true);
   const auto store = MakeStore(listener.address());
--- a/tests/stand_ins/platform/platform_server.cc
+++ b/tests/stand_ins/platform/platform_server.cc
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -54,6 +56,15 @@
   std::vector<platform::Write> writes;
 };
 
+std::size_t CountRows(const Transaction& transaction) {
+  std::set<std::string_view> keys;
+  for (const auto& condition : transaction.conditions) {
+    keys.insert(condition.key);
+  }
+  for (const auto& write : transaction.writes) keys.insert(write.key);
+  return keys.size();
+}
+
 std::optional<Transaction> ParseTransaction(const std::string& text) {
   Transaction transaction;
   try {
@@ -70,8 +81,7 @@
   } catch (const Json::exception&) {
     return std::nullopt;
   }
-  if (transaction.conditions.size() > platform::kMaximumTransactionRows ||
-      transaction.writes.size() > platform::kMaximumTransactionRows) {
+  if (CountRows(transaction) > platform::kMaximumTransactionRows) {
     return std::nullopt;
   }
   return transaction;
