--- a/programs/command/commands.cc
+++ b/programs/command/commands.cc
@@ -187,11 +187,7 @@
   if (const auto* failure = std::get_if<Report>(&trial)) return *failure;
   const auto production = ReadRecord(session, kProduction);
   if (const auto* failure = std::get_if<Report>(&production)) return *failure;
-  std::vector<NodeStatus> nodes;
-  nodes.reserve(addresses.size());
-  for (const config::Address& address : addresses) {
-    nodes.push_back(ReadNodeStatus(address));
-  }
+  const std::vector<NodeStatus> nodes = ReadNodeStatuses(addresses);
   return ReportStatus(std::get<0>(trial), std::get<0>(production), nodes);
 }
 
--- a/programs/command/node_status.cc
+++ b/programs/command/node_status.cc
@@ -2,7 +2,12 @@
 
 #include <httplib.h>
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
+#include <string>
+#include <thread>
+#include <utility>
 
 namespace oleandertide::command {
 namespace {
@@ -11,8 +16,8 @@
 constexpr std::chrono::seconds kRequestTimeout(2);
 constexpr std::size_t kMaximumBytes = std::size_t{1024} * 1024;
 constexpr int kOk = 200;
-
-}  // namespace
+// Nodes that do not answer cost a timeout each.
+constexpr std::size_t kMaximumThreads = 16;
 
 NodeStatus ReadNodeStatus(const config::Address& address) {
   NodeStatus status{config::ToString(address), false, {}};
@@ -31,4 +36,23 @@
   return status;
 }
 
+}  // namespace
+
+std::vector<NodeStatus> ReadNodeStatuses(
+    std::span<const config::Address> addresses) {
+  std::vector<NodeStatus> statuses(addresses.size());
+  std::atomic<std::size_t> next{0};
+  const auto read_some = [&] {
+    for (;;) {
+      const std::size_t index = next++;
+      if (index >= addresses.size()) return;
+      statuses[index] = ReadNodeStatus(addresses[index]);
+    }
+  };
+  std::vector<std::thread> threads(std::min(kMaximumThreads, addresses.size()));
+  for (std::thread& thread : threads) thread = std::thread(read_some);
+  for (std::thread& thread : threads) thread.join();
+  return statuses;
+}
+
 }  // namespace oleandertide::command
--- a/programs/command/node_status.h
+++ b/programs/command/node_status.h
@@ -3,14 +3,18 @@
 #ifndef OLEANDERTIDE_COMMAND_NODE_STATUS_H_
 #define OLEANDERTIDE_COMMAND_NODE_STATUS_H_
 
+#include <span>
+#include <vector>
+
 #include "command/report.h"
 #include "config/address.h"
 
 namespace oleandertide::command {
 
-// Sends GET /status to a node's operators' endpoint. Blocks for a few seconds
-// at most. Thread-safe.
-NodeStatus ReadNodeStatus(const config::Address& address);
+// Sends GET /status to the operators' endpoints of nodes, to several at a time.
+// Returns one element for each address, in their order. Thread-safe.
+std::vector<NodeStatus> ReadNodeStatuses(
+    std::span<const config::Address> addresses);
 
 }  // namespace oleandertide::command
 
