--- a/tests/routing/endpoint_chooser_test.cc
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -200,8 +201,12 @@
   constexpr int kCalls = 5000;
   std::vector<Endpoint> endpoints;
   for (EndpointId id = 0; id < 5; ++id) endpoints.push_back(MakeEndpoint(id));
-  std::atomic<std::shared_ptr<const EndpointTable>> current =
-      MakeTable(endpoints);
+  std::mutex mutex;
+  std::shared_ptr<const EndpointTable> current = MakeTable(endpoints);
+  const auto load = [&] {
+    const std::lock_guard lock(mutex);
+    return current;
+  };
   EndpointChooser chooser;
   std::atomic<int> chosen_count{0};
   {
@@ -211,7 +216,7 @@
       threads.emplace_back([&, thread] {
         RandomSource random(static_cast<std::uint64_t>(thread));
         for (int i = 0; i < kCalls; ++i) {
-          const auto table = current.load();
+          const auto table = load();
           const MonotonicTime now = kStart + milliseconds(i);
           const Endpoint* chosen = chooser.Choose(*table, {.now = now}, random);
           chosen->statistics->RecordStart();
@@ -222,11 +227,13 @@
       });
     }
     for (int i = 0; i < 20; ++i) {
-      current = MakeTable(endpoints, current.load().get());
+      const auto next = MakeTable(endpoints, load().get());
+      const std::lock_guard lock(mutex);
+      current = next;
     }
   }
   REQUIRE(chosen_count == kThreads * kCalls);
-  for (const Endpoint& endpoint : current.load()->all()) {
+  for (const Endpoint& endpoint : current->all()) {
     REQUIRE(endpoint.statistics->in_flight() == 0);
     REQUIRE(endpoint.statistics->latency(kStart + seconds(6)).is_known);
   }
