--- a/libraries/peers/peer_client.cc
+++ b/libraries/peers/peer_client.cc
@@ -127,6 +127,18 @@
   EventLoop& loop() { return loop_; }
   const PeerClientOptions& options() const { return options_; }
 
+  Traffic traffic() {
+    return loop_.executor().executeSync([&] {
+      Traffic total;
+      for (auto& [name, endpoint] : endpoints_) {
+        KJ_IF_MAYBE (connection, endpoint.connection) {
+          total += ReadTraffic(*(*connection)->stream);
+        }
+      }
+      return total;
+    });
+  }
+
   void CloseUnneeded(const std::function<bool(std::string_view)>& is_needed) {
     loop_.executor().executeSync([&] {
       std::erase_if(endpoints_, [&](const auto& item) {
@@ -414,6 +426,8 @@
   });
 }
 
+Traffic PeerClient::traffic() { return impl_->traffic(); }
+
 void PeerClient::CloseUnneeded(
     const std::function<bool(std::string_view)>& is_needed) {
   impl_->CloseUnneeded(is_needed);
--- a/libraries/peers/peer_client.h
+++ b/libraries/peers/peer_client.h
@@ -18,6 +18,7 @@
 #include "once/claim.h"
 #include "peers/event_loop.h"
 #include "peers/gossip.h"
+#include "peers/traffic.h"
 
 namespace oleandertide::peers {
 
@@ -76,6 +77,9 @@
   void Complete(std::string_view peer, const once::Completion& completion);
   void Release(std::string_view peer, const once::Release& release);
 
+  // Traffic of the open connections since each was established.
+  Traffic traffic();
+
   // Closes connections that the members no longer need. `is_needed` runs on
   // the event loop.
   void CloseUnneeded(const std::function<bool(std::string_view)>& is_needed);
--- a/libraries/peers/peer_server.cc
+++ b/libraries/peers/peer_server.cc
@@ -7,6 +7,7 @@
 
 #include <capnp/rpc-twoparty.h>
 
+#include <set>
 #include <utility>
 
 #include "core/worker_pool.h"
@@ -200,11 +201,21 @@
 
   std::uint16_t port() const { return port_; }
 
+  Traffic traffic() {
+    return loop_.executor().executeSync([&] {
+      Traffic total;
+      for (Connection* connection : open_) {
+        total += ReadTraffic(*connection->stream);
+      }
+      return total;
+    });
+  }
+
  private:
   kj::Promise<void> AcceptConnections() {
     return receiver_->accept().then(
         [this](kj::Own<kj::AsyncIoStream>&& stream) {
-          if (open_connections_ < options_.maximum_connections) {
+          if (open_.size() < options_.maximum_connections) {
             Serve(kj::mv(stream));
           }
           return AcceptConnections();
@@ -217,10 +228,11 @@
         options_.maximum_message_bytes / sizeof(capnp::word);
     auto connection =
         kj::heap<Connection>(kj::mv(stream), bootstrap_, reader_options);
-    ++open_connections_;
+    Connection* key = connection.get();
+    open_.insert(key);
     auto closed = connection->network.onDisconnect();
     tasks_->add(closed.attach(kj::mv(connection),
-                              kj::defer([this] { --open_connections_; })));
+                              kj::defer([this, key] { open_.erase(key); })));
   }
 
   void taskFailed(kj::Exception&& /*exception*/) override {
@@ -233,8 +245,8 @@
   WorkerPool control_;
   capnp::Capability::Client bootstrap_;
   kj::Own<kj::ConnectionReceiver> receiver_;
+  std::set<Connection*> open_;
   kj::Own<kj::TaskSet> tasks_;
-  std::size_t open_connections_ = 0;
   std::uint16_t port_ = 0;
 };
 
@@ -254,6 +266,8 @@
   return std::unique_ptr<PeerServer>(new PeerServer(std::move(impl)));
 }
 
+Traffic PeerServer::traffic() { return impl_->traffic(); }
+
 std::uint16_t PeerServer::port() const { return impl_->port(); }
 
 }  // namespace oleandertide::peers
--- a/libraries/peers/peer_server.h
+++ b/libraries/peers/peer_server.h
@@ -12,6 +12,7 @@
 #include "core/size.h"
 #include "peers/event_loop.h"
 #include "peers/handlers.h"
+#include "peers/traffic.h"
 
 namespace oleandertide::peers {
 
@@ -43,6 +44,9 @@
   PeerServer(const PeerServer&) = delete;
   PeerServer& operator=(const PeerServer&) = delete;
 
+  // Traffic of the open connections since each was accepted.
+  Traffic traffic();
+
   // The port that is listened on.
   std::uint16_t port() const;
 
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -249,6 +249,8 @@
 }
 
 StatusReport Node::Report() const {
+  peers::Traffic traffic = peer_client_->traffic();
+  traffic += peer_server_->traffic();
   return {settings_,
           address_,
           control_->status(),
@@ -259,7 +261,8 @@
           backend_server_.session() != nullptr,
           claim_writer_->counters(),
           job_runner_->counters(),
-          store_->statistics()};
+          store_->statistics(),
+          traffic};
 }
 
 std::optional<std::string> Node::ReasonNotReady() const {
--- a/programs/node/status.cc
+++ b/programs/node/status.cc
@@ -73,6 +73,13 @@
           {"bytes_received", statistics.bytes_received}};
 }
 
+NamedCounts TrafficCounts(const peers::Traffic& traffic) {
+  return {{"bytes_sent", traffic.bytes_sent},
+          {"bytes_received", traffic.bytes_received},
+          {"packets", traffic.packets},
+          {"connections", traffic.connections}};
+}
+
 nlohmann::json ToJson(const NamedCounts& counts) {
   nlohmann::json object = nlohmann::json::object();
   for (const auto& [name, count] : counts) object[name] = count;
@@ -148,6 +155,7 @@
       {"claims", ToJson(ClaimCounts(report.claims))},
       {"jobs", ToJson(JobCounts(report.jobs))},
       {"platform", ToJson(PlatformCounts(report.platform))},
+      {"peer_traffic", ToJson(TrafficCounts(report.peers))},
   };
   return status.dump() + "\n";
 }
--- a/programs/node/status.h
+++ b/programs/node/status.h
@@ -9,6 +9,7 @@
 #include "jobs/job_scheduler.h"
 #include "node/control.h"
 #include "once/claim_writer.h"
+#include "peers/traffic.h"
 #include "platform/http_store.h"
 
 namespace oleandertide::node {
@@ -26,6 +27,7 @@
   once::ClaimWriterCounters claims;
   jobs::JobCounters jobs;
   platform::HttpStoreStatistics platform;
+  peers::Traffic peers;
 };
 
 // The body of /status.
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import tempfile
@@ -82,8 +83,9 @@
 class PortAllocator:
     """Hands out free ports below the range that the system gives to clients."""
 
-    def __init__(self, first=None):
-        self.next = first or 10000 + (os.getpid() * 37) % 15000
+    def __init__(self):
+        # Random, so that clusters that run at the same time rarely meet.
+        self.next = random.SystemRandom().randrange(10000, 31000)
 
     def take(self):
         import socket
@@ -155,6 +157,8 @@
                 self.address("operators"), "GET", "/status", timeout=2)
         except OSError:
             return None
+        if not self.process.is_running():
+            raise RuntimeError(f"node {self.index} ended; see {self.process.log_path}")
         return json.loads(body) if code == 200 else None
 
     def runs(self):
