--- a/tests/once/claim_record_test.cc
+++ b/tests/once/claim_record_test.cc
@@ -36,5 +36,29 @@
   }
 }
 
+// Guards against a second run, or the answer of another request, when two keys
+// share a row or an answer is too large for it.
+TEST_CASE("a row decides only on its own key and keeps small answers") {
+  const ClaimRequest request{"key", 1, 2, 3};
+  const ClaimRecord claimed =
+      std::get<ClaimRecord>(DecideClaim(std::nullopt, request, WallTime()));
+  const ClaimRequest collision{"other key", 1, 2, 4};
+  REQUIRE(std::holds_alternative<KeyReused>(
+      std::get<ClaimResult>(DecideClaim(claimed, collision, WallTime()))));
+  REQUIRE_FALSE(DecideCompletion(claimed, {"other key", 2, Answered{}}, {}));
+  REQUIRE_FALSE(DecideRelease(claimed, {"other key", 2, 3}, WallTime()));
+
+  const std::string body(kMaximumAnswerBytes, 'x');
+  const ClaimRequest repeat{"key", 1, 5, 6};
+  for (const std::string& header : {std::string(), std::string("x")}) {
+    const auto completed = DecideCompletion(
+        claimed, {"key", 2, Answered{200, {{header, ""}}, body}}, WallTime());
+    const ClaimResult result =
+        std::get<ClaimResult>(DecideClaim(completed, repeat, WallTime()));
+    REQUIRE(std::holds_alternative<Answered>(result) == header.empty());
+    REQUIRE(std::holds_alternative<AnswerNotKept>(result) == !header.empty());
+  }
+}
+
 }  // namespace
 }  // namespace oleandertide::once
