membership: Shorten retransmission of changes that come back

A change that a peer sends, too, is known to others, so it is retransmitted three times less for each such arrival. Full synchronisation repeats quickly until it has reached the end of the table.

--- a/libraries/distribution/distributor_tick.cc
+++ b/libraries/distribution/distributor_tick.cc
@@ -298,7 +298,7 @@
   } else {
     // One part per interval bounds the bytes while many records change.
     repair_bucket_ = is_last ? 0 : reply.next_bucket;
-    if (changes >= kManyChanges) {
+    if (changes >= kManyChanges || (!is_last && changes > 0)) {
       next_synchronisation_ =
           now + WithJitter(random_, options_.fast_synchronisation_interval);
       differing_peer_ = ChooseSyncPeer();
--- a/libraries/membership/member_table.cc
+++ b/libraries/membership/member_table.cc
@@ -70,7 +70,8 @@
   if (record == nullptr) return MergeOutcome::kRejected;
   if (record == own_) return MergeOutcome::kKnown;
   const auto found = entries_.find(KeyOf(record->address));
-  if (found != entries_.end() && found->second.member == record) {
+  if (found != entries_.end() && *found->second.member == *record) {
+    if (spreads) NoteKnown(found->second);
     return MergeOutcome::kKnown;
   }
   if (!is_valid(*record)) return MergeOutcome::kRejected;
@@ -224,6 +225,13 @@
                 std::log2(static_cast<double>(entries_.size()) + 1.0)));
 }
 
+void MemberTable::NoteKnown(Entry& entry) const {
+  // A change that comes back is known to others already.
+  constexpr std::uint64_t kTransmissionsSaved = 3;
+  entry.transmissions_end -=
+      std::min(entry.transmissions_end, kTransmissionsSaved);
+}
+
 void MemberTable::Queue(std::uint64_t key, Entry& entry) {
   // Transmissions are counted down against equal_tables_, so that one equal
   // table counts for all queued changes. Only the latest record of a member is
--- a/libraries/membership/member_table.h
+++ b/libraries/membership/member_table.h
@@ -210,6 +210,8 @@
   MergeOutcome MergeOwn(MonotonicTime now, const Member& record);
   void ToggleHash(const Entry& entry);
   void Queue(std::uint64_t key, Entry& entry);
+  // Shortens the retransmission of a change that a peer sent, too.
+  void NoteKnown(Entry& entry) const;
   int TransmissionsPerChange() const;
 
   TableOptions options_;
