--- a/libraries/backend_servers/local_backend_server.cc
+++ b/libraries/backend_servers/local_backend_server.cc
@@ -19,7 +19,9 @@
 Result<void> LocalBackendServer::Announce(const Announcement& announcement,
                                           MonotonicTime now) {
   std::lock_guard lock(mutex_);
-  const bool is_known = session_ && !session_->is_dead() &&
+  // A backend server that stays after all needs a session that admits again.
+  const bool has_returned = is_leaving_ && !announcement.is_leaving;
+  const bool is_known = session_ && !session_->is_dead() && !has_returned &&
                         IsSameProcess(session_->announcement(), announcement);
   if (!is_known) {
     OLEANDERTIDE_TRY(session, Session::Create(announcement, options_));
--- a/libraries/callers/caller_server.cc
+++ b/libraries/callers/caller_server.cc
@@ -48,6 +48,12 @@
   return call;
 }
 
+// Keys of scheduled jobs share the table with those of callers.
+bool IsAllowedKey(std::string_view key) {
+  constexpr std::string_view kJobPrefix = "job/";
+  return key.size() <= kMaximumKeyBytes && !key.starts_with(kJobPrefix);
+}
+
 http::Response ToResponse(calls::Answer&& answer) {
   http::Response response;
   response.status = answer.status;
@@ -64,7 +70,7 @@
                      std::stop_token cancelled) {
   const auto deadline = ReadDeadline(request.headers);
   calls::Request call = ToCall(request);
-  if (!deadline || call.idempotency_key.size() > kMaximumKeyBytes) {
+  if (!deadline || !IsAllowedKey(call.idempotency_key)) {
     return MakeProblem(BadRequest());
   }
   calls::CallResult result =
@@ -81,9 +87,7 @@
   if (status == kServiceUnavailable) {
     refusal.reason = routing::Reason::kConnectionLimit;
   }
-  http::Response response = MakeProblem(refusal);
-  response.status = status;
-  return response;
+  return MakeProblem(refusal, status);
 }
 
 }  // namespace
--- a/libraries/callers/problem.cc
+++ b/libraries/callers/problem.cc
@@ -14,8 +14,11 @@
 }  // namespace
 
 http::Response MakeProblem(const calls::Refusal& refusal) {
+  return MakeProblem(refusal, routing::HttpStatus(refusal.reason));
+}
+
+http::Response MakeProblem(const calls::Refusal& refusal, int status) {
   const std::string reason(routing::ReasonName(refusal.reason));
-  const int status = routing::HttpStatus(refusal.reason);
   const nlohmann::json problem = {
       {"type", "urn:oleandertide:reason:" + reason},
       {"title", TitleOf(refusal.outcome)},
--- a/libraries/callers/problem.h
+++ b/libraries/callers/problem.h
@@ -13,6 +13,9 @@
 // field (RFC 9209). Thread-safe.
 http::Response MakeProblem(const calls::Refusal& refusal);
 
+// The same with another HTTP status than the reason's.
+http::Response MakeProblem(const calls::Refusal& refusal, int status);
+
 }  // namespace oleandertide::callers
 
 #endif  // OLEANDERTIDE_CALLERS_PROBLEM_H_
--- a/libraries/calls/endpoint_directory.cc
+++ b/libraries/calls/endpoint_directory.cc
@@ -14,7 +14,7 @@
 constexpr Duration kLongReady = std::chrono::hours(1);
 
 routing::Endpoint ToEndpoint(const membership::Member& member,
-                             MonotonicTime ready_since) {
+                             MonotonicTime ready_since, Duration slow_start) {
   routing::Endpoint endpoint;
   endpoint.id = Hash64(member.address);
   endpoint.life = CombineHashes(member.life, Hash64(member.backend_address));
@@ -22,6 +22,7 @@
   endpoint.data_centre = member.data_centre;
   endpoint.slots = static_cast<int>(std::max(member.slots, 1U));
   endpoint.ready_since = ready_since;
+  endpoint.slow_start = slow_start;
   return endpoint;
 }
 
@@ -41,7 +42,7 @@
     }
     present.insert(member->address);
     endpoints[member->service].push_back(
-        ToEndpoint(*member, ReadySince(*member, now)));
+        ToEndpoint(*member, ReadySince(*member, now), slow_start_));
   }
   absl::erase_if(
       seen_, [&](const auto& item) { return !present.contains(item.first); });
--- a/libraries/calls/endpoint_directory.h
+++ b/libraries/calls/endpoint_directory.h
@@ -21,6 +21,8 @@
 // Published as a whole whenever members change. Thread-safe.
 class EndpointDirectory {
  public:
+  explicit EndpointDirectory(Duration slow_start) : slow_start_(slow_start) {}
+
   // Builds the tables from the members; those of `unreachable` data centres
   // are left out. Must be called by one thread at a time.
   void Update(const membership::MemberView& members,
@@ -44,6 +46,7 @@
 
   std::shared_ptr<const Tables> Load() const;
 
+  const Duration slow_start_;
   // FIXME: Publish by read-copy-update like the snapshot. libstdc++ 12's
   // std::atomic<std::shared_ptr> has a data race, so a mutex guards the copy.
   mutable std::mutex mutex_;
--- a/libraries/calls/ingress.cc
+++ b/libraries/calls/ingress.cc
@@ -95,6 +95,8 @@
     : parts_(parts),
       own_address_(options.own_address),
       default_timeout_(options.default_timeout),
+      retry_policy_(std::in_place_type<routing::BudgetedRetries>,
+                    options.not_run_budget, options.unknown_budget),
       next_id_(std::random_device{}()) {}
 
 CallResult Ingress::Handle(Request request, std::optional<Duration> timeout,
@@ -108,8 +110,8 @@
   if (!decision.policy.is_repeatable && request.idempotency_key.empty()) {
     return Finish(NotRun(Reason::kKeyRequired));
   }
-  Duration limit = decision.timeout.value_or(default_timeout_);
-  if (timeout) limit = std::min(limit, *timeout);
+  const Duration limit =
+      timeout.value_or(decision.timeout.value_or(default_timeout_));
   request.deadline = MonotonicClock::now() + limit;
   return Finish(
       Forward(decision, std::move(request), "", std::move(cancelled)));
@@ -156,6 +158,7 @@
 }
 
 Ingress::RouteResult Ingress::FindRoute(const Request& request) const {
+  if (!is_accepting_) return Reason::kDraining;
   const auto standing = parts_.standing.At(MonotonicClock::now());
   const config::SnapshotReader reader(parts_.snapshots);
   const config::Snapshot* snapshot = reader.snapshot();
--- a/libraries/calls/ingress.h
+++ b/libraries/calls/ingress.h
@@ -41,13 +41,16 @@
   struct Options {
     std::string own_address;  // For peers; calls to it stay in the process.
     Duration default_timeout = std::chrono::seconds(2);
-    routing::ChoiceStrategy strategy;
+    routing::RetryBudget::Options not_run_budget =
+        routing::RetryBudget::NotRunOptions();
+    routing::RetryBudget::Options unknown_budget =
+        routing::RetryBudget::UnknownOptions();
   };
 
   Ingress(Parts parts, const Options& options);
 
-  // Serves a caller's request. `deadline` is the caller's, if it gave one.
-  // Blocks until the outcome is known.
+  // Serves a caller's request. `timeout` is the caller's, if it gave one; it
+  // goes before the route's and the node's. Blocks until the outcome is known.
   CallResult Handle(Request request, std::optional<Duration> timeout,
                     std::stop_token cancelled);
 
@@ -57,6 +60,9 @@
                        std::string idempotency_key,
                        MonotonicTime must_start_before);
 
+  // Refuses new calls with kDraining from now on.
+  void StopAccepting() { is_accepting_ = false; }
+
   // Calls in progress.
   int in_flight() const { return in_flight_; }
 
@@ -85,6 +91,7 @@
   routing::EndpointChooser chooser_;
   routing::RetryPolicy retry_policy_;
   std::atomic<std::uint64_t> next_id_;
+  std::atomic<bool> is_accepting_{true};
   std::atomic<int> in_flight_{0};
 };
 
--- a/libraries/config/node_settings.cc
+++ b/libraries/config/node_settings.cc
@@ -67,6 +67,9 @@
       {{"peers", "contacts", AddressListRule{16},
         "nodes to join; without any, the contacts row is read", ""},
        Assign<&Settings::peers, &Settings::Peers::contacts>::To},
+      {{"peers", "other-data-centres", NameListRule{16},
+        "data centres whose contacts rows are read to find their nodes", ""},
+       Assign<&Settings::peers, &Settings::Peers::other_data_centres>::To},
       {{"peers", "gossip-interval", DurationRule{milliseconds(50), seconds(10)},
         "time between exchanges with a partner", "500ms"},
        Assign<&Settings::peers, &Settings::Peers::gossip_interval>::To},
@@ -125,7 +128,7 @@
         "time over which claims are collected into a transaction", "5ms"},
        Assign<&Settings::once, &Settings::Once::commit_interval>::To},
       {{"once", "writers-per-data-centre", IntegerRule{1, 16},
-        "nodes of a data centre that write claims", "2"},
+        "nodes of a data centre that write claims", "1"},
        Assign<&Settings::once, &Settings::Once::writers_per_data_centre>::To},
 
       {{"jobs", "start-window", DurationRule{seconds(1), hours(1)},
--- a/libraries/config/node_settings.h
+++ b/libraries/config/node_settings.h
@@ -45,6 +45,7 @@
   // [peers]
   struct Peers {
     std::vector<Address> contacts;
+    std::vector<std::string> other_data_centres;
     Duration gossip_interval{};
     std::int64_t fanout = 0;
     std::int64_t monitored_successors = 0;
--- a/libraries/config/value.cc
+++ b/libraries/config/value.cc
@@ -232,6 +232,17 @@
     }
     return *std::move(addresses);
   }
+
+  std::optional<Value> operator()(const NameListRule& rule) const {
+    if (text.empty()) return std::vector<std::string>();
+    auto names = ParseList<std::string>(
+        text, [](std::string_view element) -> std::optional<std::string> {
+          if (!IsName(element)) return std::nullopt;
+          return std::string(element);
+        });
+    if (!names || names->size() > rule.maximum_count) return std::nullopt;
+    return *std::move(names);
+  }
 };
 
 // Names what the visited rule allows.
@@ -303,6 +314,11 @@
     return "a comma list of 0 to " + std::to_string(rule.maximum_count) +
            " different IP:port with port 1 to 65535";
   }
+
+  std::string operator()(const NameListRule& rule) const {
+    return "a comma list of 0 to " + std::to_string(rule.maximum_count) +
+           " different names of a-z, 0-9 and '-'";
+  }
 };
 
 }  // namespace
--- a/libraries/config/value.h
+++ b/libraries/config/value.h
@@ -21,7 +21,8 @@
 inline constexpr std::size_t kMaximumPathBytes = 256;
 
 using Value = std::variant<Duration, std::int64_t, double, bool, std::string,
-                           Address, std::vector<Address>, std::vector<Method>>;
+                           Address, std::vector<Address>, std::vector<Method>,
+                           std::vector<std::string>>;
 
 // Accepts a whole number with the unit ms, s, m or h that is a multiple of
 // `step`. Value: Duration.
@@ -88,9 +89,16 @@
   std::size_t maximum_count;
 };
 
-using Rule = std::variant<DurationRule, IntegerRule, PercentRule, SizeRule,
-                          BooleanRule, ChoiceRule, NameRule, TextRule, PathRule,
-                          MethodsRule, AddressRule, AddressListRule>;
+// Accepts a list of different names as of NameRule, separated by commas, which
+// may be empty. Value: std::vector<std::string>.
+struct NameListRule {
+  std::size_t maximum_count;
+};
+
+using Rule =
+    std::variant<DurationRule, IntegerRule, PercentRule, SizeRule, BooleanRule,
+                 ChoiceRule, NameRule, TextRule, PathRule, MethodsRule,
+                 AddressRule, AddressListRule, NameListRule>;
 
 // What is wrong with a text and what is allowed.
 struct ValueFault {
--- a/libraries/routing/drain.cc
+++ b/libraries/routing/drain.cc
@@ -14,19 +14,19 @@
     return state_;
   }
   const Duration elapsed = now - signalled_;
-  if (elapsed < kAnnounceTime) return state_;
+  if (elapsed < announce_time_) return state_;
   state_ = DrainState::kFinishing;
   if (in_flight <= 0) return Stop(StopCause::kFinished);
-  if (elapsed >= kDeadline) return Stop(StopCause::kDeadline);
+  if (elapsed >= deadline_) return Stop(StopCause::kDeadline);
   return state_;
 }
 
 std::optional<MonotonicTime> Drain::next_change() const {
   switch (state_) {
     case DrainState::kAnnouncing:
-      return signalled_ + kAnnounceTime;
+      return signalled_ + announce_time_;
     case DrainState::kFinishing:
-      return signalled_ + kDeadline;
+      return signalled_ + deadline_;
     case DrainState::kServing:
     case DrainState::kStopped:
       break;
--- a/libraries/routing/drain.h
+++ b/libraries/routing/drain.h
@@ -31,6 +31,10 @@
   // Counted from the first signal.
   static constexpr Duration kDeadline = std::chrono::seconds(30);
 
+  explicit Drain(Duration announce_time = kAnnounceTime,
+                 Duration deadline = kDeadline)
+      : announce_time_(announce_time), deadline_(deadline) {}
+
   // Records SIGTERM or the announcement that the backend server leaves. A
   // second signal stops at once.
   DrainState Signal(MonotonicTime now);
@@ -57,6 +61,8 @@
  private:
   DrainState Stop(StopCause cause);
 
+  Duration announce_time_;
+  Duration deadline_;
   DrainState state_ = DrainState::kServing;
   MonotonicTime signalled_;
   std::optional<StopCause> stop_cause_;
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -11,7 +11,6 @@
 // Random draws for one candidate before the search falls back to stepping.
 constexpr int kMaximumDraws = 4;
 
-constexpr Duration kSlowStart = std::chrono::seconds(10);
 // Share of a server that has just become ready. It must be above zero, or the
 // server would never warm up.
 constexpr double kMinimumWarmth = 0.1;
@@ -46,9 +45,9 @@
 
 double Warmth(const Endpoint& endpoint, MonotonicTime now) {
   const Duration age = now - endpoint.ready_since;
-  if (age >= kSlowStart) return 1;
+  if (age >= endpoint.slow_start) return 1;
   const double share = static_cast<double>(age.count()) /
-                       static_cast<double>(kSlowStart.count());
+                       static_cast<double>(endpoint.slow_start.count());
   return std::max(share, kMinimumWarmth);
 }
 
--- a/libraries/routing/endpoint_table.h
+++ b/libraries/routing/endpoint_table.h
@@ -33,6 +33,8 @@
   EndpointState state = EndpointState::kReady;
   // When it became ready; the slow start counts from here.
   MonotonicTime ready_since;
+  // Time over which a cold backend server gets its full share.
+  Duration slow_start = std::chrono::seconds(10);
   // Load it reports about itself, 0 to 1. A hint: it may be late or wrong.
   float reported_load = 0;
   // Filled by EndpointTable::Build(); never null in a table.
--- a/libraries/routing/quarantine.cc
+++ b/libraries/routing/quarantine.cc
@@ -66,9 +66,9 @@
   const auto found = entries_.find(fingerprint);
   if (found == entries_.end()) return false;
   const Entry& entry = found->second;
-  if (entry.deaths.size() < kThreshold) return false;
+  if (entry.deaths.size() < threshold_) return false;
   const auto deaths = CountingDeaths(now, fingerprint, entry);
-  if (deaths.size() < kThreshold) return false;
+  if (deaths.size() < threshold_) return false;
   return !IsItsTurn(now, fingerprint, entry, deaths);
 }
 
@@ -93,7 +93,7 @@
   int added = 0;
   for (const CrashReport& report : reports) {
     const Duration age = std::max(report.age, Duration(0));
-    if (age >= kQuarantineTime) continue;
+    if (age >= quarantine_time_) continue;
     const MonotonicTime time = now - age;
     const bool is_new =
         report.is_completion
@@ -118,7 +118,7 @@
   if (CompletedJustBefore(fingerprint, time)) return false;
   Entry& entry = FindOrAdd(fingerprint);
   if (entry.completed.has_value() && time <= *entry.completed) return false;
-  EraseDeaths(fingerprint, entry, now - kQuarantineTime);
+  EraseDeaths(fingerprint, entry, now - quarantine_time_);
   const auto known =
       std::ranges::find(entry.deaths, backend_address, &Death::backend_address);
   if (known != entry.deaths.end()) {
@@ -206,7 +206,7 @@
     MonotonicTime now, Fingerprint fingerprint, const Entry& entry) const {
   std::vector<const Death*> deaths;
   for (const Death& death : entry.deaths) {
-    if (now - death.time >= kQuarantineTime) continue;
+    if (now - death.time >= quarantine_time_) continue;
     if (!IsExplained(fingerprint, entry, death)) deaths.push_back(&death);
   }
   return deaths;
--- a/libraries/routing/quarantine.h
+++ b/libraries/routing/quarantine.h
@@ -70,8 +70,12 @@
 
   // Each report is passed on `retransmissions` times by each node that learns
   // of it; 3·log2(N+1) reaches a fleet of N nodes with high probability.
-  explicit Quarantine(int retransmissions = 31)
-      : retransmissions_(retransmissions) {}
+  explicit Quarantine(int retransmissions = 31,
+                      std::size_t threshold = kThreshold,
+                      Duration quarantine_time = kQuarantineTime)
+      : threshold_(threshold),
+        quarantine_time_(quarantine_time),
+        retransmissions_(retransmissions) {}
 
   // Adapts the number of retransmissions to the size of the fleet.
   void set_retransmissions(int retransmissions);
@@ -140,6 +144,8 @@
 
   static constexpr std::size_t kRecentCompletions = 4096;
 
+  const std::size_t threshold_;
+  const Duration quarantine_time_;
   mutable std::mutex mutex_;
   int retransmissions_;
   absl::flat_hash_map<Fingerprint, Entry> entries_;
--- a/libraries/routing/reason.cc
+++ b/libraries/routing/reason.cc
@@ -50,7 +50,7 @@
     {Reason::kBadRequest, "bad-request", kNotRun, 400, "http_request_error",
      false},
     {Reason::kNoBackendServer, "no-backend-server", kNotRun, 503,
-     "destination_unavailable", false},
+     "destination_unavailable", true},
     {Reason::kQueueFull, "queue-full", kNotRun, 503, "destination_unavailable",
      true},
     {Reason::kShed, "shed", kNotRun, 503, "destination_unavailable", true},
--- a/libraries/routing/retry_policy.h
+++ b/libraries/routing/retry_policy.h
@@ -62,12 +62,17 @@
 // not-run, lookups leave half of the saved retries to other classes.
 class BudgetedRetries {
  public:
+  explicit BudgetedRetries(
+      const RetryBudget::Options& not_run = RetryBudget::NotRunOptions(),
+      const RetryBudget::Options& unknown = RetryBudget::UnknownOptions())
+      : not_run_(not_run), unknown_(unknown) {}
+
   void RecordFirstAttempt();
   bool TryTake(Outcome outcome, RequestClass request_class, MonotonicTime now);
 
  private:
-  RetryBudget not_run_{RetryBudget::NotRunOptions()};
-  RetryBudget unknown_{RetryBudget::UnknownOptions()};
+  RetryBudget not_run_;
+  RetryBudget unknown_;
 };
 
 // Baseline: every permitted retry is made.
@@ -86,8 +91,10 @@
   RetryPolicy() = default;
 
   // Example: RetryPolicy policy(std::in_place_type<UnlimitedRetries>);
-  template <typename Budget>
-  explicit RetryPolicy(std::in_place_type_t<Budget> budget) : budget_(budget) {}
+  template <typename Budget, typename... Arguments>
+  explicit RetryPolicy(std::in_place_type_t<Budget> budget,
+                       Arguments&&... arguments)
+      : budget_(budget, std::forward<Arguments>(arguments)...) {}
 
   // Records the first attempt of a request. To be called for each request that
   // is sent, including those that arrived marked as retries.
--- a/programs/node/control.cc
+++ b/programs/node/control.cc
@@ -20,7 +20,7 @@
 // Slow start and ages change without a change of the members.
 constexpr Duration kEndpointsInterval = std::chrono::seconds(5);
 
-// Two, so that a slow platform does not hold back fetches from peers.
+// Three, so that a slow platform does not hold back fetches from peers.
 constexpr std::size_t kWorkers = 3;
 constexpr std::size_t kMaximumQueuedWork = 64;
 
--- a/programs/node/main.cc
+++ b/programs/node/main.cc
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <iostream>
@@ -68,6 +69,8 @@
   const routing::StopCause cause = *node.value()->stop_cause();
   if (cause == routing::StopCause::kSecondSignal) _exit(kExitSecondSignal);
   node.value()->Leave();
+  // The destructor would wait for the requests that are still in progress.
+  if (cause == routing::StopCause::kDeadline) _exit(kExitDrainDeadline);
   return ExitStatus(cause);
 }
 
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -1,5 +1,6 @@
 #include "node/node.h"
 
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -13,6 +14,7 @@
 
 constexpr std::string_view kComponent = "node";
 constexpr Duration kBackendCheckInterval = std::chrono::seconds(1);
+constexpr int kInitialRetransmissions = 31;
 constexpr Duration kLeaveTime = std::chrono::milliseconds(300);
 
 std::uint64_t RandomSeed() {
@@ -29,6 +31,7 @@
   for (const config::Address& contact : settings.peers.contacts) {
     options.contacts.push_back(config::ToString(contact));
   }
+  options.other_data_centres = settings.peers.other_data_centres;
   options.table.suspicion_time = settings.peers.suspicion_timeout;
   options.gossip_interval = settings.peers.gossip_interval;
   options.fanout = static_cast<std::size_t>(settings.peers.fanout);
@@ -49,12 +52,25 @@
   return options;
 }
 
+// Percentages become retries per 1,000 first attempts.
+routing::RetryBudget::Options WithPercent(routing::RetryBudget::Options options,
+                                          double percent) {
+  constexpr double kPerThousandOfPercent = 10;
+  options.per_thousand = std::llround(percent * kPerThousandOfPercent);
+  return options;
+}
+
 }  // namespace
 
 Node::Node(const config::NodeSettings& settings)
     : settings_(settings),
       counters_(metrics_),
-      backend_server_(ToSessionOptions(settings)) {}
+      endpoints_(settings.calls.slow_start),
+      quarantine_(kInitialRetransmissions,
+                  static_cast<std::size_t>(settings.calls.quarantine_threshold),
+                  settings.calls.quarantine_time),
+      backend_server_(ToSessionOptions(settings)),
+      drain_(settings.drain.announce_time, settings.drain.deadline) {}
 
 Node::~Node() {
   // Callers first, so that no new work arrives while the rest is stopped.
@@ -120,6 +136,11 @@
   calls::Ingress::Options ingress_options;
   ingress_options.own_address = address_;
   ingress_options.default_timeout = settings_.calls.default_timeout;
+  ingress_options.not_run_budget = WithPercent(
+      ingress_options.not_run_budget, settings_.calls.retry_budget_percent);
+  ingress_options.unknown_budget =
+      WithPercent(ingress_options.unknown_budget,
+                  settings_.calls.unknown_retry_budget_percent);
   ingress_ = std::make_unique<calls::Ingress>(
       calls::Ingress::Parts{snapshots_, standing_, endpoints_, *peer_client_,
                             *receiver_, quarantine_, counters_},
@@ -218,7 +239,9 @@
   TickBackendServer(now);
   if (!drain_.is_draining()) return;
   drain_.Advance(now, receiver_->in_flight() + ingress_->in_flight());
-  if (!drain_.is_accepting()) receiver_->StopAccepting();
+  if (drain_.is_accepting()) return;
+  receiver_->StopAccepting();
+  ingress_->StopAccepting();
 }
 
 // A backend server that leaves is withdrawn from the members at once. Work
