membership: Choose random members evenly

A joining node knows a dense range of keys, so a choice by random key led to the same member each time.

The test of pushed news depended on the phase of the platform reads and failed with the new order of random numbers (1.48 s where more than 1.5 s was required). It now measures from the first holder, over ten promotions: 20 ms with push, 1,287 ms without; the bounds are 200 ms and 800 ms.

--- a/libraries/membership/member_table.cc
+++ b/libraries/membership/member_table.cc
@@ -413,7 +413,10 @@
 
 MemberPointer MemberTable::RandomMember(RandomSource& random,
                                         const MemberFilter& filter) const {
-  auto entry = entries_.lower_bound(random.Next());
+  // Chosen by number, not by key: the table of a joining node is a dense range
+  // of keys, and most random keys would lead to the same member after it.
+  auto entry = entries_.begin();
+  std::advance(entry, random.Below(entries_.size()));
   for (std::size_t i = 0; i < entries_.size(); ++i, ++entry) {
     if (entry == entries_.end()) entry = entries_.begin();
     const MemberPointer& member = entry->second.member;
--- a/tests/distribution/scenario_test.cc
+++ b/tests/distribution/scenario_test.cc
@@ -453,21 +453,41 @@
   REQUIRE(baseline_peak >= 160);
 }
 
-// Guards against news that waits for the next periodic exchange of each node
-// on its way, which the target leaves no time for with long intervals.
-TEST_CASE("news is pushed instead of waiting for periodic exchanges") {
-  const auto time_with_push = [](bool push_on_news) {
-    MeshConfig config = OneDataCentre(40);
-    config.options.push_on_news = push_on_news;
-    FakeMesh mesh(config);
-    StartOnFirstVersion(mesh);
+// Mean time from the first node that holds a version until all act on it. The
+// time until a reader learns of the version is left out; it is not affected.
+Duration MeanSpreadTime(bool push_on_news) {
+  constexpr int kPromotions = 10;
+  MeshConfig config = OneDataCentre(40);
+  config.options.push_on_news = push_on_news;
+  FakeMesh mesh(config);
+  StartOnFirstVersion(mesh);
+  Duration sum{};
+  for (int i = 0; i < kPromotions; ++i) {
     const std::uint64_t sequence = mesh.Promote();
+    mesh.RunUntil(
+        [&] {
+          return std::any_of(mesh.nodes().begin(), mesh.nodes().end(),
+                             [&](const FakeMesh::Node& node) {
+                               return node.documents.contains(sequence);
+                             });
+        },
+        kTarget);
     const auto taken =
         mesh.RunUntil([&] { return mesh.AllActive(sequence); }, seconds(20));
-    return taken.value_or(seconds(20));
-  };
-  REQUIRE(time_with_push(true) < milliseconds(1500));
-  REQUIRE(time_with_push(false) > milliseconds(1500));
+    REQUIRE(taken.has_value());
+    sum += *taken;
+  }
+  return sum / kPromotions;
+}
+
+// Guards against news that waits for the next periodic exchange of each node
+// on its way.
+TEST_CASE("news is pushed instead of waiting for periodic exchanges") {
+  const Duration with_push = MeanSpreadTime(true);
+  const Duration without_push = MeanSpreadTime(false);
+  CAPTURE(ToMilliseconds(with_push), ToMilliseconds(without_push));
+  REQUIRE(with_push < milliseconds(200));
+  REQUIRE(without_push > milliseconds(800));
 }
 
 }  // namespace
