http: Read requests through a buffer

Cause: the library takes headers byte by byte, and each byte cost a poll and a recv. The network, the stand-in and the monitor of hung-up callers were ruled out by calls without a service time.

--- a/libraries/http/socket_stream.cc
+++ b/libraries/http/socket_stream.cc
@@ -4,7 +4,9 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cstring>
 
 namespace oleandertide::http {
 namespace {
@@ -27,16 +29,27 @@
 }
 
 bool SocketStream::WaitReadable(Duration timeout) const {
-  return WaitFor(POLLIN, timeout);
+  return buffer_begin_ < buffer_end_ || WaitFor(POLLIN, timeout);
 }
 
-bool SocketStream::is_readable() const { return WaitFor(POLLIN, timeout_); }
+bool SocketStream::is_readable() const { return WaitReadable(timeout_); }
 
 bool SocketStream::is_writable() const { return WaitFor(POLLOUT, timeout_); }
 
 ssize_t SocketStream::read(char* data, size_t size) {
-  if (!is_readable()) return -1;
-  return recv(socket_, data, size, 0);
+  if (buffer_begin_ == buffer_end_) {
+    if (!is_readable()) return -1;
+    // Large reads gain nothing from the buffer.
+    if (size >= buffer_.size()) return recv(socket_, data, size, 0);
+    const ssize_t received = recv(socket_, buffer_.data(), buffer_.size(), 0);
+    if (received <= 0) return received;
+    buffer_begin_ = 0;
+    buffer_end_ = static_cast<std::size_t>(received);
+  }
+  const std::size_t count = std::min(size, buffer_end_ - buffer_begin_);
+  std::memcpy(data, buffer_.data() + buffer_begin_, count);
+  buffer_begin_ += count;
+  return static_cast<ssize_t>(count);
 }
 
 ssize_t SocketStream::write(const char* data, size_t size) {
--- a/libraries/http/socket_stream.h
+++ b/libraries/http/socket_stream.h
@@ -5,13 +5,16 @@
 
 #include <httplib.h>
 
+#include <array>
 #include <string>
 
+#include "core/size.h"
 #include "core/time.h"
 
 namespace oleandertide::http {
 
-// Does not own the socket. Not thread-safe.
+// Does not own the socket. Reads through a buffer, because the library takes
+// headers byte by byte. Not thread-safe.
 class SocketStream final : public httplib::Stream {
  public:
   SocketStream(int socket, Duration timeout);
@@ -25,7 +28,7 @@
   void get_local_ip_and_port(std::string& ip, int& port) const override;
   socket_t socket() const override { return socket_; }
 
-  // Waits until data can be read, at most for `timeout`.
+  // Waits until data is buffered or can be read, at most for `timeout`.
   bool WaitReadable(Duration timeout) const;
 
  private:
@@ -33,6 +36,9 @@
 
   const int socket_;
   const Duration timeout_;
+  std::array<char, 4 * kKibibyte> buffer_;
+  std::size_t buffer_begin_ = 0;
+  std::size_t buffer_end_ = 0;
 };
 
 }  // namespace oleandertide::http
