http: Listen with SO_REUSEADDR instead of SO_REUSEPORT

Cause: the HTTP library sets SO_REUSEPORT by default. A second process of the same user could then listen on a port that is in use and silently receive a part of its connections, and a node could not start again on its port while connections of its earlier life were in the state TIME_WAIT.

Before: system_bad_input starts a second node on the port for callers of a running one, and it keeps running. After: it ends with exit status 1. The listener for peers was ruled out: its library sets SO_REUSEADDR.

--- a/libraries/calls/ingress.cc
+++ b/libraries/calls/ingress.cc
@@ -205,6 +205,7 @@
                                     ForwardedRequest& request,
                                     const std::stop_token& cancelled) {
   absl::InlinedVector<routing::EndpointId, 4> tried;
+  bool had_unknown_attempt = false;
   RandomSource& random = ThreadRandom();
   const routing::Endpoint* endpoint =
       chooser_.Choose(table, {MonotonicClock::now(), tried}, random);
@@ -220,6 +221,8 @@
 
     routing::RetryQuestion question;
     question.last = {refusal->outcome, refusal->reason};
+    question.request_class = request.policy.request_class;
+    question.had_unknown_attempt = had_unknown_attempt;
     question.attempts = static_cast<int>(tried.size());
     question.route_is_repeatable = request.policy.is_repeatable;
     question.is_marked_as_retry = request.is_retry;
@@ -231,6 +234,8 @@
       return Refusal{give_up->result.reason, give_up->result.outcome};
     }
     parts_.counters.retries.Add(refusal->reason);
+    had_unknown_attempt = had_unknown_attempt ||
+                          refusal->outcome == routing::Outcome::kUnknown;
     request.is_retry =
         std::get<routing::SendAgain>(decision).is_marked_as_retry;
     request.id = next_id_++;
--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -122,6 +122,13 @@
       const std::size_t threads = options_.maximum_connections + kExcessThreads;
       return new PoolTaskQueue(threads, 2 * threads);
     };
+    // The library sets SO_REUSEPORT instead, which lets another process listen
+    // on the same port, and refuses the port of a process that has just ended
+    // while its connections are in the state TIME_WAIT.
+    set_socket_options([](int descriptor) {
+      const int on = 1;
+      setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
     set_tcp_nodelay(true);
     set_payload_max_length(options_.maximum_body_bytes);
     // Announced to callers; the loop in ServeConnection decides.
