--- a/libraries/calls/ingress.cc
+++ b/libraries/calls/ingress.cc
@@ -234,8 +234,8 @@
       return Refusal{give_up->result.reason, give_up->result.outcome};
     }
     parts_.counters.retries.Add(refusal->reason);
-    had_unknown_attempt = had_unknown_attempt ||
-                          refusal->outcome == routing::Outcome::kUnknown;
+    had_unknown_attempt =
+        had_unknown_attempt || refusal->outcome == routing::Outcome::kUnknown;
     request.is_retry =
         std::get<routing::SendAgain>(decision).is_marked_as_retry;
     request.id = next_id_++;
