--- a/tests/stand_ins/backend_server/main.cc
+++ b/tests/stand_ins/backend_server/main.cc
@@ -31,6 +31,9 @@
 DEFINE_int32(slots, 12, "requests that run at a time");
 DEFINE_int32(connections, 130, "connections that it takes");
 DEFINE_int32(service_time_ms, 1, "time that a request runs");
+DEFINE_int32(
+    leave_time_ms, 300,
+    "time for which it still serves after it announced that it leaves");
 DEFINE_string(port_file, "", "file that receives the port");
 DEFINE_string(runs_file, "", "file that receives a line for each run");
 
@@ -173,7 +176,8 @@
       stand_in.set_leaving();
       if (node) stand_in.Announce(*node, own);
       // Requests that were already on their way still arrive.
-      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(FLAGS_leave_time_ms));
     }
   }
   return 0;
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -69,14 +69,17 @@
         connection.close()
 
 
-def wait_until(condition, seconds, what):
-    """Polls until the condition holds; raises TimeoutError otherwise."""
+def wait_until(condition, seconds, what, describe=lambda: ""):
+    """Polls until the condition holds; raises TimeoutError otherwise.
+
+    `describe` returns text that explains the failure.
+    """
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
         if condition():
             return
         time.sleep(0.02)
-    raise TimeoutError(f"not within {seconds} s: {what}")
+    raise TimeoutError(f"not within {seconds} s: {what}{describe()}")
 
 
 class PortAllocator:
@@ -182,9 +185,9 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, kind, *_):
+    def __exit__(self, *_):
         self.stop()
-        if kind is None or os.environ.get("OLEANDERTIDE_KEEP_LOGS") is None:
+        if os.environ.get("OLEANDERTIDE_KEEP_LOGS") is None:
             self.temporary.cleanup()
         else:
             self.temporary._finalizer.detach()
@@ -258,11 +261,15 @@
 
     def command(self, *arguments, check=True):
         """Runs the operators' command; returns the completed process."""
+        identity = []
+        if arguments[0] in ("submit", "promote"):
+            identity = ["--operator=test"]
         done = subprocess.run(
             [
                 self.binary("oleandertide"),
                 *map(str, arguments),
                 f"--platform={self.platform_address()}",
+                *identity,
             ],
             capture_output=True,
             text=True,
@@ -296,7 +303,8 @@
                     waiting.discard(node)
             return not waiting
 
-        wait_until(all_there, seconds, f"sequence {sequence} on all nodes")
+        wait_until(all_there, seconds, f"sequence {sequence} on all nodes",
+                   self.describe)
         return time.monotonic() - start
 
     def wait_for_endpoints(self, count, seconds=30):
@@ -309,7 +317,20 @@
                     return False
             return True
 
-        wait_until(all_see, seconds, f"{count} ready members on all nodes")
+        wait_until(all_see, seconds, f"{count} ready members on all nodes",
+                   self.describe)
+
+    def describe(self):
+        """Members, standing and last log line of every node, for failures."""
+        lines = []
+        for node in self.nodes:
+            status = node.status() or {}
+            log = node.process.log_path.read_text().splitlines() or [""]
+            lines.append(
+                f"node {node.index}: members {status.get('members')} standing "
+                f"{status.get('standing')} sequence {status.get('sequence')}; "
+                f"{log[-1]}")
+        return "\n" + "\n".join(lines)
 
     def stop(self):
         processes = [node.backend for node in self.nodes if node.backend]
