distribution: Seek contacts that a joined node does not know

Cause: TickJoin stops for good once a node has joined through any contact. Nodes that start at the same time may join in separate groups, and no node then sends to the contacts of another group. Seen in several of the first starts of four nodes in two data centres: each node showed two ready members for 30 s. The row of contacts does not help between data centres, because each node reads only the row of its own.

A joined node now exchanges with one unknown or dead contact of its settings every contacts interval. Before: system_join fails after 30 s with two ready members on each node. After: it passes in 10 to 12 s. Ports in use were ruled out: all nodes had started and were confirmed. distribution_test passes.

--- a/libraries/distribution/distributor.h
+++ b/libraries/distribution/distributor.h
@@ -139,6 +139,7 @@
   void ExpireExchanges(MonotonicTime now);
   void RefreshRoles(MonotonicTime now);
   void TickJoin(MonotonicTime now);
+  void SeekMissingContact(MonotonicTime now);
   void TickPartners(MonotonicTime now);
   void TickReads(MonotonicTime now);
   void TickContacts(MonotonicTime now);
--- a/libraries/distribution/distributor_tick.cc
+++ b/libraries/distribution/distributor_tick.cc
@@ -87,9 +87,29 @@
   partners_.Refresh(now, table_, random_);
 }
 
+// Nodes that start at the same time may join each other in separate groups,
+// for example one for each data centre. The contacts in the settings are the
+// only addresses that lead from one group to another.
+void Distributor::SeekMissingContact(MonotonicTime now) {
+  for (std::size_t i = 0; i < options_.contacts.size(); ++i) {
+    const std::string& address =
+        options_.contacts[next_contact_++ % options_.contacts.size()];
+    if (address == table_.own().address) continue;
+    const MemberPointer member = table_.Find(address);
+    if (member != nullptr && is_alive(*member)) continue;
+    SendExchangeTo(now, address);
+    return;
+  }
+}
+
 void Distributor::TickJoin(MonotonicTime now) {
   const bool is_alone = partners_.all().empty();
-  if ((is_joined_ && !is_alone) || now < next_join_) return;
+  if (now < next_join_) return;
+  if (is_joined_ && !is_alone) {
+    next_join_ = now + WithJitter(random_, options_.contacts_interval);
+    SeekMissingContact(now);
+    return;
+  }
   next_join_ = now + random_.Between(join_delay_ / 2, join_delay_);
   join_delay_ = std::min(join_delay_ * 2, options_.longest_retry_delay);
   std::vector<std::string> contacts = options_.contacts;
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -121,6 +121,7 @@
         self.process = None
         self.backend = None
         self.backend_options = []
+        self.contacts = None  # Nodes; None: the first four of the cluster.
 
     def address(self, name):
         return f"127.0.0.1:{self.ports[name]}"
@@ -246,8 +247,9 @@
             "peers": {},
             "log": {"level": "info"},
         }
+        contacts = self.nodes[:4] if node.contacts is None else node.contacts
         contacts = [
-            other.address("peers") for other in self.nodes[:4] if other is not node
+            other.address("peers") for other in contacts if other is not node
         ]
         if contacts:
             sections["peers"]["contacts"] = ", ".join(contacts)
