calls: Refuse requests of callers in the second part of a drain

Cause: only the receiver stopped to accept work. A draining node went on taking requests of callers on new connections and ended only when none happened to be in flight at a tick.

Before: in the rolling restart of system_drain nodes ended 16 to 21 s after SIGTERM, at 120 requests a second on four nodes.

--- a/libraries/calls/ingress.cc
+++ b/libraries/calls/ingress.cc
@@ -100,6 +100,7 @@
 CallResult Ingress::Handle(Request request, std::optional<Duration> timeout,
                            std::stop_token cancelled) {
   parts_.counters.ingress_calls.Add();
+  if (!is_accepting_) return Finish(NotRun(Reason::kDraining));
   const RouteResult found = FindRoute(request);
   if (const auto* reason = std::get_if<Reason>(&found)) {
     return Finish(NotRun(*reason));
--- a/libraries/calls/ingress.h
+++ b/libraries/calls/ingress.h
@@ -57,6 +57,9 @@
                        std::string idempotency_key,
                        MonotonicTime must_start_before);
 
+  // Refuses every later request of a caller with kDraining.
+  void StopAccepting() { is_accepting_ = false; }
+
   // Calls in progress.
   int in_flight() const { return in_flight_; }
 
@@ -86,6 +89,7 @@
   routing::RetryPolicy retry_policy_;
   std::atomic<std::uint64_t> next_id_;
   std::atomic<int> in_flight_{0};
+  std::atomic<bool> is_accepting_{true};
 };
 
 }  // namespace oleandertide::calls
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -218,7 +218,10 @@
   TickBackendServer(now);
   if (!drain_.is_draining()) return;
   drain_.Advance(now, receiver_->in_flight() + ingress_->in_flight());
-  if (!drain_.is_accepting()) receiver_->StopAccepting();
+  if (!drain_.is_accepting()) {
+    receiver_->StopAccepting();
+    ingress_->StopAccepting();
+  }
 }
 
 // A backend server that leaves is withdrawn from the members at once. Work
