core: Have one type for addresses

config and core had a type each, and only one of them read IPv6 numbers; the check whether a backend server accepts connections supported IPv4 only.

--- a/libraries/config/command_settings.h
+++ b/libraries/config/command_settings.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 
-#include "config/address.h"
 #include "config/diagnostic.h"
+#include "core/address.h"
 #include "core/time.h"
 
 namespace oleandertide::config {
--- a/libraries/config/node_settings.h
+++ b/libraries/config/node_settings.h
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
-#include "config/address.h"
 #include "config/diagnostic.h"
+#include "core/address.h"
 #include "core/time.h"
 
 namespace oleandertide::config {
--- a/libraries/config/value.h
+++ b/libraries/config/value.h
@@ -11,8 +11,8 @@
 #include <variant>
 #include <vector>
 
-#include "config/address.h"
 #include "config/method.h"
+#include "core/address.h"
 #include "core/time.h"
 
 namespace oleandertide::config {
--- a/libraries/http/client_pool.cc
+++ b/libraries/http/client_pool.cc
@@ -25,6 +25,30 @@
 constexpr Duration kMaximumConnectTime = std::chrono::milliseconds(500);
 constexpr std::size_t kMaximumIdleConnections = 64;
 
+// An address in the form that the socket functions take.
+struct SocketAddress {
+  sockaddr_storage storage{};
+  socklen_t length = 0;
+
+  static SocketAddress Of(const Address& address) {
+    SocketAddress result;
+    if (address.is_ipv6()) {
+      auto* ipv6 = reinterpret_cast<sockaddr_in6*>(&result.storage);
+      ipv6->sin6_family = AF_INET6;
+      ipv6->sin6_port = htons(address.port);
+      inet_pton(AF_INET6, address.ip.c_str(), &ipv6->sin6_addr);
+      result.length = sizeof(sockaddr_in6);
+    } else {
+      auto* ipv4 = reinterpret_cast<sockaddr_in*>(&result.storage);
+      ipv4->sin_family = AF_INET;
+      ipv4->sin_port = htons(address.port);
+      inet_pton(AF_INET, address.ip.c_str(), &ipv4->sin_addr);
+      result.length = sizeof(sockaddr_in);
+    }
+    return result;
+  }
+};
+
 Failure ToFailure(httplib::Error error, bool is_cancelled) {
   switch (error) {
     case httplib::Error::Connection:
@@ -129,15 +153,13 @@
 }
 
 bool ClientPool::IsAccepting(Duration timeout) const {
-  const int descriptor =
-      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const SocketAddress address = SocketAddress::Of(server_);
+  const int descriptor = socket(address.storage.ss_family,
+                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) return false;
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(server_.port);
-  inet_pton(AF_INET, server_.ip.c_str(), &address.sin_addr);
-  const int status = connect(
-      descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  const int status =
+      connect(descriptor, reinterpret_cast<const sockaddr*>(&address.storage),
+              address.length);
   if (status != 0 && errno != EINPROGRESS) {
     close(descriptor);
     return false;
--- a/programs/command/commands.cc
+++ b/programs/command/commands.cc
@@ -171,9 +171,9 @@
 }
 
 Report RunStatus(std::span<const std::string> /*arguments*/) {
-  std::vector<config::Address> addresses;
+  std::vector<Address> addresses;
   for (const std::string& text : SplitList(FLAGS_nodes)) {
-    const auto address = config::Address::Parse(text);
+    const auto address = Address::Parse(text);
     if (!address.has_value()) {
       return ReportUsage("--nodes: '" + text +
                          "' is not allowed, expected IP:port");
--- a/programs/command/node_status.cc
+++ b/programs/command/node_status.cc
@@ -19,8 +19,8 @@
 // Nodes that do not answer cost a timeout each.
 constexpr std::size_t kMaximumThreads = 16;
 
-NodeStatus ReadNodeStatus(const config::Address& address) {
-  NodeStatus status{config::ToString(address), false, {}};
+NodeStatus ReadNodeStatus(const Address& address) {
+  NodeStatus status{address.ToString(), false, {}};
   httplib::Client client(address.ip, address.port);
   client.set_connection_timeout(kConnectTimeout);
   client.set_read_timeout(kRequestTimeout);
@@ -38,8 +38,7 @@
 
 }  // namespace
 
-std::vector<NodeStatus> ReadNodeStatuses(
-    std::span<const config::Address> addresses) {
+std::vector<NodeStatus> ReadNodeStatuses(std::span<const Address> addresses) {
   std::vector<NodeStatus> statuses(addresses.size());
   std::atomic<std::size_t> next{0};
   const auto read_some = [&] {
--- a/programs/command/node_status.h
+++ b/programs/command/node_status.h
@@ -7,14 +7,13 @@
 #include <vector>
 
 #include "command/report.h"
-#include "config/address.h"
+#include "core/address.h"
 
 namespace oleandertide::command {
 
 // Sends GET /status to the operators' endpoints of nodes, to several at a time.
 // Returns one element for each address, in their order. Thread-safe.
-std::vector<NodeStatus> ReadNodeStatuses(
-    std::span<const config::Address> addresses);
+std::vector<NodeStatus> ReadNodeStatuses(std::span<const Address> addresses);
 
 }  // namespace oleandertide::command
 
--- a/programs/command/session.cc
+++ b/programs/command/session.cc
@@ -6,9 +6,9 @@
 
 #include "command/document_inspector.h"
 #include "command/flags.h"
-#include "config/address.h"
 #include "config/ini_reader.h"
 #include "config/value.h"
+#include "core/address.h"
 
 namespace oleandertide::command {
 namespace {
@@ -42,7 +42,7 @@
 // Replaces settings by what the flags give.
 SettingsOrReport ApplyFlags(config::CommandSettings settings) {
   if (!FLAGS_platform.empty()) {
-    const auto address = config::Address::Parse(FLAGS_platform);
+    const auto address = Address::Parse(FLAGS_platform);
     if (!address.has_value()) {
       return ReportUsage("--platform: '" + FLAGS_platform +
                          "' is not allowed, expected IP:port");
@@ -79,7 +79,7 @@
   auto applied = ApplyFlags(std::get<config::CommandSettings>(std::move(read)));
   if (auto* failure = std::get_if<Report>(&applied)) return std::move(*failure);
   const auto& settings = std::get<config::CommandSettings>(applied);
-  const std::string address = config::ToString(settings.platform.address);
+  const std::string address = settings.platform.address.ToString();
   platform::HttpStoreOptions options;
   options.request_timeout = settings.platform.request_timeout;
   auto store = platform::HttpStore::Make(address, options);
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -22,14 +22,10 @@
   return (std::uint64_t{device()} << 32) | device();
 }
 
-Address ToAddress(const config::Address& address) {
-  return {address.ip, address.port};
-}
-
 distribution::Options ToOptions(const config::NodeSettings& settings) {
   distribution::Options options;
-  for (const config::Address& contact : settings.peers.contacts) {
-    options.contacts.push_back(config::ToString(contact));
+  for (const Address& contact : settings.peers.contacts) {
+    options.contacts.push_back(contact.ToString());
   }
   options.other_data_centres = settings.peers.other_data_centres;
   options.table.suspicion_time = settings.peers.suspicion_timeout;
@@ -103,17 +99,17 @@
   platform::HttpStoreOptions store_options;
   store_options.request_timeout = settings_.platform.request_timeout;
   OLEANDERTIDE_TRY(
-      store, platform::HttpStore::Make(
-                 config::ToString(settings_.platform.address), store_options));
+      store, platform::HttpStore::Make(settings_.platform.address.ToString(),
+                                       store_options));
   store_ = std::move(store);
   loop_ = std::make_unique<peers::EventLoop>();
   peer_client_ = std::make_unique<peers::PeerClient>(
       *loop_, peers::PeerClientOptions{}, RandomSeed());
   // The decisions need the port, and the listener needs the decisions; until
   // these exist, requests of peers are refused.
-  OLEANDERTIDE_TRY(server, peers::PeerServer::Start(
-                               *loop_, *this, ToAddress(settings_.listen.peers),
-                               peers::PeerServerOptions{}));
+  OLEANDERTIDE_TRY(
+      server, peers::PeerServer::Start(*loop_, *this, settings_.listen.peers,
+                                       peers::PeerServerOptions{}));
   peer_server_ = std::move(server);
   StartDecisions(peer_server_->port());
   return Success();
@@ -176,14 +172,14 @@
       settings_.calls.maximum_connections_from_callers);
   caller_options.maximum_body_bytes =
       static_cast<std::size_t>(settings_.calls.maximum_body);
-  OLEANDERTIDE_TRY(
-      callers, callers::StartCallerServer(ToAddress(settings_.listen.callers),
-                                          caller_options, *ingress_));
+  OLEANDERTIDE_TRY(callers,
+                   callers::StartCallerServer(settings_.listen.callers,
+                                              caller_options, *ingress_));
   caller_server_ = std::move(callers);
   OLEANDERTIDE_TRY(
       announcements,
       backend_servers::StartAnnouncementServer(
-          ToAddress(settings_.listen.backend),
+          settings_.listen.backend,
           [this](const backend_servers::Announcement& announcement) {
             return Announce(announcement);
           }));
@@ -195,9 +191,9 @@
     return metrics_.ToPrometheusText(MonotonicClock::now()) +
            ToMetricsText(Report());
   };
-  OLEANDERTIDE_TRY(operators, operators::StartOperatorsServer(
-                                  ToAddress(settings_.listen.operators),
-                                  std::move(sources)));
+  OLEANDERTIDE_TRY(operators,
+                   operators::StartOperatorsServer(settings_.listen.operators,
+                                                   std::move(sources)));
   operators_server_ = std::move(operators);
   return Success();
 }
