node: Report a fetch that could not be queued

The distributor waits for the result of each fetch; a full queue would have held back further versions. Found by reading. More documents are kept, so that several promotions in a second cannot drop one that is not committed yet.

--- a/programs/node/control.cc
+++ b/programs/node/control.cc
@@ -233,12 +233,15 @@
 }
 
 void Control::Perform(const distribution::FetchDocument& effect) {
-  workers_.Submit([this, effect] {
-    const DocumentOutcome outcome = Fetch(effect);
+  const auto report = [this, effect](DocumentOutcome outcome) {
     Post([effect, outcome](Distributor& distributor, MonotonicTime now) {
       return distributor.OnDocument(now, effect.version, effect.from, outcome);
     });
-  });
+  };
+  const bool is_queued =
+      workers_.Submit([this, effect, report] { report(Fetch(effect)); });
+  // The distributor waits for the result of each fetch.
+  if (!is_queued) report(DocumentOutcome::kUnavailable);
 }
 
 void Control::Perform(const distribution::ReadEnvironmentRow& effect) {
@@ -265,7 +268,12 @@
 
 void Control::Perform(const distribution::Activate& effect) {
   auto snapshot = parts_.documents.Take(effect.version);
-  if (!snapshot) return;
+  if (!snapshot) {
+    logging::Log(logging::Level::kError, kComponent,
+                 "document to activate is not held",
+                 {{"sequence", effect.version.sequence}});
+    return;
+  }
   const auto published = parts_.snapshots.Publish(std::move(snapshot));
   if (!published) {
     logging::Log(logging::Level::kError, kComponent, "activation refused",
--- a/programs/node/document_cache.h
+++ b/programs/node/document_cache.h
@@ -32,8 +32,9 @@
       const distribution::Version& version);
 
  private:
-  // The version in force and its successors in flight fit well into this.
-  static constexpr std::size_t kMaximumDocuments = 4;
+  // A version waits for its commit for about a second; many more promotions
+  // than this would have to be accepted meanwhile to lose one.
+  static constexpr std::size_t kMaximumDocuments = 16;
 
   struct Held {
     distribution::Version version;
