--- a/libraries/callers/caller_server.cc
+++ b/libraries/callers/caller_server.cc
@@ -74,7 +74,7 @@
     return MakeProblem(BadRequest());
   }
   calls::CallResult result =
-      ingress.Handle(std::move(call), deadline.value(), std::move(cancelled));
+      ingress.Handle(std::move(call), deadline.value(), cancelled);
   if (const auto* refusal = std::get_if<calls::Refusal>(&result)) {
     return MakeProblem(*refusal);
   }
