--- a/programs/node/control.cc
+++ b/programs/node/control.cc
@@ -126,14 +126,7 @@
     members = distributor_.table().view();
   }
   parts_.standing.Publish(standing, now);
-  if (standing != published_standing_) {
-    const bool is_normal = standing == distribution::Standing::kConfirmed;
-    logging::Log(is_normal ? logging::Level::kInfo : logging::Level::kWarning,
-                 kComponent, "standing changed",
-                 {{"from", distribution::ToString(published_standing_)},
-                  {"to", distribution::ToString(standing)}});
-    published_standing_ = standing;
-  }
+  if (standing != published_standing_) NoteStanding(standing);
   if (changes == published_changes_ && unreachable == published_unreachable_ &&
       now - endpoints_updated_at_ < kEndpointsInterval) {
     return;
@@ -147,6 +140,17 @@
       RetransmissionsFor(members->members().size()));
 }
 
+void Control::NoteStanding(distribution::Standing standing) {
+  const bool is_normal = standing == distribution::Standing::kConfirmed;
+  logging::Log(is_normal ? logging::Level::kInfo : logging::Level::kWarning,
+               kComponent, "standing changed",
+               {{"from", distribution::ToString(published_standing_)},
+                {"to", distribution::ToString(standing)}});
+  published_standing_ = standing;
+  std::lock_guard lock(mutex_);
+  ++standings_entered_[static_cast<std::size_t>(standing)];
+}
+
 std::vector<routing::CrashReport> Control::TakeCrashReports(MonotonicTime now) {
   return parts_.quarantine.TakeReports(now, peers::kMaximumCrashReports);
 }
@@ -197,6 +201,7 @@
   status.counters = distributor_.counters();
   status.members = distributor_.table().view();
   status.last_refusal = last_refusal_;
+  status.standings_entered = standings_entered_;
   return status;
 }
 
--- a/programs/node/control.h
+++ b/programs/node/control.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDERTIDE_NODE_CONTROL_H_
 #define OLEANDERTIDE_NODE_CONTROL_H_
 
+#include <array>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -27,6 +28,9 @@
 
 namespace oleandertide::node {
 
+inline constexpr std::size_t kStandings =
+    static_cast<std::size_t>(distribution::Standing::kIsolated) + 1;
+
 // What /status and the metrics show of the distributor.
 struct ControlStatus {
   distribution::Version held;
@@ -39,6 +43,8 @@
   distribution::Counters counters;
   std::shared_ptr<const membership::MemberView> members;
   std::string last_refusal;
+  // Times that each standing was entered, in the order of the enumeration.
+  std::array<std::uint64_t, kStandings> standings_entered{};
 };
 
 // Owns the distributor and the thread that runs it. Input and output that may
@@ -93,6 +99,7 @@
   void Step(const Event& event);
   void Apply(const distribution::Effects& effects);
   void Publish(MonotonicTime now);
+  void NoteStanding(distribution::Standing standing);
   std::vector<routing::CrashReport> TakeCrashReports(MonotonicTime now);
 
   void Perform(const distribution::SendExchange& effect);
@@ -116,6 +123,7 @@
   mutable std::mutex mutex_;  // Guards the distributor.
   distribution::Distributor distributor_;
   std::string last_refusal_;
+  std::array<std::uint64_t, kStandings> standings_entered_{};
 
   std::mutex events_mutex_;
   std::condition_variable events_changed_;
--- a/programs/node/status.cc
+++ b/programs/node/status.cc
@@ -92,6 +92,16 @@
   return object;
 }
 
+nlohmann::json StandingsEntered(const ControlStatus& control) {
+  nlohmann::json object = nlohmann::json::object();
+  for (std::size_t i = 0; i < kStandings; ++i) {
+    const auto standing = static_cast<distribution::Standing>(i);
+    object[std::string(distribution::ToString(standing))] =
+        control.standings_entered[i];
+  }
+  return object;
+}
+
 nlohmann::json ToJson(const distribution::Version& version) {
   return {{"sequence", version.sequence}, {"digest", version.digest}};
 }
@@ -125,6 +135,17 @@
   AppendMetric(text, metric, "gauge", std::to_string(value));
 }
 
+void AppendStandings(std::string& text, const ControlStatus& control) {
+  constexpr std::string_view kName = "oleandertide_standing_entered_total";
+  text.append("# TYPE ").append(kName).append(" counter\n");
+  for (std::size_t i = 0; i < kStandings; ++i) {
+    const auto standing = static_cast<distribution::Standing>(i);
+    text.append(kName).append("{standing=\"");
+    text.append(distribution::ToString(standing)).append("\"} ");
+    text.append(std::to_string(control.standings_entered[i])).append("\n");
+  }
+}
+
 double AgeSeconds(const StatusReport& report) {
   constexpr double kMicrosecondsPerSecond = 1e6;
   if (!report.control.confirmation_age) return -1;
@@ -144,6 +165,7 @@
       {"region", report.settings.node.region},
       {"service", report.settings.node.service},
       {"standing", distribution::ToString(report.control.standing)},
+      {"standings_entered", StandingsEntered(report.control)},
       {"ready", report.control.is_ready},
       {"draining", report.is_draining},
       {"reader", report.control.is_reader},
@@ -170,6 +192,7 @@
   std::string text;
   AppendGauge(text, "sequence", static_cast<double>(report.active_sequence));
   AppendGauge(text, "standing", static_cast<double>(report.control.standing));
+  AppendStandings(text, report.control);
   AppendGauge(text, "confirmation_age_seconds", AgeSeconds(report));
   AppendGauge(text, "requests_in_flight", report.requests_in_flight);
   AppendCounters(text, "distribution",
--- a/tests/system/outage_test.py
+++ b/tests/system/outage_test.py
@@ -26,6 +26,9 @@
         self.cluster.control_platform(down=True)
         self.check_lookups()
         self.wait_for_standing("platform-down")
+        for node in self.nodes:
+            entered = node.status()["standings_entered"]
+            self.assertGreaterEqual(entered["platform-down"], 1, node.index)
         self.check_lookups()
 
         # Nodes 0 to 3 are the contacts in the settings; with the platform
