peers: Remove a function that nothing calls

CloseUnneeded was never called or tested. What it was meant for remains as a FIXME: entries of members that are gone stay in the map of connections.

--- a/libraries/peers/peer_client.cc
+++ b/libraries/peers/peer_client.cc
@@ -139,14 +139,6 @@
     });
   }
 
-  void CloseUnneeded(const std::function<bool(std::string_view)>& is_needed) {
-    loop_.executor().executeSync([&] {
-      std::erase_if(endpoints_, [&](const auto& item) {
-        return item.second.connecting == nullptr && !is_needed(item.first);
-      });
-    });
-  }
-
  private:
   kj::Promise<void> StartCall(std::string_view peer,
                               const calls::ForwardedRequest& request,
@@ -300,6 +292,8 @@
   const PeerClientOptions options_;
   RandomSource random_;
   kj::Own<kj::TaskSet> tasks_;
+  // FIXME: Drop the entries of members that are gone; replaced instances have
+  // new addresses, so the map grows by one small entry for each.
   std::map<std::string, Endpoint, std::less<>> endpoints_;
 };
 
@@ -428,9 +422,4 @@
 
 Traffic PeerClient::traffic() { return impl_->traffic(); }
 
-void PeerClient::CloseUnneeded(
-    const std::function<bool(std::string_view)>& is_needed) {
-  impl_->CloseUnneeded(is_needed);
-}
-
 }  // namespace oleandertide::peers
--- a/libraries/peers/peer_client.h
+++ b/libraries/peers/peer_client.h
@@ -80,10 +80,6 @@
   // Traffic of the open connections since each was established.
   Traffic traffic();
 
-  // Closes connections that the members no longer need. `is_needed` runs on
-  // the event loop.
-  void CloseUnneeded(const std::function<bool(std::string_view)>& is_needed);
-
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
