--- a/benchmarks/once/leased_owner_scheme.cc
+++ b/benchmarks/once/leased_owner_scheme.cc
@@ -34,10 +34,10 @@
   platform_.Transact(
       {{key, partitions_[partition].lease_version}}, {{key, "owner"}},
       [this, partition, key, owner,
-       asked](const Result<platform::TransactionOutcome>& outcome) {
+       asked](const Result<store::TransactionOutcome>& outcome) {
         if (!outcome.has_value()) return ReadLease(partition, key);
         const auto* committed =
-            std::get_if<platform::Committed>(&outcome.value());
+            std::get_if<store::Committed>(&outcome.value());
         if (committed == nullptr) return ReadLease(partition, key);
         partitions_[partition].lease_version = committed->versions.at(key);
         owner->lease_until = asked + kLeaseTime;
@@ -49,9 +49,9 @@
 void LeasedOwnerScheme::ReadLease(std::size_t partition,
                                   const std::string& key) {
   platform_.Read(
-      key, [this, partition](const Result<platform::ReadOutcome>& outcome) {
+      key, [this, partition](const Result<store::ReadOutcome>& outcome) {
         if (!outcome.has_value()) return;
-        const auto* row = std::get_if<platform::Row>(&outcome.value());
+        const auto* row = std::get_if<store::Row>(&outcome.value());
         if (row != nullptr) partitions_[partition].lease_version = row->version;
       });
 }
--- a/benchmarks/once/leased_owner_scheme.h
+++ b/benchmarks/once/leased_owner_scheme.h
@@ -43,7 +43,7 @@
 
   struct Partition {
     OwnerPtr owner;
-    platform::RowVersion lease_version = platform::kAbsent;
+    store::RowVersion lease_version = store::kAbsent;
   };
 
   void Renew(std::size_t partition);
--- a/benchmarks/once/per_request_scheme.cc
+++ b/benchmarks/once/per_request_scheme.cc
@@ -17,7 +17,7 @@
   ClaimRequest request;
   Callback callback;
   MonotonicTime deadline;
-  platform::RowVersion version = platform::kAbsent;
+  store::RowVersion version = store::kAbsent;
   std::optional<ClaimRecord> row;
   bool may_be_written = false;
   Duration retry_delay = kRetryDelay;
@@ -42,10 +42,10 @@
   platform_.Transact(
       {{key, pending->version}},
       {{key, EncodeClaimRecord(std::get<ClaimRecord>(decision))}},
-      [this, pending](const Result<platform::TransactionOutcome>& outcome) {
+      [this, pending](const Result<store::TransactionOutcome>& outcome) {
         if (outcome.has_value()) {
           const bool is_committed =
-              std::holds_alternative<platform::Committed>(outcome.value());
+              std::holds_alternative<store::Committed>(outcome.value());
           if (is_committed) return pending->callback(Granted{});
           return ReadClaim(pending);
         }
@@ -65,13 +65,13 @@
 void PerRequestScheme::ReadClaim(const PendingPtr& pending) {
   platform_.Read(
       ClaimRowKey(kEnvironment, pending->request.key),
-      [this, pending](const Result<platform::ReadOutcome>& outcome) {
+      [this, pending](const Result<store::ReadOutcome>& outcome) {
         if (outcome.has_error()) {
           return Later(pending, &PerRequestScheme::ReadClaim);
         }
-        pending->version = platform::kAbsent;
+        pending->version = store::kAbsent;
         pending->row.reset();
-        if (auto* row = std::get_if<platform::Row>(&outcome.value())) {
+        if (auto* row = std::get_if<store::Row>(&outcome.value())) {
           pending->version = row->version;
           pending->row = DecodeClaimRecord(row->value).value();
         }
@@ -108,16 +108,16 @@
   };
   const std::string key = ClaimRowKey(kEnvironment, completion->key);
   platform_.Read(key, [this, key, completion,
-                       retry](const Result<platform::ReadOutcome>& outcome) {
+                       retry](const Result<store::ReadOutcome>& outcome) {
     if (outcome.has_error()) return retry();
-    const auto* row = std::get_if<platform::Row>(&outcome.value());
+    const auto* row = std::get_if<store::Row>(&outcome.value());
     if (row == nullptr) return;
     const auto record = DecideCompletion(DecodeClaimRecord(row->value).value(),
                                          *completion, WallTime());
     if (!record) return;
     platform_.Transact(
         {{key, row->version}}, {{key, EncodeClaimRecord(*record)}},
-        [retry](const Result<platform::TransactionOutcome>& committed) {
+        [retry](const Result<store::TransactionOutcome>& committed) {
           if (committed.has_error()) retry();
         });
   });
--- a/benchmarks/once/virtual_platform.cc
+++ b/benchmarks/once/virtual_platform.cc
@@ -30,13 +30,13 @@
       write_limit_(kWritesPerSecond, kWritesPerSecond * kBurstSeconds),
       read_limit_(kReadsPerSecond, kReadsPerSecond * kBurstSeconds) {}
 
-void VirtualPlatform::Transact(std::vector<platform::Condition> conditions,
-                               std::vector<platform::Write> writes,
+void VirtualPlatform::Transact(std::vector<store::Condition> conditions,
+                               std::vector<store::Write> writes,
                                TransactionCallback callback) {
   events_.After(kOperationTime / 2, [this, conditions = std::move(conditions),
                                      writes = std::move(writes),
                                      callback = std::move(callback)] {
-    Result<platform::TransactionOutcome> outcome = Error::kUnavailable;
+    Result<store::TransactionOutcome> outcome = Error::kUnavailable;
     Duration answer_time = kOperationTime / 2;
     if (!is_down_ && !write_limit_.Take(events_.now())) {
       ++rate_limited_;
@@ -56,7 +56,7 @@
 void VirtualPlatform::Read(std::string key, ReadCallback callback) {
   events_.After(kOperationTime / 2,
                 [this, key = std::move(key), callback = std::move(callback)] {
-                  Result<platform::ReadOutcome> outcome = Error::kUnavailable;
+                  Result<store::ReadOutcome> outcome = Error::kUnavailable;
                   if (!is_down_ && !read_limit_.Take(events_.now())) {
                     ++rate_limited_;
                     outcome = Error::kRateLimited;
--- a/benchmarks/once/virtual_platform.h
+++ b/benchmarks/once/virtual_platform.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "core/random.h"
-#include "platform/store.h"
+#include "store/store.h"
 #include "support/event_queue.h"
 #include "support/fake_table.h"
 
@@ -33,14 +33,14 @@
 class VirtualPlatform {
  public:
   using TransactionCallback =
-      std::function<void(Result<platform::TransactionOutcome>)>;
-  using ReadCallback = std::function<void(Result<platform::ReadOutcome>)>;
+      std::function<void(Result<store::TransactionOutcome>)>;
+  using ReadCallback = std::function<void(Result<store::ReadOutcome>)>;
 
   // Precondition: `events` outlives this object.
   explicit VirtualPlatform(testing::EventQueue& events);
 
-  void Transact(std::vector<platform::Condition> conditions,
-                std::vector<platform::Write> writes,
+  void Transact(std::vector<store::Condition> conditions,
+                std::vector<store::Write> writes,
                 TransactionCallback callback);
   void Read(std::string key, ReadCallback callback);
 
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -1,17 +1,14 @@
 find_package(Threads REQUIRED)
 find_package(Boost 1.74 REQUIRED)
 find_package(absl REQUIRED)
+find_package(fmt REQUIRED)
 find_package(spdlog REQUIRED)
 find_package(gflags REQUIRED)
-find_package(Catch2 2 REQUIRED)
-find_package(rapidcheck REQUIRED)
 find_package(CapnProto REQUIRED)
 find_package(nlohmann_json REQUIRED)
-find_package(benchmark REQUIRED)
 find_package(PkgConfig REQUIRED)
-pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
-pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
 pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
+pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
 # Adds every folder below ROOT that has a CMakeLists.txt.
@@ -51,3 +48,11 @@
     ENVIRONMENT "RC_PARAMS=seed=20261204;UBSAN_OPTIONS=print_stacktrace=1"
     TIMEOUT 300)
 endfunction()
+
+# What oleandertide-sidecar does not need.
+if(NOT OLEANDERTIDE_PROGRAMS_ONLY)
+  find_package(Catch2 2 REQUIRED)
+  find_package(rapidcheck REQUIRED)
+  find_package(benchmark REQUIRED)
+  pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+endif()
--- a/libraries/acceptance/acceptance.cc
+++ b/libraries/acceptance/acceptance.cc
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-Acceptance::Acceptance(platform::Store& store, Waiter& waiter,
+Acceptance::Acceptance(store::Store& store, Waiter& waiter,
                        RandomSource& random, DocumentInspector inspector,
                        const AcceptanceOptions& options)
     : store_(store),
@@ -65,7 +65,7 @@
 
 Result<Outcome> Acceptance::Promote(const PromoteRequest& request) {
   OLEANDERTIDE_TRY(trial, ReadPosition(kTrial));
-  if (trial.version == platform::kAbsent) return Error::kNotFound;
+  if (trial.version == store::kAbsent) return Error::kNotFound;
   OLEANDERTIDE_TRY(document, FetchDocumentOf(trial));
   const Sequence trial_sequence = trial.record.sequence;
   if (request.trial_sequence.value_or(trial_sequence) != trial_sequence) {
@@ -92,7 +92,7 @@
     move.writes.push_back({RetiredKey(kProduction, item), FormatRetirement(0)});
   }
   // The trial's row is named by a condition only.
-  if (move.writes.size() + 1 > platform::kMaximumTransactionRows) {
+  if (move.writes.size() + 1 > store::kMaximumTransactionRows) {
     return Error::kTooLarge;
   }
   OLEANDERTIDE_TRY(outcome, Commit(move, document));
@@ -105,7 +105,7 @@
 
 Result<EnvironmentRecord> Acceptance::Status(std::string_view environment) {
   OLEANDERTIDE_TRY(position, ReadPosition(environment));
-  if (position.version == platform::kAbsent) return Error::kNotFound;
+  if (position.version == store::kAbsent) return Error::kNotFound;
   return std::move(position.record);
 }
 
@@ -138,7 +138,7 @@
     std::string_view environment) {
   const auto read = store_.ReadRow(EnvironmentKey(environment), std::nullopt);
   if (!read.has_value()) return NothingAccepted(read.error());
-  const auto* row = std::get_if<platform::Row>(&read.value());
+  const auto* row = std::get_if<store::Row>(&read.value());
   if (row == nullptr) return Position{};
   OLEANDERTIDE_TRY(record, ParseEnvironmentRecord(row->value));
   return Position{std::move(record), row->version};
@@ -149,21 +149,21 @@
   const auto read =
       store_.ReadRow(HistoryKey(environment, sequence), std::nullopt);
   if (!read.has_value()) return NothingAccepted(read.error());
-  const auto* row = std::get_if<platform::Row>(&read.value());
+  const auto* row = std::get_if<store::Row>(&read.value());
   if (row == nullptr) return std::nullopt;
   OLEANDERTIDE_TRY(record, ParseEnvironmentRecord(row->value));
   return std::optional(std::move(record));
 }
 
 Result<std::string> Acceptance::FetchDocumentOf(const Position& position) {
-  if (position.version == platform::kAbsent) return std::string();
+  if (position.version == store::kAbsent) return std::string();
   return FetchDocument(position.record.digest);
 }
 
 Result<bool> Acceptance::IsRetired(const DocumentItem& item) {
   const auto read = store_.ReadRow(RetiredKey(kProduction, item), std::nullopt);
   if (!read.has_value()) return NothingAccepted(read.error());
-  const auto* row = std::get_if<platform::Row>(&read.value());
+  const auto* row = std::get_if<store::Row>(&read.value());
   if (row == nullptr) return false;
   OLEANDERTIDE_TRY(sequence, ParseRetirement(row->value));
   return sequence != 0;
@@ -177,7 +177,7 @@
   ItemChanges changes;
   // Only promotions retire items. A large first document would otherwise cost
   // a read for each of its items.
-  if (production.version == platform::kAbsent) return changes;
+  if (production.version == store::kAbsent) return changes;
   OLEANDERTIDE_TRY(before, FetchDocumentOf(production));
   OLEANDERTIDE_TRY(before_items, inspector_.items(before));
   OLEANDERTIDE_TRY(after_items, inspector_.items(after));
@@ -213,7 +213,7 @@
   const std::string key = EnvironmentKey(environment);
   const std::string history_key = HistoryKey(environment, move.to.sequence);
   const std::string value = FormatEnvironmentRecord(move.to);
-  move.conditions = {{key, from.version}, {history_key, platform::kAbsent}};
+  move.conditions = {{key, from.version}, {history_key, store::kAbsent}};
   move.writes = {{key, value}, {history_key, value}};
   return move;
 }
@@ -225,7 +225,7 @@
     if (IsCertainlyNotWritten(answer.error())) return answer.error();
     return ResolveLostAnswer(move, document);
   }
-  if (const auto* refused = std::get_if<platform::Refused>(&answer.value())) {
+  if (const auto* refused = std::get_if<store::Refused>(&answer.value())) {
     return ResolveRefusal(move, refused->failed_keys, document);
   }
   return Accepted{move.environment, move.to, {}, {}};
@@ -282,7 +282,7 @@
   const auto current = ReadPosition(environment);
   if (!current.has_value()) return conflict;
   const Position& position = current.value();
-  if (position.version == platform::kAbsent) return conflict;
+  if (position.version == store::kAbsent) return conflict;
   conflict.current = position.record;
   conflict.winner = position.record;
   if (position.record.sequence > expected + 1) {
--- a/libraries/acceptance/acceptance.h
+++ b/libraries/acceptance/acceptance.h
@@ -17,7 +17,7 @@
 #include "core/random.h"
 #include "core/result.h"
 #include "core/time.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace oleandertide::acceptance {
 
@@ -104,7 +104,7 @@
  public:
   // The references must outlive the object. `random` must be seeded
   // differently in each process, because nonces come from it.
-  Acceptance(platform::Store& store, Waiter& waiter, RandomSource& random,
+  Acceptance(store::Store& store, Waiter& waiter, RandomSource& random,
              DocumentInspector inspector,
              const AcceptanceOptions& options = {});
 
@@ -133,7 +133,7 @@
   // An environment's row as read; the default stands for an absent row.
   struct Position {
     EnvironmentRecord record;
-    platform::RowVersion version = platform::kAbsent;
+    store::RowVersion version = store::kAbsent;
   };
 
   // One conditional move of an environment to its next record.
@@ -143,8 +143,8 @@
     EnvironmentRecord to;
     // Trial's sequence, if the move requires it.
     std::optional<Sequence> trial_sequence;
-    std::vector<platform::Condition> conditions;
-    std::vector<platform::Write> writes;
+    std::vector<store::Condition> conditions;
+    std::vector<store::Write> writes;
   };
 
   // Names that a promotion retires and revives.
@@ -179,7 +179,7 @@
                         std::string_view document);
   std::string MakeNonce();
 
-  platform::Store& store_;
+  store::Store& store_;
   Waiter& waiter_;
   RandomSource& random_;
   const DocumentInspector inspector_;
--- a/libraries/jobs/job_row.h
+++ b/libraries/jobs/job_row.h
@@ -11,7 +11,7 @@
 
 #include "core/result.h"
 #include "core/time.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace oleandertide::jobs {
 
@@ -34,15 +34,15 @@
 struct ClaimDueTime {
   std::string job;
   // Version of the job's row on which the decision is based.
-  platform::RowVersion job_version = platform::kAbsent;
+  store::RowVersion job_version = store::kAbsent;
   // Version of the environment's row that holds `row.sequence`.
-  platform::RowVersion environment_version = platform::kAbsent;
+  store::RowVersion environment_version = store::kAbsent;
   JobRow row;
 };
 
 struct ClaimTransaction {
-  std::vector<platform::Condition> conditions;
-  std::vector<platform::Write> writes;
+  std::vector<store::Condition> conditions;
+  std::vector<store::Write> writes;
 };
 
 // All functions are thread-safe.
--- a/libraries/jobs/job_scheduler.cc
+++ b/libraries/jobs/job_scheduler.cc
@@ -7,16 +7,16 @@
 namespace oleandertide::jobs {
 namespace {
 
-using platform::RowVersion;
+using store::RowVersion;
 
 struct EnvironmentRow {
-  RowVersion version = platform::kAbsent;
+  RowVersion version = store::kAbsent;
   std::uint64_t sequence = 0;
 };
 
 Result<EnvironmentRow> ParseEnvironmentRow(
-    const platform::ReadOutcome& outcome) {
-  const platform::Row* row = std::get_if<platform::Row>(&outcome);
+    const store::ReadOutcome& outcome) {
+  const store::Row* row = std::get_if<store::Row>(&outcome);
   if (row == nullptr) return EnvironmentRow{};
   OLEANDERTIDE_TRY(sequence, DecodeEnvironmentSequence(row->value));
   return EnvironmentRow{row->version, sequence};
@@ -143,8 +143,8 @@
 }
 
 JobEffects JobScheduler::HandleRows(
-    std::string_view job, const Result<platform::ReadOutcome>& job_row,
-    const Result<platform::ReadOutcome>& environment_row, SchedulerTime now) {
+    std::string_view job, const Result<store::ReadOutcome>& job_row,
+    const Result<store::ReadOutcome>& environment_row, SchedulerTime now) {
   JobState* state = Find(job, Phase::kReading);
   if (state == nullptr) return {};
   state->phase = Phase::kIdle;
@@ -166,13 +166,13 @@
 }
 
 void JobScheduler::HandleRow(JobState& state,
-                             const platform::ReadOutcome& job_row,
+                             const store::ReadOutcome& job_row,
                              RowVersion environment_version,
                              std::uint64_t environment_sequence,
                              SchedulerTime now) {
-  RowVersion version = platform::kAbsent;
+  RowVersion version = store::kAbsent;
   std::optional<JobRow> row;
-  if (const auto* found = std::get_if<platform::Row>(&job_row)) {
+  if (const auto* found = std::get_if<store::Row>(&job_row)) {
     version = found->version;
     const Result<JobRow> decoded = DecodeJobRow(found->value);
     if (decoded.has_error()) {
@@ -232,19 +232,19 @@
 
 JobEffects JobScheduler::HandleClaim(
     std::string_view job, std::uint64_t token,
-    const Result<platform::TransactionOutcome>& outcome, SchedulerTime now) {
+    const Result<store::TransactionOutcome>& outcome, SchedulerTime now) {
   JobState* state = Find(job, Phase::kClaiming);
   if (state == nullptr || state->token != token) {
     // The job was retired or changed meanwhile.
     const bool is_committed =
         outcome.has_value() &&
-        std::holds_alternative<platform::Committed>(outcome.value());
+        std::holds_alternative<store::Committed>(outcome.value());
     if (is_committed) ++counters_.withheld;
     return {};
   }
   state->phase = Phase::kIdle;
   if (outcome.has_value()) {
-    if (std::holds_alternative<platform::Committed>(outcome.value())) {
+    if (std::holds_alternative<store::Committed>(outcome.value())) {
       FinishClaim(*state, state->claim_sequence, now);
     } else {
       ++counters_.claims_refused;
--- a/libraries/jobs/job_scheduler.h
+++ b/libraries/jobs/job_scheduler.h
@@ -21,7 +21,7 @@
 #include "jobs/job.h"
 #include "jobs/job_call.h"
 #include "jobs/job_row.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace oleandertide::jobs {
 
@@ -103,13 +103,13 @@
 
   // Passes the outcome of ReadJobRows.
   JobEffects HandleRows(std::string_view job,
-                        const Result<platform::ReadOutcome>& job_row,
-                        const Result<platform::ReadOutcome>& environment_row,
+                        const Result<store::ReadOutcome>& job_row,
+                        const Result<store::ReadOutcome>& environment_row,
                         SchedulerTime now);
 
   // Passes the outcome of ClaimDueTime, with the token of its row.
   JobEffects HandleClaim(std::string_view job, std::uint64_t token,
-                         const Result<platform::TransactionOutcome>& outcome,
+                         const Result<store::TransactionOutcome>& outcome,
                          SchedulerTime now);
 
   const JobCounters& counters() const { return counters_; }
@@ -120,7 +120,7 @@
   // A claim whose answer was lost and that may take effect late.
   struct LostClaim {
     std::uint64_t token = 0;
-    platform::RowVersion job_version = platform::kAbsent;
+    store::RowVersion job_version = store::kAbsent;
   };
 
   struct JobState {
@@ -138,7 +138,7 @@
     Phase phase = Phase::kIdle;
     std::uint64_t token = 0;
     std::uint64_t claim_sequence = 0;
-    platform::RowVersion job_version = platform::kAbsent;
+    store::RowVersion job_version = store::kAbsent;
     MonotonicTime must_start_before;
     std::optional<LostClaim> lost_claim;
     MonotonicTime retry_at;
@@ -154,12 +154,12 @@
   bool DropIfMissed(JobState& state, SchedulerTime now);
   bool IsEligible(const JobState& state,
                   const std::optional<JobRow>& row) const;
-  void StartClaim(JobState& state, platform::RowVersion job_version,
-                  platform::RowVersion environment_version, SchedulerTime now);
+  void StartClaim(JobState& state, store::RowVersion job_version,
+                  store::RowVersion environment_version, SchedulerTime now);
   void FinishClaim(JobState& state, std::uint64_t sequence, SchedulerTime now);
   void ReadRows(JobState& state);
-  void HandleRow(JobState& state, const platform::ReadOutcome& job_row,
-                 platform::RowVersion environment_version,
+  void HandleRow(JobState& state, const store::ReadOutcome& job_row,
+                 store::RowVersion environment_version,
                  std::uint64_t environment_sequence, SchedulerTime now);
   JobState* Find(std::string_view job, Phase phase);
 
--- a/libraries/logging/log.cc
+++ b/libraries/logging/log.cc
@@ -31,9 +31,16 @@
   return spdlog::level::err;
 }
 
-std::shared_ptr<spdlog::logger> MakeLogger(const std::string& program) {
-  auto logger = std::make_shared<spdlog::logger>(
-      program, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+spdlog::sink_ptr MakeSink(Stream stream) {
+  if (stream == Stream::kStandardOutput) {
+    return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  }
+  return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+}
+
+std::shared_ptr<spdlog::logger> MakeLogger(const std::string& program,
+                                           Stream stream) {
+  auto logger = std::make_shared<spdlog::logger>(program, MakeSink(stream));
   logger->set_formatter(std::make_unique<spdlog::pattern_formatter>(
       kPattern, spdlog::pattern_time_type::utc));
   // The default handler writes to the same stream that failed.
@@ -46,7 +53,7 @@
 struct State {
   std::atomic<Level> level = Level::kInfo;
   std::atomic<std::shared_ptr<spdlog::logger>> logger =
-      MakeLogger(kDefaultProgram);
+      MakeLogger(kDefaultProgram, Stream::kStandardError);
   RateLimit rate_limit{kLinesPerSecond};
 };
 
@@ -58,10 +65,10 @@
 
 }  // namespace
 
-void Initialize(Level level, std::string_view program) {
+void Initialize(Level level, std::string_view program, Stream stream) {
   State& state = GlobalState();
   state.level = level;
-  state.logger = MakeLogger(std::string(program));
+  state.logger = MakeLogger(std::string(program), stream);
 }
 
 bool is_enabled(Level level) {
--- a/libraries/logging/log.h
+++ b/libraries/logging/log.h
@@ -1,4 +1,4 @@
-// Log lines of a process, written to the standard error stream.
+// Log lines of a process, written to one of its standard streams.
 
 #ifndef OLEANDERTIDE_LOGGING_LOG_H_
 #define OLEANDERTIDE_LOGGING_LOG_H_
@@ -16,10 +16,14 @@
 // Lines per second for each pair of component and event.
 inline constexpr std::uint64_t kLinesPerSecond = 10;
 
-// Sets the least severe level that is written and the name of the program in
-// each line. Until the first call, the level is info. Thread-safe with respect
-// to Log, but two calls must not overlap.
-void Initialize(Level level, std::string_view program);
+enum class Stream : std::uint8_t { kStandardError, kStandardOutput };
+
+// Sets the least severe level that is written, the name of the program in each
+// line and the stream. Until the first call, the level is info and the stream
+// is the standard error stream. Thread-safe with respect to Log, but two calls
+// must not overlap.
+void Initialize(Level level, std::string_view program,
+                Stream stream = Stream::kStandardError);
 
 // Whether events of `level` are written; for fields that are costly to
 // compute. Thread-safe.
--- /dev/null
+++ b/libraries/mesh/admission_queue.cc
@@ -0,0 +1,129 @@
+#include "mesh/admission_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleandertide::mesh {
+namespace {
+
+// A request with less than this share of its usual run time left is not
+// started: hardly any run is that short.
+constexpr double kHopelessShare = 0.25;
+
+// Half-life of what was learnt, without new samples.
+constexpr Duration kHalfLife = std::chrono::seconds(2);
+
+// A single sample may be a request with unusually much work.
+constexpr double kMaximumSlownessSample = 20;
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+Duration AdmissionQueue::ExpectedRunHere(Duration expected_run) const {
+  if (expected_run > Duration::zero()) {
+    return Scale(expected_run, slowness_.value());
+  }
+  return Duration(static_cast<std::int64_t>(run_time_us_.value()));
+}
+
+Duration AdmissionQueue::EstimateWait(const Key& key) const {
+  if (slots_ == 0) return Duration::max();
+  // With all slots busy, one frees itself after about a run time over slots.
+  double work = run_time_us_.value();
+  for (const auto& [other, waiting] : waiting_) {
+    if (key < other) break;
+    work += static_cast<double>(ExpectedRunHere(waiting.expected_run).count());
+  }
+  return Duration(static_cast<std::int64_t>(work / slots_));
+}
+
+AdmissionQueue::Verdict AdmissionQueue::Offer(MonotonicTime now, Ticket ticket,
+                                              const Request& request) {
+  if (slots_ == 0) return Verdict::kReject;
+  if (running_ < slots_ && waiting_.empty()) {
+    ++running_;
+    return Verdict::kStart;
+  }
+  const Key key{request.priority, now + request.wait_allowance, arrivals_++};
+  if (EstimateWait(key) > request.wait_allowance) return Verdict::kReject;
+  waiting_.emplace(
+      key, Waiting{ticket, request.expected_run, now + request.remaining});
+  keys_.emplace(ticket, key);
+  return Verdict::kWait;
+}
+
+std::optional<AdmissionQueue::Ticket> AdmissionQueue::TakeNext(
+    MonotonicTime now, std::vector<Ticket>& expired) {
+  while (running_ < slots_ && !waiting_.empty()) {
+    const auto first = waiting_.begin();
+    const Waiting waiting = first->second;
+    keys_.erase(waiting.ticket);
+    waiting_.erase(first);
+    const Duration needed =
+        Scale(ExpectedRunHere(waiting.expected_run), kHopelessShare);
+    if (now + needed >= waiting.deadline) {
+      expired.push_back(waiting.ticket);
+      continue;
+    }
+    ++running_;
+    return waiting.ticket;
+  }
+  return std::nullopt;
+}
+
+bool AdmissionQueue::Remove(Ticket ticket) {
+  const auto found = keys_.find(ticket);
+  if (found == keys_.end()) return false;
+  waiting_.erase(found->second);
+  keys_.erase(found);
+  return true;
+}
+
+std::vector<AdmissionQueue::Ticket> AdmissionQueue::RemoveAll() {
+  std::vector<Ticket> tickets;
+  for (const auto& [key, waiting] : waiting_) tickets.push_back(waiting.ticket);
+  waiting_.clear();
+  keys_.clear();
+  return tickets;
+}
+
+void AdmissionQueue::Finish(Duration run_time, Duration expected_run,
+                            bool is_sample) {
+  --running_;
+  if (!is_sample) return;
+  run_time_us_.Add(static_cast<double>(run_time.count()));
+  if (expected_run <= Duration::zero()) return;
+  const double ratio = static_cast<double>(run_time.count()) /
+                       static_cast<double>(expected_run.count());
+  slowness_.Add(std::min(ratio, kMaximumSlownessSample));
+}
+
+void AdmissionQueue::ResetStatistics() {
+  run_time_us_ = Average(kRunWindow);
+  slowness_ = Average(kSlownessWindow, 1);
+  failures_ = Average(kFailureWindow);
+}
+
+void AdmissionQueue::Relax(Duration elapsed) {
+  if (running_ > 0) return;
+  const double share = 1 - std::exp2(-static_cast<double>(elapsed.count()) /
+                                     static_cast<double>(kHalfLife.count()));
+  slowness_.Relax(1, share);
+  failures_.Relax(0, share);
+}
+
+BackendLoad AdmissionQueue::load() const {
+  return {.slots = slots_,
+          .running = running_,
+          .waiting = waiting(),
+          .mean_run_time =
+              Duration(static_cast<std::int64_t>(run_time_us_.value())),
+          .slowness = slowness_.value(),
+          .failure_share = failures_.value()};
+}
+
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/libraries/mesh/attempt_policy.cc
@@ -0,0 +1,78 @@
+#include "mesh/attempt_policy.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace oleandertide::mesh {
+namespace {
+
+// Nodes to which a request is sent before it is refused: more would hold the
+// client longer than it takes to come back.
+constexpr int kMaximumHops = 3;
+
+// Share of the usual run time that must be left for a further run.
+constexpr double kNeededShare = 0.6;
+
+// The shortest time after which a client is asked to come back.
+constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(30);
+
+constexpr int kStatusFirstServerError = 500;
+
+bool HasTimeForRun(const AttemptHistory& history) {
+  return static_cast<double>(history.remaining.count()) >
+         static_cast<double>(history.expected_run.count()) * kNeededShare;
+}
+
+bool MayReachAnother(const AttemptHistory& history) {
+  return history.reached < history.maximum_attempts &&
+         history.hops < history.maximum_attempts + kMaximumHops &&
+         HasTimeForRun(history);
+}
+
+struct Decide {
+  const AttemptHistory& history;
+
+  NextStep operator()(const Completed& completed) const {
+    if (completed.status < kStatusFirstServerError) return NextStep::kDeliver;
+    if (!is_repeatable(history.kind) || !MayReachAnother(history)) {
+      return NextStep::kDeliver;
+    }
+    return NextStep::kTryAnotherWithinBudget;
+  }
+
+  NextStep operator()(const NotRun& not_run) const {
+    if (not_run.reason == Reason::kDeadlinePassed ||
+        not_run.reason == Reason::kQuarantined) {
+      return NextStep::kGiveUp;
+    }
+    if (history.reached > 0) {
+      return MayReachAnother(history) ? NextStep::kTryAnotherWithinBudget
+                                      : NextStep::kGiveUp;
+    }
+    return history.hops < kMaximumHops && HasTimeForRun(history)
+               ? NextStep::kTryAnother
+               : NextStep::kGiveUp;
+  }
+
+  NextStep operator()(const Unknown& /*unknown*/) const {
+    if (!is_repeatable(history.kind) || !MayReachAnother(history)) {
+      return NextStep::kGiveUp;
+    }
+    return NextStep::kTryAnotherWithinBudget;
+  }
+};
+
+}  // namespace
+
+NextStep DecideNextStep(const AttemptHistory& history, const Outcome& outcome) {
+  return std::visit(Decide{history}, outcome);
+}
+
+Duration ChooseRetryAfter(Duration until_room, Duration expected_run,
+                          double unit) {
+  const Duration base = std::max(until_room, kMinimumRetryAfter);
+  const double spread = static_cast<double>(expected_run.count()) * unit;
+  return base + Duration(static_cast<std::int64_t>(spread));
+}
+
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/libraries/mesh/attempt_policy.h
@@ -0,0 +1,55 @@
+// What follows after an attempt to have a request run.
+
+#ifndef OLEANDERTIDE_MESH_ATTEMPT_POLICY_H_
+#define OLEANDERTIDE_MESH_ATTEMPT_POLICY_H_
+
+#include <cstdint>
+
+#include "core/time.h"
+#include "mesh/configuration.h"
+#include "mesh/outcome.h"
+
+namespace oleandertide::mesh {
+
+// What has happened to one request so far.
+struct AttemptHistory {
+  RequestKind kind = RequestKind::kNonIdempotent;
+  // Most backend servers that the request may reach.
+  int maximum_attempts = 1;
+  // Backend servers that it reached or may have reached.
+  int reached = 0;
+  // Nodes that it was sent to.
+  int hops = 0;
+  // Time left until the answer is of no use.
+  Duration remaining{};
+  // Mean run time of such requests.
+  Duration expected_run{};
+};
+
+enum class NextStep : std::uint8_t {
+  // The outcome is the client's answer.
+  kDeliver,
+  // Another node may be tried.
+  kTryAnother,
+  // The same, if the retry budget allows: a backend server was reached before.
+  kTryAnotherWithinBudget,
+  kGiveUp,
+};
+
+// Decides by the outcome of the last attempt. A request that may have run is
+// sent again only if its kind allows that, and only if a further run can end in
+// time.
+//
+// Load pattern: backend servers fail, refuse or lose a share of the requests.
+// Thread-safe.
+NextStep DecideNextStep(const AttemptHistory& history, const Outcome& outcome);
+
+// Time after which a client that was refused should come back: when there is
+// likely to be room, spread so that those refused together do not return
+// together. `unit` is a random number in [0, 1). Thread-safe.
+Duration ChooseRetryAfter(Duration until_room, Duration expected_run,
+                          double unit);
+
+}  // namespace oleandertide::mesh
+
+#endif  // OLEANDERTIDE_MESH_ATTEMPT_POLICY_H_
--- /dev/null
+++ b/libraries/mesh/configuration.h
@@ -0,0 +1,102 @@
+// The configuration that operators put in force: hosts, routes, services.
+
+#ifndef OLEANDERTIDE_MESH_CONFIGURATION_H_
+#define OLEANDERTIDE_MESH_CONFIGURATION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/time.h"
+
+namespace oleandertide::mesh {
+
+// What may be repeated follows from the kind of a route alone.
+enum class RequestKind : std::uint8_t {
+  kIdempotent,
+  // Runs at most once for each attempt of a client.
+  kNonIdempotent,
+  // Idempotent, with a large answer.
+  kDownload,
+};
+
+// Whether a request of this kind may run more than once. Thread-safe.
+inline bool is_repeatable(RequestKind kind) {
+  return kind != RequestKind::kNonIdempotent;
+}
+
+// A service with its share of a route's requests.
+struct WeightedService {
+  std::string service;
+  double weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
+};
+
+struct Route {
+  std::string name{};
+  // Begins and ends with a slash.
+  std::string path_prefix{};
+  RequestKind kind = RequestKind::kNonIdempotent;
+  // Longest time that a client is kept waiting.
+  Duration timeout{};
+  // An answer within this time is worth most to the client.
+  Duration target_latency{};
+  // Rank among routes; 0 is the most urgent.
+  int priority = 0;
+  // Most backend servers to which one attempt of a client may be sent.
+  int maximum_attempts = 1;
+  // Not empty.
+  std::vector<WeightedService> services{};
+
+  bool operator==(const Route&) const = default;
+};
+
+struct Service {
+  std::string name;
+  std::string health_path;
+  // Connections that a backend server accepts from all callers together.
+  std::size_t maximum_connections = 0;
+
+  bool operator==(const Service&) const = default;
+};
+
+// What a client may send, and how long it may take.
+struct ClientLimits {
+  std::size_t maximum_header_bytes = 16 * 1024;
+  std::size_t maximum_body_bytes = 64 * 1024 * 1024;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+
+  bool operator==(const ClientLimits&) const = default;
+};
+
+// One version of the configuration, complete and checked. Immutable once it is
+// shared.
+struct Configuration {
+  // Versions compare as numbers; they increase in uneven steps.
+  std::uint64_t version = 0;
+  std::vector<Service> services;
+  ClientLimits limits;
+  // Routes by path prefix, by host in lower case.
+  std::map<std::string, std::map<std::string, Route, std::less<>>, std::less<>>
+      hosts;
+
+  // Returns the route with the longest prefix of `target` (path and query)
+  // among those of `host` (with or without port), or nullptr. Thread-safe.
+  const Route* FindRoute(std::string_view host, std::string_view target) const;
+
+  // Returns the service of that name, or nullptr. Thread-safe.
+  const Service* FindService(std::string_view name) const;
+};
+
+// Lowers the letters of ASCII, as the names of hosts are compared. Thread-safe.
+std::string ToLowerCase(std::string_view text);
+
+}  // namespace oleandertide::mesh
+
+#endif  // OLEANDERTIDE_MESH_CONFIGURATION_H_
--- /dev/null
+++ b/libraries/mesh/outcome.h
@@ -0,0 +1,94 @@
+// How an attempt to have a request run ended.
+
+#ifndef OLEANDERTIDE_MESH_OUTCOME_H_
+#define OLEANDERTIDE_MESH_OUTCOME_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "core/time.h"
+
+namespace oleandertide::mesh {
+
+// Why a request was not run, or why its outcome is not known.
+enum class Reason : std::uint8_t {
+  kNone,
+  // The node holds no configuration yet.
+  kNoConfiguration,
+  // No backend server of the service is known to take requests.
+  kNoBackendServer,
+  // Waiting for a slot would take longer than the answer is worth.
+  kNoRoom,
+  // The backend server of the receiver is leaving, down or of another service.
+  kBackendServerAway,
+  // The backend server said that it did not run the request.
+  kBackendServerRefused,
+  // No connection to the backend server could be opened.
+  kConnectFailed,
+  // The connection ended before the answer was complete.
+  kConnectionLost,
+  // The answer was not that of the request, or not readable.
+  kAnswerUnusable,
+  // The time for the request passed.
+  kDeadlinePassed,
+  // The connection to the receiver was lost.
+  kLinkLost,
+  // The request was in flight when several backend servers crashed.
+  kQuarantined,
+  // The client left.
+  kCancelled,
+  // The receiver is about to stop.
+  kStopping,
+};
+
+inline constexpr int kReasonCount = static_cast<int>(Reason::kStopping) + 1;
+
+// Stable name for logs and metrics. Thread-safe.
+std::string_view ToString(Reason reason);
+
+// An answer of the backend server, success or failure.
+struct Completed {
+  int status = 0;
+  // Lines as in HTTP/1.1, each with its line end, without those that concern
+  // one connection.
+  std::string headers{};
+  std::string body{};
+  // Time for which the request held a slot.
+  Duration run_time{};
+};
+
+// The request has not run and never will by this attempt.
+struct NotRun {
+  Reason reason = Reason::kNone;
+  // Whether it was sent to a backend server, which refused it.
+  bool has_reached_backend_server = false;
+};
+
+// The request may have run.
+struct Unknown {
+  Reason reason = Reason::kNone;
+};
+
+using Outcome = std::variant<Completed, NotRun, Unknown>;
+
+// Load of a backend server, as the node beside it sees it.
+struct BackendLoad {
+  bool accepts_requests = false;
+  int slots = 0;
+  int running = 0;
+  int waiting = 0;
+  // Mean time for which a request holds a slot; zero if unknown.
+  Duration mean_run_time{};
+  // Run times in relation to those of other backend servers of the service.
+  double slowness = 1;
+  // Share of requests that are refused or failed without need.
+  double failure_share = 0;
+
+  bool operator==(const BackendLoad&) const = default;
+};
+
+}  // namespace oleandertide::mesh
+
+#endif  // OLEANDERTIDE_MESH_OUTCOME_H_
--- /dev/null
+++ b/libraries/mesh/placement.cc
@@ -0,0 +1,125 @@
+#include "mesh/placement.h"
+
+#include <algorithm>
+
+namespace oleandertide::mesh {
+namespace {
+
+// Round trip between data centres in microseconds; the users' sites have 1 to
+// 2.8 ms.
+constexpr double kOtherDataCentreUs = 2'800;
+
+// Charge for each byte that crosses data centres in microseconds: the users
+// price 90 kB about as high as a whole answer.
+constexpr double kOtherDataCentreUsPerByte = 1;
+
+// Share of the mean run time by which scores are blurred.
+constexpr double kBlur = 0.15;
+
+// Backend servers slow down when they are nearly full: the charge for the last
+// slot, as a share of the mean run time.
+constexpr double kCrowdingCharge = 0.3;
+// Load share from which crowding is charged.
+constexpr double kCrowdingFrom = 0.5;
+
+// A refused or failed attempt costs about this share of the target latency.
+constexpr double kFailureCharge = 1.0;
+
+double Microseconds(Duration duration) {
+  return static_cast<double>(duration.count());
+}
+
+}  // namespace
+
+void Placement::Update(std::string_view node, std::string_view service,
+                       bool is_in_own_data_centre, const BackendLoad& load) {
+  auto found = candidates_.find(node);
+  if (found == candidates_.end()) {
+    found = candidates_.emplace(node, Candidate{}).first;
+  }
+  Candidate& candidate = found->second;
+  candidate.service = service;
+  candidate.is_in_own_data_centre = is_in_own_data_centre;
+  candidate.load = load;
+  candidate.unreported = 0;
+}
+
+void Placement::UpdateLoad(std::string_view node, const BackendLoad& load) {
+  const auto found = candidates_.find(node);
+  if (found == candidates_.end()) return;
+  found->second.load = load;
+  found->second.unreported = 0;
+}
+
+void Placement::Remove(std::string_view node) {
+  const auto found = candidates_.find(node);
+  if (found != candidates_.end()) candidates_.erase(found);
+}
+
+Duration Placement::EstimateWait(const Candidate& candidate) {
+  const BackendLoad& load = candidate.load;
+  const int ahead =
+      load.running + load.waiting + candidate.unreported - load.slots + 1;
+  if (ahead <= 0) return Duration::zero();
+  return load.mean_run_time * ahead / std::max(load.slots, 1);
+}
+
+double Placement::Score(const Candidate& candidate, const Request& request,
+                        Duration wait) {
+  const BackendLoad& load = candidate.load;
+  const double run = Microseconds(request.expected_run) * load.slowness;
+  const double used =
+      static_cast<double>(load.running + load.waiting + candidate.unreported) /
+      std::max(load.slots, 1);
+  double score = Microseconds(wait) + run;
+  score += run * kCrowdingCharge * std::max(0.0, used - kCrowdingFrom);
+  score += load.failure_share * kFailureCharge *
+           Microseconds(request.target_latency);
+  if (!candidate.is_in_own_data_centre) {
+    score +=
+        kOtherDataCentreUs + request.expected_bytes * kOtherDataCentreUsPerByte;
+  }
+  return score;
+}
+
+Placement::Decision Placement::Choose(const Request& request,
+                                      std::span<const std::string> excluded,
+                                      RandomSource& random) {
+  Candidate* best = nullptr;
+  const std::string* best_node = nullptr;
+  double best_score = 0;
+  Duration shortest_wait = Duration::max();
+  bool is_any_accepting = false;
+  for (auto& [node, candidate] : candidates_) {
+    if (candidate.service != request.service) continue;
+    if (!candidate.load.accepts_requests) continue;
+    if (std::ranges::find(excluded, node) != excluded.end()) continue;
+    is_any_accepting = true;
+    const Duration wait = EstimateWait(candidate);
+    shortest_wait = std::min(shortest_wait, wait);
+    if (wait > request.wait_allowance) continue;
+    const double score =
+        Score(candidate, request, wait) +
+        random.Unit() * kBlur * Microseconds(candidate.load.mean_run_time);
+    if (best != nullptr && score >= best_score) continue;
+    best = &candidate;
+    best_node = &node;
+    best_score = score;
+  }
+  if (best != nullptr) {
+    const Duration wait = EstimateWait(*best);
+    ++best->unreported;
+    return Choice{*best_node, wait};
+  }
+  if (!is_any_accepting) return NoBackendServer{};
+  return NoRoom{shortest_wait - request.wait_allowance};
+}
+
+bool Placement::has_backend_server(std::string_view service) const {
+  return std::ranges::any_of(candidates_, [&](const auto& entry) {
+    return entry.second.service == service &&
+           entry.second.load.accepts_requests;
+  });
+}
+
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/libraries/mesh/placement.h
@@ -0,0 +1,89 @@
+// Choice of the node that is to run a request.
+
+#ifndef OLEANDERTIDE_MESH_PLACEMENT_H_
+#define OLEANDERTIDE_MESH_PLACEMENT_H_
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "core/random.h"
+#include "core/time.h"
+#include "mesh/outcome.h"
+
+namespace oleandertide::mesh {
+
+// Chooses by the expected time until the answer: the wait for a slot, the run
+// at the backend server's speed, the way there, and a charge for what would be
+// refused or failed. All ingresses choose by reports that are some milliseconds
+// old, so the choice is blurred a little: otherwise all would send to the one
+// backend server that has just become free.
+//
+// Load pattern: bursts, slow, cold and failing backend servers.
+//
+// Not thread-safe.
+class Placement {
+ public:
+  struct Request {
+    std::string_view service;
+    Duration expected_run{};
+    // Bytes of the answer, usually.
+    double expected_bytes = 0;
+    // Time for which the request may wait for a slot.
+    Duration wait_allowance{};
+    // An answer within this time is worth most.
+    Duration target_latency{};
+  };
+
+  struct Choice {
+    std::string node;
+    Duration expected_wait{};
+  };
+  // All backend servers are busy beyond the allowance.
+  struct NoRoom {
+    // Expected time until a request would be accepted.
+    Duration until_room{};
+  };
+  // No backend server takes requests.
+  struct NoBackendServer {};
+  using Decision = std::variant<Choice, NoRoom, NoBackendServer>;
+
+  // Takes in a report on the backend server beside `node`.
+  void Update(std::string_view node, std::string_view service,
+              bool is_in_own_data_centre, const BackendLoad& load);
+
+  // Takes in the load that came with an answer of `node`.
+  void UpdateLoad(std::string_view node, const BackendLoad& load);
+
+  // The node cannot be reached.
+  void Remove(std::string_view node);
+
+  // Returns where to send the request; nodes in `excluded` are not considered.
+  Decision Choose(const Request& request, std::span<const std::string> excluded,
+                  RandomSource& random);
+
+  // Whether some backend server of `service` takes requests.
+  bool has_backend_server(std::string_view service) const;
+
+ private:
+  struct Candidate {
+    std::string service;
+    bool is_in_own_data_centre = false;
+    BackendLoad load;
+    // Requests sent since the report.
+    int unreported = 0;
+  };
+
+  static Duration EstimateWait(const Candidate& candidate);
+  static double Score(const Candidate& candidate, const Request& request,
+                      Duration wait);
+
+  std::map<std::string, Candidate, std::less<>> candidates_;
+};
+
+}  // namespace oleandertide::mesh
+
+#endif  // OLEANDERTIDE_MESH_PLACEMENT_H_
--- a/libraries/once/blocking_claim_writer.cc
+++ b/libraries/once/blocking_claim_writer.cc
@@ -95,14 +95,14 @@
   if (!commits.empty()) {
     const CommitClaims commit = std::move(commits.front());
     commits.pop_front();
-    const Result<platform::TransactionOutcome> outcome =
+    const Result<store::TransactionOutcome> outcome =
         owner.store_.Transact(commit.conditions, commit.writes);
     Take(writer.HandleTransaction(commit.operation, outcome, ReadClocks()));
     return;
   }
   const ReadClaimRow read = std::move(reads.front());
   reads.pop_front();
-  const Result<platform::ReadOutcome> outcome =
+  const Result<store::ReadOutcome> outcome =
       owner.store_.ReadRow(read.key, std::nullopt);
   Take(writer.HandleRead(read.operation, outcome, ReadClocks()));
 }
@@ -134,7 +134,7 @@
 }
 
 BlockingClaimWriter::BlockingClaimWriter(ClaimWriterOptions options,
-                                         platform::Store& store)
+                                         store::Store& store)
     : store_(store), options_(std::move(options)), thread_([this] { Run(); }) {}
 
 BlockingClaimWriter::~BlockingClaimWriter() { Stop(); }
--- a/libraries/once/blocking_claim_writer.h
+++ b/libraries/once/blocking_claim_writer.h
@@ -15,7 +15,7 @@
 #include "core/time.h"
 #include "once/claim.h"
 #include "once/claim_writer.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace oleandertide::once {
 
@@ -24,7 +24,7 @@
 class BlockingClaimWriter {
  public:
   // Starts the thread. Precondition: `store` outlives this object.
-  BlockingClaimWriter(ClaimWriterOptions options, platform::Store& store);
+  BlockingClaimWriter(ClaimWriterOptions options, store::Store& store);
 
   // Calls Stop. Precondition: no other thread is inside a method.
   ~BlockingClaimWriter();
@@ -70,7 +70,7 @@
   // Waits for inputs or the next wake time; empty if only time has passed.
   std::vector<Input> TakeInputs(const Worker& worker, bool& is_stopping);
 
-  platform::Store& store_;
+  store::Store& store_;
   const ClaimWriterOptions options_;
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/libraries/once/claim_writer.cc
+++ b/libraries/once/claim_writer.cc
@@ -7,7 +7,7 @@
 namespace oleandertide::once {
 namespace {
 
-using platform::RowVersion;
+using store::RowVersion;
 
 enum class Phase { kIdle, kReading, kWriting };
 
@@ -94,7 +94,7 @@
 
   // Content of the row at `checked_at`; nullopt: absent.
   bool is_known = false;
-  RowVersion version = platform::kAbsent;
+  RowVersion version = store::kAbsent;
   std::optional<ClaimRecord> record;
   MonotonicTime checked_at;
   // Operation in flight, and the one that showed the content.
@@ -111,7 +111,7 @@
 
   // The write in flight in phase kWriting.
   ClaimRecord proposed;
-  RowVersion base = platform::kAbsent;
+  RowVersion base = store::kAbsent;
 
   bool is_cached = false;
   std::list<KeyState*>::iterator cache_position;
@@ -182,7 +182,7 @@
 }
 
 ClaimWriterEffects ClaimWriter::HandleRead(
-    OperationId operation, const Result<platform::ReadOutcome>& outcome,
+    OperationId operation, const Result<store::ReadOutcome>& outcome,
     Moment now) {
   now_ = now;
   const auto found = reads_in_flight_.find(operation);
@@ -210,16 +210,16 @@
 }
 
 ClaimWriterEffects ClaimWriter::HandleTransaction(
-    OperationId operation, const Result<platform::TransactionOutcome>& outcome,
+    OperationId operation, const Result<store::TransactionOutcome>& outcome,
     Moment now) {
   now_ = now;
   if (commit_in_flight_ != operation) return Finish();
   commit_in_flight_.reset();
   if (outcome.has_value()) {
-    std::visit(Overloaded{[this](const platform::Committed& committed) {
+    std::visit(Overloaded{[this](const store::Committed& committed) {
                             HandleCommitted(committed);
                           },
-                          [this](const platform::Refused& refused) {
+                          [this](const store::Refused& refused) {
                             HandleRefused(refused);
                           }},
                outcome.value());
@@ -455,10 +455,10 @@
 }
 
 void ClaimWriter::LearnRead(KeyState& state,
-                            const platform::ReadOutcome& outcome) {
-  const platform::Row* row = std::get_if<platform::Row>(&outcome);
+                            const store::ReadOutcome& outcome) {
+  const store::Row* row = std::get_if<store::Row>(&outcome);
   if (row == nullptr) {
-    Learn(state, platform::kAbsent, std::nullopt);
+    Learn(state, store::kAbsent, std::nullopt);
     return;
   }
   Result<ClaimRecord> record = DecodeClaimRecord(row->value);
@@ -607,7 +607,7 @@
 void ClaimWriter::FillBatch(std::deque<QueuedRow>& rows, Queue queue,
                             CommitClaims& commit) {
   std::size_t bytes = 0;
-  for (const platform::Write& write : commit.writes)
+  for (const store::Write& write : commit.writes)
     bytes += write.value.size();
   while (!rows.empty() && commit.writes.size() < options_.maximum_batch_rows &&
          bytes < options_.maximum_batch_bytes) {
@@ -624,7 +624,7 @@
     }
     state->phase = Phase::kWriting;
     state->operation = commit.operation;
-    state->base = state->is_known ? state->version : platform::kAbsent;
+    state->base = state->is_known ? state->version : store::kAbsent;
     state->proposed = std::move(*record);
     rows_in_flight_.push_back(state->row_key);
     commit.conditions.push_back({state->row_key, state->base});
@@ -657,7 +657,7 @@
   return due;
 }
 
-void ClaimWriter::HandleCommitted(const platform::Committed& committed) {
+void ClaimWriter::HandleCommitted(const store::Committed& committed) {
   counters_.rows_written += rows_in_flight_.size();
   commit_interval_ =
       std::max(options_.commit_interval,
@@ -676,7 +676,7 @@
   }
 }
 
-void ClaimWriter::HandleRefused(const platform::Refused& refused) {
+void ClaimWriter::HandleRefused(const store::Refused& refused) {
   const auto is_failed = [&refused](const std::string& row_key) {
     return std::find(refused.failed_keys.begin(), refused.failed_keys.end(),
                      row_key) != refused.failed_keys.end();
--- a/libraries/once/claim_writer.h
+++ b/libraries/once/claim_writer.h
@@ -20,7 +20,7 @@
 #include "core/time.h"
 #include "once/claim.h"
 #include "once/claim_record.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace oleandertide::once {
 
@@ -72,8 +72,8 @@
 // Effect: run the transaction and pass the outcome to HandleTransaction.
 struct CommitClaims {
   OperationId operation = 0;
-  std::vector<platform::Condition> conditions;
-  std::vector<platform::Write> writes;
+  std::vector<store::Condition> conditions;
+  std::vector<store::Write> writes;
 };
 
 // Effect: the answer to a claim. There is exactly one for each AddClaim.
@@ -139,14 +139,14 @@
 
   // Passes the outcome of ReadClaimRow.
   ClaimWriterEffects HandleRead(OperationId operation,
-                                const Result<platform::ReadOutcome>& outcome,
+                                const Result<store::ReadOutcome>& outcome,
                                 Moment now);
 
   // Passes the outcome of CommitClaims. Errors other than kUnavailable and
   // kRateLimited mean that the transaction may still take effect.
   ClaimWriterEffects HandleTransaction(
       OperationId operation,
-      const Result<platform::TransactionOutcome>& outcome, Moment now);
+      const Result<store::TransactionOutcome>& outcome, Moment now);
 
   // Applies deadlines and intervals. Call at next_wake_time() or later.
   ClaimWriterEffects Advance(Moment now);
@@ -191,9 +191,9 @@
   void Enqueue(KeyState& state, Queue queue);
   void Park(KeyState& state);
   void TrimCache();
-  void Learn(KeyState& state, platform::RowVersion version,
+  void Learn(KeyState& state, store::RowVersion version,
              std::optional<ClaimRecord> record);
-  void LearnRead(KeyState& state, const platform::ReadOutcome& outcome);
+  void LearnRead(KeyState& state, const store::ReadOutcome& outcome);
 
   void Answer(const WaitingClaim& claim, ClaimResult result);
   void AnswerUncertain(KeyState& state, WaitingClaim& claim);
@@ -207,8 +207,8 @@
   void FillBatch(std::deque<QueuedRow>& rows, Queue queue,
                  CommitClaims& commit);
   std::optional<MonotonicTime> BatchDue() const;
-  void HandleCommitted(const platform::Committed& committed);
-  void HandleRefused(const platform::Refused& refused);
+  void HandleCommitted(const store::Committed& committed);
+  void HandleRefused(const store::Refused& refused);
   void HandleNotWritten();
   void HandleLostAnswer();
   ClaimWriterEffects Finish();
--- /dev/null
+++ b/libraries/sidecar/call.h
@@ -0,0 +1,47 @@
+// A request on its way from the node that received it to the one that runs it.
+
+#ifndef OLEANDERTIDE_SIDECAR_CALL_H_
+#define OLEANDERTIDE_SIDECAR_CALL_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "core/time.h"
+#include "mesh/outcome.h"
+#include "routing/quarantine.h"
+
+namespace oleandertide::sidecar {
+
+struct Call {
+  std::string request_id{};
+  std::string method{};
+  std::string target{};
+  // Lines as in HTTP/1.1, each with its line end.
+  std::string headers{};
+  std::string body{};
+  // Service on whose instance the request began.
+  std::string caller_service{};
+  // Service that is to run the request.
+  std::string service{};
+  // Time left until the answer is of no use.
+  Duration remaining{};
+  // Time for which the request may wait for a slot.
+  Duration wait_allowance{};
+  // Mean run time of the route; zero if unknown.
+  Duration expected_run{};
+  routing::Fingerprint fingerprint = 0;
+  int priority = 0;
+  // Whether the request may run more than once.
+  bool is_repeatable = false;
+};
+
+// Called once with the outcome, unless the call is cancelled before.
+using OnOutcome = std::function<void(mesh::Outcome)>;
+
+// Names a call within the node or link that carries it.
+using CallId = std::uint64_t;
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_CALL_H_
--- /dev/null
+++ b/libraries/sidecar/configuration_source.cc
@@ -0,0 +1,155 @@
+#include "sidecar/configuration_source.h"
+
+#include <utility>
+
+#include "logging/log.h"
+#include "mesh/reader_election.h"
+#include "platform/configuration_codec.h"
+#include "platform/names.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using logging::Level;
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+
+// How long the store holds a call that waits for changes. An answer confirms
+// the version, so this is below the limit after which other nodes read as well.
+constexpr Duration kWait = std::chrono::milliseconds(800);
+
+// Pause after a call that failed.
+constexpr Duration kShortestPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+
+// A node of another data centre is asked for a configuration only after the
+// own data centre's reader has had time to bring it: bytes between data centres
+// are priced.
+constexpr Duration kOtherDataCentreDelay = std::chrono::milliseconds(200);
+// Time between requests for a configuration.
+constexpr Duration kRequestInterval = std::chrono::milliseconds(200);
+
+}  // namespace
+
+ConfigurationSource::ConfigurationSource(const Parts& parts, NodeIdentity self,
+                                         std::function<void()> on_changed)
+    : parts_(parts),
+      self_(std::move(self)),
+      on_changed_(std::move(on_changed)),
+      timer_(parts.loop) {}
+
+void ConfigurationSource::Start() { Tick(); }
+
+void ConfigurationSource::ScheduleTick(Duration interval) {
+  timer_.expires_after(interval);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Tick();
+  });
+}
+
+void ConfigurationSource::Tick() {
+  ScheduleTick(kTickInterval);
+  const MonotonicTime now = MonotonicClock::now();
+  const Duration age = parts_.holder.confirmation_age(now);
+  constexpr double kUnconfirmedSeconds = 1e9;
+  parts_.metrics.confirmation_age.set_value(
+      age == Duration::max() ? kUnconfirmedSeconds
+                             : std::chrono::duration<double>(age).count());
+  if (is_reading_ || now < backoff_until_) return;
+  std::vector<std::string> peers;
+  for (const NodeIdentity& peer : links_->connected()) {
+    if (peer.data_centre == self_.data_centre) peers.push_back(peer.name);
+  }
+  if (!mesh::IsReader(self_.name, peers, age)) return;
+  if (followed_) {
+    Follow();
+  } else {
+    ReadAll();
+  }
+}
+
+void ConfigurationSource::ReadAll() {
+  is_reading_ = true;
+  parts_.store.ReadRows(
+      platform::kOperatorTable, platform::kConfigurationKey,
+      [this](const Result<platform::RowList>& rows) { OnRows(rows); });
+}
+
+void ConfigurationSource::Follow() {
+  is_reading_ = true;
+  parts_.store.AwaitChanges(
+      platform::kOperatorTable, *followed_, kWait,
+      [this](const Result<platform::RowList>& rows) { OnRows(rows); });
+}
+
+void ConfigurationSource::OnRows(const Result<platform::RowList>& rows) {
+  is_reading_ = false;
+  const MonotonicTime now = MonotonicClock::now();
+  if (!rows) {
+    logging::Log(Level::kWarning, "store", "read failed",
+                 {{"error", rows.error().message()},
+                  {"version", parts_.holder.version()},
+                  {"followed", followed_.value_or(0)}});
+    followed_.reset();
+    backoff_until_ = now + parts_.random.Between(kShortestPause, kLongestPause);
+    return;
+  }
+  for (const platform::Row& row : rows.value().rows) {
+    if (row.key != platform::kConfigurationKey || row.is_deleted) continue;
+    Offer(row.value, "store");
+  }
+  followed_ = rows.value().store_version;
+  parts_.holder.Confirm(parts_.holder.version(), now, Duration::zero());
+  // The next call starts at once, so that no change goes unnoticed.
+  Tick();
+}
+
+void ConfigurationSource::OnPeerStatus(const NodeIdentity& peer,
+                                       std::uint64_t version,
+                                       Duration confirmation_age) {
+  const MonotonicTime now = MonotonicClock::now();
+  if (version == parts_.holder.version()) {
+    if (confirmation_age != Duration::max()) {
+      parts_.holder.Confirm(version, now, confirmation_age);
+    }
+    return;
+  }
+  if (version < parts_.holder.version()) return;
+  if (now - requested_at_ < kRequestInterval) return;
+  requested_at_ = now;
+  if (peer.data_centre == self_.data_centre) {
+    links_->RequestConfiguration(peer.name);
+    return;
+  }
+  auto timer = std::make_shared<Timer>(parts_.loop, kOtherDataCentreDelay);
+  timer->async_wait([this, timer, name = peer.name,
+                     version](const boost::system::error_code& error) {
+    if (error || parts_.holder.version() >= version) return;
+    links_->RequestConfiguration(name);
+  });
+}
+
+void ConfigurationSource::Offer(std::string_view text,
+                                std::string_view source) {
+  auto decoded = platform::DecodeConfiguration(text);
+  if (!decoded) {
+    parts_.metrics.malformed_configurations.Add();
+    logging::Log(Level::kError, "configuration", "not readable",
+                 {{"source", source}, {"why", decoded.error()}});
+    return;
+  }
+  const std::uint64_t before = parts_.holder.version();
+  if (!parts_.holder.Offer(std::move(decoded).value(), std::string(text))) {
+    return;
+  }
+  parts_.metrics.configurations.Add();
+  parts_.metrics.configuration_version.set_value(
+      static_cast<double>(parts_.holder.version()));
+  logging::Log(Level::kInfo, "configuration", "in force",
+               {{"version", parts_.holder.version()},
+                {"before", before},
+                {"source", source}});
+  on_changed_();
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/configuration_source.h
@@ -0,0 +1,76 @@
+// Brings the configuration from the store and from other nodes.
+
+#ifndef OLEANDERTIDE_SIDECAR_CONFIGURATION_SOURCE_H_
+#define OLEANDERTIDE_SIDECAR_CONFIGURATION_SOURCE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/random.h"
+#include "core/time.h"
+#include "mesh/configuration_holder.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/link_client.h"
+#include "sidecar/node_metrics.h"
+#include "sidecar/store_client.h"
+
+namespace oleandertide::sidecar {
+
+// Follows the configuration at the store when this node is to, and takes newer
+// versions from other nodes. The store's word that a version was accepted is
+// enough to act on it. Not thread-safe.
+class ConfigurationSource {
+ public:
+  struct Parts {
+    EventLoop& loop;
+    StoreClient& store;
+    mesh::ConfigurationHolder& holder;
+    NodeMetrics& metrics;
+    RandomSource& random;
+  };
+
+  // `self` is this node; `on_changed` is called when a version comes in force.
+  ConfigurationSource(const Parts& parts, NodeIdentity self,
+                      std::function<void()> on_changed);
+
+  // Sets where newer versions of other nodes are asked for.
+  // Precondition: `links` outlives this object; called before Start.
+  void set_links(LinkClient& links) { links_ = &links; }
+
+  // Starts to read the store.
+  void Start();
+
+  // Another node told its version and how fresh it is.
+  void OnPeerStatus(const NodeIdentity& peer, std::uint64_t version,
+                    Duration confirmation_age);
+
+  // Takes in a configuration as the store holds it.
+  void Offer(std::string_view text, std::string_view source);
+
+ private:
+  void ScheduleTick(Duration interval);
+  void Tick();
+  void ReadAll();
+  void Follow();
+  void OnRows(const Result<platform::RowList>& rows);
+
+  const Parts parts_;
+  const NodeIdentity self_;
+  std::function<void()> on_changed_;
+  LinkClient* links_ = nullptr;
+  Timer timer_;
+  // Changes at the store are followed from here; unknown at first and when the
+  // store has forgotten its history.
+  std::optional<std::uint64_t> followed_;
+  bool is_reading_ = false;
+  MonotonicTime backoff_until_;
+  MonotonicTime requested_at_;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_CONFIGURATION_SOURCE_H_
--- /dev/null
+++ b/libraries/sidecar/framed_connection.cc
@@ -0,0 +1,183 @@
+#include "sidecar/framed_connection.h"
+
+#include <capnp/serialize.h>
+#include <kj/array.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+#include <utility>
+
+#include "logging/log.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+constexpr std::size_t kHeadBytes = 8;
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+// Larger than any configuration, request or answer that clients may send.
+constexpr std::size_t kMaximumFrameBytes = 80 * 1024 * 1024;
+
+// Buffers above this are given back when they have been emptied.
+constexpr std::size_t kKeptBufferBytes = 64 * 1024;
+
+// A node that does not read for long is cut off before memory runs short.
+constexpr std::size_t kMaximumPendingBytes = 32 * 1024 * 1024;
+
+// Time until a connection without answer from the other kernel fails.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
+
+std::uint32_t ReadLength(const char* bytes) {
+  std::array<unsigned char, 4> raw;
+  std::memcpy(raw.data(), bytes, raw.size());
+  return raw[0] | (raw[1] << 8U) | (raw[2] << 16U) |
+         (static_cast<std::uint32_t>(raw[3]) << 24U);
+}
+
+void AppendLength(std::string& output, std::size_t length) {
+  for (const unsigned shift : {0U, 8U, 16U, 24U}) {
+    output += static_cast<char>((length >> shift) & 0xffU);
+  }
+}
+
+}  // namespace
+
+FramedConnection::FramedConnection(Tcp::socket socket)
+    : socket_(std::move(socket)),
+      input_(kReadBytes),
+      last_received_(MonotonicClock::now()) {}
+
+void FramedConnection::Start(OnFrame on_frame, OnClosed on_closed) {
+  on_frame_ = std::move(on_frame);
+  on_closed_ = std::move(on_closed);
+  SetConnectionOptions(socket_, kSilenceLimit);
+  Read();
+}
+
+void FramedConnection::Send(capnp::MessageBuilder& message,
+                            std::string_view body) {
+  if (is_closed_) return;
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  AppendLength(pending_, bytes.size());
+  AppendLength(pending_, body.size());
+  pending_.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  pending_.append(body);
+  queued_bytes_ += kHeadBytes + bytes.size() + body.size();
+  if (pending_.size() > kMaximumPendingBytes) {
+    Close();
+    return;
+  }
+  ScheduleFlush();
+}
+
+void FramedConnection::ScheduleFlush() {
+  if (is_flush_scheduled_ || is_writing_) return;
+  is_flush_scheduled_ = true;
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->is_flush_scheduled_ = false;
+    self->Flush();
+  });
+}
+
+void FramedConnection::Flush() {
+  if (is_closed_ || is_writing_ || pending_.empty()) return;
+  is_writing_ = true;
+  std::swap(writing_, pending_);
+  submitted_bytes_ += writing_.size();
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(writing_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t /*size*/) {
+        self->is_writing_ = false;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->writing_.clear();
+        if (self->writing_.capacity() > kKeptBufferBytes) {
+          self->writing_ = std::string();
+        }
+        self->Flush();
+      });
+}
+
+void FramedConnection::Read() {
+  if (is_closed_) return;
+  if (input_.size() - input_size_ < kReadBytes / 2) {
+    input_.resize(std::max(input_.size() * 2, input_size_ + kReadBytes));
+  }
+  socket_.async_read_some(
+      boost::asio::buffer(input_.data() + input_size_,
+                          input_.size() - input_size_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t size) {
+        if (self->is_closed_) return;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->last_received_ = MonotonicClock::now();
+        self->input_size_ += size;
+        if (!self->ParseFrames()) {
+          logging::Log(logging::Level::kWarning, "link", "malformed frame");
+          self->Close();
+          return;
+        }
+        self->Read();
+      });
+}
+
+bool FramedConnection::ParseFrames() {
+  std::size_t used = 0;
+  while (!is_closed_ && input_size_ - used >= kHeadBytes) {
+    const std::size_t message_size = ReadLength(input_.data() + used);
+    const std::size_t body_size = ReadLength(input_.data() + used + 4);
+    const std::size_t total = kHeadBytes + message_size + body_size;
+    if (total > kMaximumFrameBytes || message_size % sizeof(capnp::word) != 0) {
+      return false;
+    }
+    if (input_size_ - used < total) {
+      if (input_.size() < total) input_.resize(total);
+      break;
+    }
+    // The message must be aligned in memory.
+    auto words = kj::heapArray<capnp::word>(message_size / sizeof(capnp::word));
+    std::memcpy(words.begin(), input_.data() + used + kHeadBytes, message_size);
+    const std::string_view body(
+        input_.data() + used + kHeadBytes + message_size, body_size);
+    try {
+      capnp::FlatArrayMessageReader reader(words);
+      on_frame_(reader.getRoot<wire::Frame>(), body);
+    } catch (const kj::Exception&) {
+      return false;
+    }
+    used += total;
+  }
+  if (used > 0) {
+    std::memmove(input_.data(), input_.data() + used, input_size_ - used);
+    input_size_ -= used;
+    if (input_size_ == 0 && input_.size() > kKeptBufferBytes) {
+      input_ = std::vector<char>(kReadBytes);
+    }
+  }
+  return true;
+}
+
+void FramedConnection::Close() {
+  if (is_closed_) return;
+  is_closed_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  // This may be called by on_frame_ itself, which must outlive the call.
+  boost::asio::post(socket_.get_executor(),
+                    [self = shared_from_this()] { self->on_frame_ = nullptr; });
+  if (const auto on_closed = std::exchange(on_closed_, nullptr)) on_closed();
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/framed_connection.h
@@ -0,0 +1,75 @@
+// A connection between two nodes that carries frames both ways.
+
+#ifndef OLEANDERTIDE_SIDECAR_FRAMED_CONNECTION_H_
+#define OLEANDERTIDE_SIDECAR_FRAMED_CONNECTION_H_
+
+#include <capnp/message.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/time.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/link.capnp.h"
+
+namespace oleandertide::sidecar {
+
+// Sends and receives frames as described in link.capnp. Frames that are sent in
+// one turn of the loop share a write. Not thread-safe.
+class FramedConnection : public std::enable_shared_from_this<FramedConnection> {
+ public:
+  // The frame and the body are valid for the call.
+  using OnFrame =
+      std::function<void(wire::Frame::Reader, std::string_view body)>;
+  using OnClosed = std::function<void()>;
+
+  explicit FramedConnection(Tcp::socket socket);
+
+  // Starts to receive. Precondition: the socket is connected; called once.
+  void Start(OnFrame on_frame, OnClosed on_closed);
+
+  // Queues a frame. The message is written as it is now.
+  void Send(capnp::MessageBuilder& message, std::string_view body = {});
+
+  // Closes the connection; on_closed is called once, also on failures.
+  void Close();
+
+  bool is_closed() const { return is_closed_; }
+
+  // When bytes last arrived.
+  MonotonicTime last_received() const { return last_received_; }
+
+  // Total of bytes that were queued, and of those that were handed to the
+  // system: the others have certainly not been sent.
+  std::uint64_t queued_bytes() const { return queued_bytes_; }
+  std::uint64_t submitted_bytes() const { return submitted_bytes_; }
+
+ private:
+  void Read();
+  bool ParseFrames();
+  void ScheduleFlush();
+  void Flush();
+
+  Tcp::socket socket_;
+  OnFrame on_frame_;
+  OnClosed on_closed_;
+  std::vector<char> input_;
+  std::size_t input_size_ = 0;
+  std::string pending_;
+  std::string writing_;
+  MonotonicTime last_received_;
+  std::uint64_t queued_bytes_ = 0;
+  std::uint64_t submitted_bytes_ = 0;
+  bool is_flush_scheduled_ = false;
+  bool is_writing_ = false;
+  bool is_closed_ = false;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_FRAMED_CONNECTION_H_
--- /dev/null
+++ b/libraries/sidecar/http_connection.cc
@@ -0,0 +1,213 @@
+#include "sidecar/http_connection.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace oleandertide::sidecar {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+// Answers of backend servers and the store are smaller than this.
+constexpr std::size_t kMaximumAnswerBytes = 64 * 1024 * 1024;
+
+// Time until a silent connection fails; the kernel counts in whole seconds.
+constexpr Duration kSilenceLimit = std::chrono::seconds(1);
+
+// Reads `timeout=N` of a Keep-Alive header.
+std::optional<Duration> ParseKeepAlive(boost::beast::string_view text) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view view(text.data(), text.size());
+  const std::size_t start = view.find(kName);
+  if (start == std::string_view::npos) return std::nullopt;
+  const std::size_t first = start + kName.size();
+  int seconds = 0;
+  const auto parsed =
+      std::from_chars(view.data() + first, view.data() + view.size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(EventLoop& loop, Tcp::endpoint endpoint,
+                               Duration connect_limit)
+    : socket_(loop),
+      timer_(loop),
+      endpoint_(std::move(endpoint)),
+      connect_limit_(connect_limit) {}
+
+void HttpConnection::Start(HttpExchange exchange) {
+  exchange_ = std::move(exchange);
+  is_written_ = false;
+  BeginAnswer();
+  if (!is_connected_) {
+    Connect();
+    return;
+  }
+  StartTimer(exchange_->limit, HttpFailure::kTimeout);
+  Write();
+}
+
+void HttpConnection::Connect() {
+  StartTimer(connect_limit_, HttpFailure::kConnectTimeout);
+  socket_.async_connect(endpoint_, [self = shared_from_this()](
+                                       const boost::system::error_code& error) {
+    if (self->is_closed_) return;
+    if (error) {
+      self->Fail(HttpFailure::kConnectRefused);
+      return;
+    }
+    self->is_connected_ = true;
+    SetConnectionOptions(self->socket_, kSilenceLimit);
+    self->StartTimer(self->exchange_->limit, HttpFailure::kTimeout);
+    self->Write();
+    self->Read();
+  });
+}
+
+void HttpConnection::StartTimer(Duration limit, HttpFailure failure) {
+  timer_.expires_after(limit);
+  timer_.async_wait([self = shared_from_this(),
+                     failure](const boost::system::error_code& error) {
+    if (!error && self->exchange_) self->Fail(failure);
+  });
+}
+
+void HttpConnection::Write() {
+  const std::array<boost::asio::const_buffer, 2> buffers = {
+      boost::asio::buffer(exchange_->head),
+      boost::asio::buffer(exchange_->body)};
+  boost::asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t /*size*/) {
+        // A failed write shows in the read, which may still bring an answer.
+        if (!error) self->is_written_ = true;
+      });
+}
+
+void HttpConnection::Read() {
+  if (is_reading_ || is_closed_) return;
+  is_reading_ = true;
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](
+                              const boost::system::error_code& error,
+                              std::size_t size) { self->OnRead(error, size); });
+}
+
+void HttpConnection::OnRead(const boost::system::error_code& error,
+                            std::size_t size) {
+  is_reading_ = false;
+  if (is_closed_) return;
+  if (error) {
+    OnEnd(error);
+    return;
+  }
+  buffer_.commit(size);
+  if (!exchange_) {
+    // No answer is due.
+    Close();
+    return;
+  }
+  Parse();
+  Read();
+}
+
+void HttpConnection::BeginAnswer() {
+  parser_.emplace();
+  parser_->body_limit(kMaximumAnswerBytes);
+  parser_->header_limit(std::numeric_limits<std::uint16_t>::max());
+  parser_->eager(true);
+  if (exchange_->is_head_request) parser_->skip(true);
+}
+
+void HttpConnection::Parse() {
+  while (buffer_.size() > 0 && exchange_) {
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error && error != http::error::need_more) {
+      Fail(HttpFailure::kMalformedAnswer);
+      return;
+    }
+    if (parser_->is_done()) {
+      FinishAnswer();
+      return;
+    }
+    if (error == http::error::need_more && used == 0) return;
+  }
+}
+
+void HttpConnection::FinishAnswer() {
+  HttpResponse response = parser_->release();
+  if (response.result_int() >= 100 && response.result_int() < 200) {
+    BeginAnswer();
+    Parse();
+    return;
+  }
+  if (exchange_->is_answer && !exchange_->is_answer(response)) {
+    // A late or repeated answer to an earlier request; ours may follow.
+    is_reusable_ = false;
+    BeginAnswer();
+    Parse();
+    return;
+  }
+  timer_.cancel();
+  idle_since_ = MonotonicClock::now();
+  keep_alive_ = ParseKeepAlive(response[http::field::keep_alive]);
+  if (!response.keep_alive() || buffer_.size() > 0 || !is_written_) {
+    is_reusable_ = false;
+  }
+  const auto self = shared_from_this();
+  const auto on_answer = std::move(exchange_->on_answer);
+  exchange_.reset();
+  if (!is_reusable_) Close();
+  on_answer(std::move(response));
+}
+
+void HttpConnection::OnEnd(const boost::system::error_code& error) {
+  if (!exchange_) {
+    Close();
+    return;
+  }
+  is_reusable_ = false;
+  // An orderly end completes an answer without length.
+  if (error == boost::asio::error::eof && parser_->is_header_done()) {
+    boost::system::error_code incomplete;
+    parser_->put_eof(incomplete);
+    if (!incomplete && parser_->is_done()) {
+      FinishAnswer();
+      if (!exchange_) return;
+    }
+  }
+  Fail(HttpFailure::kConnectionLost);
+}
+
+void HttpConnection::Fail(HttpFailure failure) {
+  const auto self = shared_from_this();
+  const auto on_failure = std::move(exchange_->on_failure);
+  exchange_.reset();
+  Close();
+  on_failure(failure);
+}
+
+void HttpConnection::Close() {
+  if (is_closed_) return;
+  is_closed_ = true;
+  exchange_.reset();
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  const auto self = shared_from_this();
+  if (const auto on_closed = std::exchange(on_closed_, nullptr)) on_closed();
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/http_connection.h
@@ -0,0 +1,114 @@
+// A client's connection to an HTTP/1.1 server: backend server or store.
+
+#ifndef OLEANDERTIDE_SIDECAR_HTTP_CONNECTION_H_
+#define OLEANDERTIDE_SIDECAR_HTTP_CONNECTION_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/time.h"
+#include "sidecar/event_loop.h"
+
+namespace oleandertide::sidecar {
+
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// Why there is no answer.
+enum class HttpFailure : std::uint8_t {
+  // The request was not sent.
+  kConnectRefused,
+  kConnectTimeout,
+  // It may have been received.
+  kConnectionLost,
+  kMalformedAnswer,
+  kTimeout,
+};
+
+struct HttpExchange {
+  // With the line that ends it.
+  std::string head;
+  std::string body;
+  bool is_head_request = false;
+  // Time until the exchange is given up and the connection closed.
+  Duration limit{};
+  // Whether an answer belongs to this request; others are skipped and the
+  // connection is not used again. Empty: every answer does.
+  std::function<bool(const boost::beast::http::fields&)> is_answer;
+  // Called once, unless the connection is closed before.
+  std::function<void(HttpResponse)> on_answer;
+  std::function<void(HttpFailure)> on_failure;
+};
+
+// Carries one exchange at a time. An answer without length is complete only if
+// its connection ends in order. Bytes that belong to no answer, and an answer
+// that came before its request was sent whole, make the connection unusable for
+// another exchange. Not thread-safe.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  // Connects when the first exchange starts.
+  HttpConnection(EventLoop& loop, Tcp::endpoint endpoint,
+                 Duration connect_limit);
+
+  // Precondition: is_usable() and no exchange is in progress.
+  void Start(HttpExchange exchange);
+
+  // Closes the connection; callbacks of the exchange are not called.
+  void Close();
+
+  // Sets what to call when the connection ends without an exchange.
+  void set_on_closed(std::function<void()> on_closed) {
+    on_closed_ = std::move(on_closed);
+  }
+
+  // Whether a further exchange may be started when none is in progress.
+  bool is_usable() const { return !is_closed_ && is_reusable_; }
+
+  bool is_connected() const { return is_connected_; }
+
+  // When the last exchange ended.
+  MonotonicTime idle_since() const { return idle_since_; }
+
+  // How long the server keeps the connection open, if it said so.
+  std::optional<Duration> keep_alive() const { return keep_alive_; }
+
+ private:
+  void Connect();
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void Parse();
+  void BeginAnswer();
+  void FinishAnswer();
+  void OnEnd(const boost::system::error_code& error);
+  void Fail(HttpFailure failure);
+  void StartTimer(Duration limit, HttpFailure failure);
+
+  Tcp::socket socket_;
+  Timer timer_;
+  const Tcp::endpoint endpoint_;
+  const Duration connect_limit_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      parser_;
+  std::optional<HttpExchange> exchange_;
+  std::function<void()> on_closed_;
+  MonotonicTime idle_since_;
+  std::optional<Duration> keep_alive_;
+  bool is_connected_ = false;
+  bool is_reading_ = false;
+  bool is_written_ = false;
+  bool is_reusable_ = true;
+  bool is_closed_ = false;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_HTTP_CONNECTION_H_
--- /dev/null
+++ b/libraries/sidecar/ingress.cc
@@ -0,0 +1,353 @@
+#include "sidecar/ingress.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "core/hash.h"
+#include "logging/log.h"
+#include "platform/http_codec.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using logging::Level;
+
+// The receiver ends a run soon after its deadline; this is how long its outcome
+// may take.
+constexpr Duration kOutcomeGrace = std::chrono::milliseconds(110);
+
+// A route that is not in the configuration is denied only if the store has
+// confirmed the configuration within this time.
+constexpr Duration kFreshLimit = std::chrono::seconds(2);
+
+// When to come back if no room is to be expected by itself.
+constexpr Duration kAwayRetryAfter = std::chrono::milliseconds(300);
+constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(5);
+
+// Time that a request may wait beyond what its run leaves of the target
+// latency, as a share of the target latency.
+constexpr double kWaitShare = 0.0;
+// Least time that a request may wait, as a share of the target latency.
+constexpr double kMinimumWaitShare = 0.1;
+
+// Without deadline and route, as for denied requests.
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusBadGateway = 502;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusGatewayTimeout = 504;
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+routing::Fingerprint MakeFingerprint(const Call& call) {
+  return CombineHashes(
+      CombineHashes(Hash64(call.target), Hash64(call.body)),
+      CombineHashes(Hash64(call.method), Hash64(call.caller_service)));
+}
+
+}  // namespace
+
+struct Ingress::Exchange {
+  Exchange(EventLoop& loop, HttpReply reply)
+      : reply(std::move(reply)), timer(loop) {}
+
+  HttpReply reply;
+  Timer timer;
+  Call call;
+  // Keeps the route alive while a newer configuration is in force.
+  std::shared_ptr<const mesh::Configuration> configuration;
+  const mesh::Route* route = nullptr;
+  RouteStatistics* statistics = nullptr;
+  MonotonicTime arrived;
+  MonotonicTime deadline;
+  // Nodes that were tried.
+  std::vector<std::string> tried;
+  int reached = 0;
+  int hops = 0;
+  bool may_have_run = false;
+  // Answer of a backend server that failed, in case no other one does better.
+  std::optional<mesh::Completed> failure;
+  // The attempt in progress.
+  std::string node;
+  CallId attempt = 0;
+  bool is_in_progress = false;
+  bool is_finished = false;
+};
+
+Ingress::Ingress(const Parts& parts, const Options& options)
+    : parts_(parts),
+      node_(options.node),
+      data_centre_(options.data_centre),
+      service_(options.service),
+      retries_(options.retries) {}
+
+Ingress::~Ingress() = default;
+
+bool Ingress::is_configuration_fresh() const {
+  return parts_.configuration.confirmation_age(MonotonicClock::now()) <
+         kFreshLimit;
+}
+
+void Ingress::Refuse(HttpReply& reply, std::string_view request_id,
+                     Duration after) {
+  reply.Send(
+      {.status = kStatusUnavailable,
+       .headers = fmt::format("{}Retry-After: {:.3f}\r\n",
+                              platform::EncodeRequestIdLine(request_id),
+                              std::chrono::duration<double>(after).count())});
+}
+
+void Ingress::Handle(const std::shared_ptr<HttpRequest>& request,
+                     HttpReply reply) {
+  parts_.metrics.requests.Add();
+  platform::ClientRequestHead head = platform::DecodeClientRequest(*request);
+  if (head.request_id.empty()) {
+    reply.Send({.status = kStatusBadRequest});
+    return;
+  }
+  const auto& configuration = parts_.configuration.current();
+  if (!configuration) {
+    NodeMetrics::At(parts_.metrics.refused, mesh::Reason::kNoConfiguration)
+        .Add();
+    Refuse(reply, head.request_id, kAwayRetryAfter);
+    return;
+  }
+  const std::string_view host =
+      View((*request)[boost::beast::http::field::host]);
+  const mesh::Route* route =
+      configuration->FindRoute(host, View(request->target()));
+  if (route == nullptr) {
+    if (!is_configuration_fresh()) {
+      Refuse(reply, head.request_id, kAwayRetryAfter);
+      return;
+    }
+    parts_.metrics.unknown_routes.Add();
+    logging::Log(Level::kInfo, "ingress", "no route",
+                 {{"request", head.request_id},
+                  {"host", host},
+                  {"target", View(request->target())},
+                  {"version", configuration->version}});
+    reply.Send({.status = kStatusNotFound,
+                .headers = platform::EncodeRequestIdLine(head.request_id)});
+    return;
+  }
+  auto exchange = std::make_shared<Exchange>(parts_.loop, std::move(reply));
+  exchange->arrived = MonotonicClock::now();
+  exchange->configuration = configuration;
+  exchange->route = route;
+  exchange->statistics = &statistics_[route->path_prefix];
+  const Duration limit =
+      std::min(head.remaining.value_or(route->timeout), route->timeout);
+  exchange->deadline = exchange->arrived + limit;
+  exchange->call = {.request_id = std::move(head.request_id),
+                    .method = std::string(View(request->method_string())),
+                    .target = std::string(View(request->target())),
+                    .headers = std::move(head.headers),
+                    .body = std::move(request->body()),
+                    .caller_service = service_,
+                    .service = service_choice_.Choose(*route, parts_.random),
+                    .priority = route->priority,
+                    .is_repeatable = mesh::is_repeatable(route->kind)};
+  exchange->call.fingerprint = MakeFingerprint(exchange->call);
+  retries_.RecordRequest(exchange->call.service);
+  exchanges_.insert(exchange);
+  exchange->timer.expires_after(limit + kOutcomeGrace);
+  exchange->timer.async_wait(
+      [this, exchange](const boost::system::error_code& error) {
+        if (!error) OnDeadline(exchange);
+      });
+  if (parts_.quarantine.IsRefused(exchange->arrived,
+                                  exchange->call.fingerprint)) {
+    GiveUp(exchange, mesh::Reason::kQuarantined, kQuarantineRetryAfter);
+    return;
+  }
+  Attempt(exchange);
+  if (exchange->is_finished) return;
+  exchange->reply.set_on_client_left(
+      [this, exchange] { OnClientLeft(exchange); });
+}
+
+void Ingress::Attempt(const ExchangePointer& exchange) {
+  const MonotonicTime now = MonotonicClock::now();
+  const mesh::Route& route = *exchange->route;
+  Call& call = exchange->call;
+  call.remaining = exchange->deadline - now;
+  call.expected_run =
+      Duration(static_cast<std::int64_t>(exchange->statistics->run_us.value()));
+  const auto share = [&](double part) {
+    return Duration(static_cast<std::int64_t>(
+        static_cast<double>(route.target_latency.count()) * part));
+  };
+  const Duration spare = route.target_latency + share(kWaitShare) -
+                         (now - exchange->arrived) - call.expected_run;
+  call.wait_allowance = std::max(spare, share(kMinimumWaitShare));
+  placement_.Update(node_, parts_.receiver.service(), true,
+                    parts_.receiver.load());
+  const mesh::Placement::Request request{
+      .service = call.service,
+      .expected_run = call.expected_run,
+      .expected_bytes = exchange->statistics->answer_bytes.value(),
+      .wait_allowance = call.wait_allowance,
+      .target_latency = route.target_latency};
+  const auto decision =
+      placement_.Choose(request, exchange->tried, parts_.random);
+  if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
+    Send(exchange, choice->node);
+  } else if (const auto* no_room =
+                 std::get_if<mesh::Placement::NoRoom>(&decision)) {
+    GiveUp(exchange, mesh::Reason::kNoRoom, no_room->until_room);
+  } else {
+    GiveUp(exchange, mesh::Reason::kNoBackendServer, kAwayRetryAfter);
+  }
+}
+
+void Ingress::Send(const ExchangePointer& exchange, const std::string& node) {
+  exchange->tried.push_back(node);
+  exchange->node = node;
+  exchange->is_in_progress = true;
+  ++exchange->hops;
+  const int hop = exchange->hops;
+  // The outcome may come before the call returns; a later attempt has then
+  // replaced this one.
+  const auto on_outcome = [this, exchange](mesh::Outcome outcome) {
+    OnOutcome(exchange, std::move(outcome));
+  };
+  const CallId id = node == node_
+                        ? parts_.receiver.Submit(exchange->call, on_outcome)
+                        : parts_.links.Send(node, exchange->call, on_outcome);
+  if (exchange->hops == hop) exchange->attempt = id;
+}
+
+void Ingress::OnOutcome(const ExchangePointer& exchange,
+                        mesh::Outcome outcome) {
+  if (exchange->is_finished) return;
+  exchange->is_in_progress = false;
+  const auto* not_run = std::get_if<mesh::NotRun>(&outcome);
+  const auto* unknown = std::get_if<mesh::Unknown>(&outcome);
+  const bool has_reached =
+      not_run == nullptr || not_run->has_reached_backend_server;
+  if (has_reached) ++exchange->reached;
+  if (not_run == nullptr) exchange->may_have_run = true;
+  const mesh::AttemptHistory history{
+      .kind = exchange->route->kind,
+      .maximum_attempts = exchange->route->maximum_attempts,
+      .reached = exchange->reached,
+      .hops = exchange->hops,
+      .remaining = exchange->deadline - MonotonicClock::now(),
+      .expected_run = exchange->call.expected_run};
+  auto step = mesh::DecideNextStep(history, outcome);
+  if (step == mesh::NextStep::kTryAnotherWithinBudget &&
+      !retries_.TryTake(exchange->call.service)) {
+    step = mesh::NextStep::kGiveUp;
+  }
+  mesh::Reason reason = mesh::Reason::kNone;
+  if (not_run != nullptr) reason = not_run->reason;
+  if (unknown != nullptr) reason = unknown->reason;
+  if (auto* completed = std::get_if<mesh::Completed>(&outcome)) {
+    if (step == mesh::NextStep::kDeliver) {
+      Deliver(exchange, std::move(*completed));
+      return;
+    }
+    exchange->failure = std::move(*completed);
+  }
+  if (step == mesh::NextStep::kGiveUp) {
+    GiveUp(exchange, reason, kAwayRetryAfter);
+    return;
+  }
+  NodeMetrics::At(parts_.metrics.retried, reason).Add();
+  Attempt(exchange);
+}
+
+void Ingress::Deliver(const ExchangePointer& exchange,
+                      mesh::Completed completed) {
+  const MonotonicTime now = MonotonicClock::now();
+  constexpr int kFirstFailure = 400;
+  if (completed.status < kFirstFailure) {
+    exchange->statistics->run_us.Add(
+        static_cast<double>(completed.run_time.count()));
+    exchange->statistics->answer_bytes.Add(
+        static_cast<double>(completed.body.size()));
+  }
+  parts_.metrics.answered.Add();
+  parts_.metrics.answer_latency.Record(now - exchange->arrived, now);
+  exchange->reply.Send({.status = completed.status,
+                        .headers = std::move(completed.headers),
+                        .body = std::move(completed.body)});
+  Finish(exchange);
+}
+
+void Ingress::GiveUp(const ExchangePointer& exchange, mesh::Reason reason,
+                     Duration until_room) {
+  if (exchange->failure) {
+    Deliver(exchange, std::move(*exchange->failure));
+    return;
+  }
+  const Duration elapsed = MonotonicClock::now() - exchange->arrived;
+  const int status = !exchange->may_have_run ? kStatusUnavailable
+                     : reason == mesh::Reason::kDeadlinePassed
+                         ? kStatusGatewayTimeout
+                         : kStatusBadGateway;
+  NodeMetrics::At(
+      exchange->may_have_run ? parts_.metrics.failed : parts_.metrics.refused,
+      reason)
+      .Add();
+  logging::Log(Level::kWarning, "ingress",
+               exchange->may_have_run ? "outcome unknown" : "refused",
+               {{"request", exchange->call.request_id},
+                {"route", exchange->route->name},
+                {"service", exchange->call.service},
+                {"reason", mesh::ToString(reason)},
+                {"status", status},
+                {"elapsed_ms", ToMilliseconds(elapsed)},
+                {"hops", exchange->hops},
+                {"reached", exchange->reached},
+                {"last_node", exchange->node},
+                {"version", exchange->configuration->version}});
+  if (status == kStatusUnavailable) {
+    Refuse(exchange->reply, exchange->call.request_id,
+           mesh::ChooseRetryAfter(until_room, exchange->call.expected_run,
+                                  parts_.random.Unit()));
+  } else {
+    exchange->reply.Send(
+        {.status = status,
+         .headers = platform::EncodeRequestIdLine(exchange->call.request_id)});
+  }
+  Finish(exchange);
+}
+
+void Ingress::OnDeadline(const ExchangePointer& exchange) {
+  if (exchange->is_finished) return;
+  CancelAttempt(exchange);
+  // The cancellation is not confirmed, so the request may run.
+  exchange->may_have_run = true;
+  GiveUp(exchange, mesh::Reason::kDeadlinePassed, Duration::zero());
+}
+
+void Ingress::OnClientLeft(const ExchangePointer& exchange) {
+  if (exchange->is_finished) return;
+  parts_.metrics.clients_left.Add();
+  CancelAttempt(exchange);
+  Finish(exchange);
+}
+
+void Ingress::CancelAttempt(const ExchangePointer& exchange) {
+  if (!std::exchange(exchange->is_in_progress, false)) return;
+  if (exchange->node == node_) {
+    parts_.receiver.Cancel(exchange->attempt);
+  } else {
+    parts_.links.Cancel(exchange->node, exchange->attempt);
+  }
+}
+
+void Ingress::Finish(const ExchangePointer& exchange) {
+  exchange->is_finished = true;
+  exchange->timer.cancel();
+  exchanges_.erase(exchange);
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/link.capnp
@@ -0,0 +1,104 @@
+@0xb9a1f0c6d2e84a57;
+# Messages between nodes. A frame is the length of the message and the length
+# of the body that follows it (32 bits each, little endian), the message, and
+# the body: that of a request, an answer or a configuration.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("oleandertide::sidecar::wire");
+
+# First frame of the node that opened the connection.
+struct Hello {
+  node @0 :Text;
+  # Where the node accepts connections of other nodes.
+  address @1 :Text;
+  dataCentre @2 :Text;
+  # Distinguishes the lives of a process.
+  incarnation @3 :UInt64;
+}
+
+struct Load {
+  # Whether the backend server takes new requests.
+  accepts @0 :Bool;
+  slots @1 :UInt16;
+  running @2 :UInt16;
+  waiting @3 :UInt16;
+  # Mean time for which a request holds a slot.
+  meanRunUs @4 :UInt32;
+  # Run times here in relation to those of all backend servers, in thousandths.
+  slownessPermille @5 :UInt32;
+  # Share of requests that the backend server refuses or fails, in thousandths.
+  failurePermille @6 :UInt16;
+}
+
+struct CrashReport {
+  fingerprint @0 :UInt64;
+  backendAddress @1 :Text;
+  ageMs @2 :UInt32;
+  isCompletion @3 :Bool;
+}
+
+# What a node tells every node that opened a connection to it.
+struct Status {
+  service @0 :Text;
+  load @1 :Load;
+  configurationVersion @2 :UInt64;
+  # Time since the store confirmed that no newer version existed.
+  confirmationAgeMs @3 :UInt32;
+  crashReports @4 :List(CrashReport);
+}
+
+struct Call {
+  id @0 :UInt64;
+  requestId @1 :Text;
+  method @2 :Text;
+  target @3 :Text;
+  # Lines as in HTTP/1.1, each with its line end.
+  headers @4 :Text;
+  callerService @5 :Text;
+  # Service that the receiver's backend server must belong to.
+  service @6 :Text;
+  # Time left until the answer is of no use.
+  remainingMs @7 :UInt32;
+  # Time for which the request may wait for a slot.
+  waitAllowanceMs @8 :UInt32;
+  # Mean run time of the route, 0 if unknown.
+  expectedRunUs @9 :UInt32;
+  fingerprint @10 :UInt64;
+  priority @11 :UInt8;
+  isRepeatable @12 :Bool;
+}
+
+struct Cancel {
+  id @0 :UInt64;
+}
+
+struct Answer {
+  enum Outcome {
+    completed @0;
+    notRun @1;
+    unknown @2;
+  }
+  id @0 :UInt64;
+  outcome @1 :Outcome;
+  # Why there is no answer of the backend server.
+  reason @2 :UInt8;
+  reachedBackend @3 :Bool;
+  status @4 :UInt16;
+  headers @5 :Text;
+  runUs @6 :UInt32;
+  load @7 :Load;
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    status @1 :Status;
+    call @2 :Call;
+    cancel @3 :Cancel;
+    answer @4 :Answer;
+    # Asks for the configuration that the other node holds.
+    configurationRequest @5 :Void;
+    # The body is the configuration as the store holds it.
+    configuration @6 :Void;
+  }
+}
--- /dev/null
+++ b/libraries/sidecar/link_client.cc
@@ -0,0 +1,235 @@
+#include "sidecar/link_client.h"
+
+#include <capnp/message.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/address.h"
+#include "logging/log.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using logging::Level;
+
+// Nodes tell their status four times a second; a link without any for this long
+// is taken as lost.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(1100);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(100);
+
+constexpr Duration kConnectLimit = std::chrono::milliseconds(700);
+
+// Time until a lost link is opened again: short at first, since a restarted
+// process is back within a second, and longer for a node that stays away.
+constexpr Duration kFirstRetryInterval = std::chrono::milliseconds(150);
+constexpr Duration kLastRetryInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+LinkClient::LinkClient(EventLoop& loop, NodeIdentity self, RandomSource& random,
+                       Callbacks callbacks)
+    : loop_(loop),
+      self_(std::move(self)),
+      random_(random),
+      callbacks_(std::move(callbacks)),
+      silence_timer_(loop) {
+  CheckSilence();
+}
+
+LinkClient::~LinkClient() {
+  callbacks_ = {};
+  for (auto& [name, peer] : peers_) {
+    peer->calls.clear();
+    if (peer->connection) peer->connection->Close();
+  }
+}
+
+void LinkClient::Learn(const NodeIdentity& node) {
+  if (node.name == self_.name) return;
+  auto& peer = peers_[node.name];
+  if (!peer) {
+    peer = std::make_unique<Peer>();
+    peer->timer = std::make_unique<Timer>(loop_);
+  } else if (peer->identity.address == node.address) {
+    // The node lives, so a retry need not wait.
+    if (!peer->connection && !peer->is_connecting) Connect(*peer);
+    return;
+  }
+  const bool is_moved = !peer->identity.name.empty();
+  peer->identity = node;
+  logging::Log(Level::kInfo, "link", is_moved ? "node moved" : "node learnt",
+               {{"node", node.name}, {"address", node.address}});
+  if (peer->connection) {
+    peer->connection->Close();
+  } else if (!peer->is_connecting) {
+    Connect(*peer);
+  }
+}
+
+void LinkClient::Connect(Peer& peer) {
+  const auto address = Address::Parse(peer.identity.address);
+  if (!address) {
+    logging::Log(
+        Level::kError, "link", "address is not readable",
+        {{"node", peer.identity.name}, {"address", peer.identity.address}});
+    return;
+  }
+  const auto endpoint = ToEndpoint(address.value());
+  if (!endpoint) return;
+  peer.is_connecting = true;
+  auto socket = std::make_shared<Tcp::socket>(loop_);
+  peer.timer->expires_after(kConnectLimit);
+  peer.timer->async_wait([socket](const boost::system::error_code& error) {
+    if (error) return;
+    boost::system::error_code ignored;
+    socket->close(ignored);
+  });
+  socket->async_connect(
+      endpoint.value(),
+      [this, &peer, socket](const boost::system::error_code& error) {
+        peer.is_connecting = false;
+        peer.timer->cancel();
+        if (error || !socket->is_open()) {
+          ScheduleReconnect(peer);
+          return;
+        }
+        OnConnected(peer, std::move(*socket));
+      });
+}
+
+void LinkClient::OnConnected(Peer& peer, Tcp::socket socket) {
+  peer.connection = std::make_shared<FramedConnection>(std::move(socket));
+  peer.connection->Start(
+      [this, &peer](wire::Frame::Reader frame, std::string_view body) {
+        OnFrame(peer, frame, body);
+      },
+      [this, &peer] { OnClosed(peer); });
+  capnp::MallocMessageBuilder message;
+  auto hello = message.initRoot<wire::Frame>().initHello();
+  hello.setNode(self_.name);
+  hello.setAddress(self_.address);
+  hello.setDataCentre(self_.data_centre);
+  hello.setIncarnation(self_.incarnation);
+  peer.connection->Send(message);
+}
+
+void LinkClient::ScheduleReconnect(Peer& peer) {
+  peer.retry_interval = std::clamp(peer.retry_interval * 2, kFirstRetryInterval,
+                                   kLastRetryInterval);
+  peer.timer->expires_after(
+      random_.Between(peer.retry_interval / 2, peer.retry_interval));
+  peer.timer->async_wait([this, &peer](const boost::system::error_code& error) {
+    if (!error && !peer.connection && !peer.is_connecting) Connect(peer);
+  });
+}
+
+void LinkClient::OnFrame(Peer& peer, wire::Frame::Reader frame,
+                         std::string_view body) {
+  switch (frame.which()) {
+    case wire::Frame::STATUS:
+      if (!peer.is_open) {
+        peer.is_open = true;
+        peer.retry_interval = Duration::zero();
+        logging::Log(Level::kInfo, "link", "opened",
+                     {{"node", peer.identity.name}});
+      }
+      callbacks_.on_status(peer.identity, Decode(frame.getStatus()));
+      return;
+    case wire::Frame::ANSWER:
+      OnAnswer(peer, frame.getAnswer(), body);
+      return;
+    case wire::Frame::CONFIGURATION:
+      callbacks_.on_configuration(body);
+      return;
+    default:
+      return;
+  }
+}
+
+void LinkClient::OnAnswer(Peer& peer, wire::Answer::Reader answer,
+                          std::string_view body) {
+  callbacks_.on_load(peer.identity.name, Decode(answer.getLoad()));
+  auto node = peer.calls.extract(answer.getId());
+  if (node.empty()) return;
+  node.mapped().on_outcome(Decode(answer, body));
+}
+
+void LinkClient::OnClosed(Peer& peer) {
+  const std::uint64_t submitted = peer.connection->submitted_bytes();
+  peer.connection = nullptr;
+  auto calls = std::exchange(peer.calls, {});
+  if (std::exchange(peer.is_open, false)) {
+    logging::Log(Level::kWarning, "link", "lost",
+                 {{"node", peer.identity.name}, {"calls", calls.size()}});
+  }
+  ScheduleReconnect(peer);
+  if (callbacks_.on_lost) callbacks_.on_lost(peer.identity.name);
+  for (auto& [id, call] : calls) {
+    if (submitted <= call.first_byte) {
+      call.on_outcome(mesh::NotRun{mesh::Reason::kLinkLost});
+    } else {
+      call.on_outcome(mesh::Unknown{mesh::Reason::kLinkLost});
+    }
+  }
+}
+
+CallId LinkClient::Send(const std::string& node, const Call& call,
+                        OnOutcome on_outcome) {
+  const CallId id = next_id_++;
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second->is_open) {
+    on_outcome(mesh::NotRun{mesh::Reason::kLinkLost});
+    return id;
+  }
+  Peer& peer = *found->second;
+  peer.calls.emplace(
+      id, PendingCall{std::move(on_outcome), peer.connection->queued_bytes()});
+  capnp::MallocMessageBuilder message;
+  Encode(id, call, message.initRoot<wire::Frame>().initCall());
+  peer.connection->Send(message, call.body);
+  return id;
+}
+
+void LinkClient::Cancel(const std::string& node, CallId id) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end()) return;
+  Peer& peer = *found->second;
+  if (peer.calls.erase(id) == 0 || !peer.connection) return;
+  capnp::MallocMessageBuilder message;
+  message.initRoot<wire::Frame>().initCancel().setId(id);
+  peer.connection->Send(message);
+}
+
+void LinkClient::RequestConfiguration(const std::string& node) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second->connection) return;
+  capnp::MallocMessageBuilder message;
+  message.initRoot<wire::Frame>().setConfigurationRequest();
+  found->second->connection->Send(message);
+}
+
+std::vector<NodeIdentity> LinkClient::connected() const {
+  std::vector<NodeIdentity> nodes;
+  for (const auto& [name, peer] : peers_) {
+    if (peer->is_open) nodes.push_back(peer->identity);
+  }
+  return nodes;
+}
+
+void LinkClient::CheckSilence() {
+  silence_timer_.expires_after(kSilenceCheckInterval);
+  silence_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    const MonotonicTime now = MonotonicClock::now();
+    for (auto& [name, peer] : peers_) {
+      if (!peer->connection) continue;
+      if (now - peer->connection->last_received() > kSilenceLimit) {
+        peer->connection->Close();
+      }
+    }
+    CheckSilence();
+  });
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/link_client.h
@@ -0,0 +1,100 @@
+// Links that this node opened to the others: it sends calls there.
+
+#ifndef OLEANDERTIDE_SIDECAR_LINK_CLIENT_H_
+#define OLEANDERTIDE_SIDECAR_LINK_CLIENT_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/random.h"
+#include "core/time.h"
+#include "sidecar/call.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/framed_connection.h"
+#include "sidecar/link_codec.h"
+#include "sidecar/link_server.h"
+
+namespace oleandertide::sidecar {
+
+// Keeps a link to each known node and opens it again when it is lost.
+// Not thread-safe.
+class LinkClient {
+ public:
+  struct Callbacks {
+    // The node told its status.
+    std::function<void(const NodeIdentity&, const NodeStatus&)> on_status;
+    // An answer of the node carried its load.
+    std::function<void(const std::string&, const mesh::BackendLoad&)> on_load;
+    // The link to the node was lost.
+    std::function<void(const std::string&)> on_lost;
+    // The node sent its configuration, as the store holds it.
+    std::function<void(std::string_view)> on_configuration;
+  };
+
+  LinkClient(EventLoop& loop, NodeIdentity self, RandomSource& random,
+             Callbacks callbacks);
+  ~LinkClient();
+
+  // Takes in a node, or a new address of a known one.
+  void Learn(const NodeIdentity& node);
+
+  // Sends a call. If the node cannot be reached, the outcome comes before this
+  // returns, as NotRun.
+  CallId Send(const std::string& node, const Call& call, OnOutcome on_outcome);
+
+  // The outcome is of no use any more; on_outcome is not called.
+  void Cancel(const std::string& node, CallId id);
+
+  // Asks a node for its configuration.
+  void RequestConfiguration(const std::string& node);
+
+  // Nodes with an open link.
+  std::vector<NodeIdentity> connected() const;
+
+  // Number of known nodes, connected or not.
+  std::size_t known_count() const { return peers_.size(); }
+
+ private:
+  struct PendingCall {
+    OnOutcome on_outcome;
+    // Value of queued_bytes() before the call: nothing of it was sent while
+    // submitted_bytes() is not above.
+    std::uint64_t first_byte = 0;
+  };
+  struct Peer {
+    NodeIdentity identity;
+    std::shared_ptr<FramedConnection> connection;
+    std::unordered_map<CallId, PendingCall> calls;
+    std::unique_ptr<Timer> timer;
+    Duration retry_interval{};
+    bool is_connecting = false;
+    bool is_open = false;
+  };
+
+  void Connect(Peer& peer);
+  void OnConnected(Peer& peer, Tcp::socket socket);
+  void ScheduleReconnect(Peer& peer);
+  void OnFrame(Peer& peer, wire::Frame::Reader frame, std::string_view body);
+  void OnAnswer(Peer& peer, wire::Answer::Reader answer, std::string_view body);
+  void OnClosed(Peer& peer);
+  void CheckSilence();
+
+  EventLoop& loop_;
+  const NodeIdentity self_;
+  RandomSource& random_;
+  Callbacks callbacks_;
+  // Never erased: pointers to entries stay valid.
+  std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
+  CallId next_id_ = 1;
+  Timer silence_timer_;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_LINK_CLIENT_H_
--- /dev/null
+++ b/libraries/sidecar/link_codec.cc
@@ -0,0 +1,179 @@
+#include "sidecar/link_codec.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+#include <variant>
+
+namespace oleandertide::sidecar {
+namespace {
+
+// Shares travel in thousandths.
+constexpr double kPermille = 1000;
+// Beyond this, an age says only that there was no confirmation for long.
+constexpr std::uint32_t kMaximumAgeMs =
+    std::numeric_limits<std::uint32_t>::max();
+
+template <typename T>
+T Saturate(std::int64_t value) {
+  constexpr std::int64_t kMaximum = std::numeric_limits<T>::max();
+  return static_cast<T>(std::clamp<std::int64_t>(value, 0, kMaximum));
+}
+
+std::uint32_t ToMs(Duration duration) {
+  return Saturate<std::uint32_t>(ToMilliseconds(duration));
+}
+
+std::string ToString(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
+mesh::Reason DecodeReason(std::uint8_t value) {
+  return value < mesh::kReasonCount ? static_cast<mesh::Reason>(value)
+                                    : mesh::Reason::kNone;
+}
+
+// Writes the part of an answer that depends on the outcome.
+struct OutcomeEncoder {
+  wire::Answer::Builder builder;
+
+  void operator()(const mesh::Completed& completed) {
+    builder.setOutcome(wire::Answer::Outcome::COMPLETED);
+    builder.setStatus(static_cast<std::uint16_t>(completed.status));
+    builder.setHeaders(completed.headers);
+    builder.setRunUs(Saturate<std::uint32_t>(completed.run_time.count()));
+    builder.setReachedBackend(true);
+  }
+  void operator()(const mesh::NotRun& not_run) {
+    builder.setOutcome(wire::Answer::Outcome::NOT_RUN);
+    builder.setReason(static_cast<std::uint8_t>(not_run.reason));
+    builder.setReachedBackend(not_run.has_reached_backend_server);
+  }
+  void operator()(const mesh::Unknown& unknown) {
+    builder.setOutcome(wire::Answer::Outcome::UNKNOWN);
+    builder.setReason(static_cast<std::uint8_t>(unknown.reason));
+    builder.setReachedBackend(true);
+  }
+};
+
+}  // namespace
+
+void Encode(const mesh::BackendLoad& load, wire::Load::Builder builder) {
+  builder.setAccepts(load.accepts_requests);
+  builder.setSlots(Saturate<std::uint16_t>(load.slots));
+  builder.setRunning(Saturate<std::uint16_t>(load.running));
+  builder.setWaiting(Saturate<std::uint16_t>(load.waiting));
+  builder.setMeanRunUs(Saturate<std::uint32_t>(load.mean_run_time.count()));
+  builder.setSlownessPermille(Saturate<std::uint32_t>(
+      static_cast<std::int64_t>(load.slowness * kPermille)));
+  builder.setFailurePermille(Saturate<std::uint16_t>(
+      static_cast<std::int64_t>(load.failure_share * kPermille)));
+}
+
+mesh::BackendLoad Decode(wire::Load::Reader reader) {
+  return {.accepts_requests = reader.getAccepts(),
+          .slots = reader.getSlots(),
+          .running = reader.getRunning(),
+          .waiting = reader.getWaiting(),
+          .mean_run_time = std::chrono::microseconds(reader.getMeanRunUs()),
+          .slowness = reader.getSlownessPermille() / kPermille,
+          .failure_share = reader.getFailurePermille() / kPermille};
+}
+
+void Encode(const NodeStatus& status, wire::Status::Builder builder) {
+  builder.setService(status.service);
+  Encode(status.load, builder.initLoad());
+  builder.setConfigurationVersion(status.configuration_version);
+  builder.setConfirmationAgeMs(status.confirmation_age == Duration::max()
+                                   ? kMaximumAgeMs
+                                   : ToMs(status.confirmation_age));
+  if (status.crash_reports.empty()) return;
+  auto reports = builder.initCrashReports(
+      static_cast<unsigned>(status.crash_reports.size()));
+  for (unsigned i = 0; i < reports.size(); ++i) {
+    const routing::CrashReport& report = status.crash_reports[i];
+    reports[i].setFingerprint(report.fingerprint);
+    reports[i].setBackendAddress(report.backend_address);
+    reports[i].setAgeMs(ToMs(report.age));
+    reports[i].setIsCompletion(report.is_completion);
+  }
+}
+
+NodeStatus Decode(wire::Status::Reader reader) {
+  NodeStatus status{
+      .service = ToString(reader.getService()),
+      .load = Decode(reader.getLoad()),
+      .configuration_version = reader.getConfigurationVersion(),
+      .confirmation_age =
+          reader.getConfirmationAgeMs() == kMaximumAgeMs
+              ? Duration::max()
+              : std::chrono::milliseconds(reader.getConfirmationAgeMs())};
+  for (const auto report : reader.getCrashReports()) {
+    status.crash_reports.push_back(
+        {.fingerprint = report.getFingerprint(),
+         .backend_address = ToString(report.getBackendAddress()),
+         .age = std::chrono::milliseconds(report.getAgeMs()),
+         .is_completion = report.getIsCompletion()});
+  }
+  return status;
+}
+
+void Encode(CallId id, const Call& call, wire::Call::Builder builder) {
+  builder.setId(id);
+  builder.setRequestId(call.request_id);
+  builder.setMethod(call.method);
+  builder.setTarget(call.target);
+  builder.setHeaders(call.headers);
+  builder.setCallerService(call.caller_service);
+  builder.setService(call.service);
+  builder.setRemainingMs(ToMs(call.remaining));
+  builder.setWaitAllowanceMs(ToMs(call.wait_allowance));
+  builder.setExpectedRunUs(Saturate<std::uint32_t>(call.expected_run.count()));
+  builder.setFingerprint(call.fingerprint);
+  builder.setPriority(Saturate<std::uint8_t>(call.priority));
+  builder.setIsRepeatable(call.is_repeatable);
+}
+
+Call Decode(wire::Call::Reader reader, std::string_view body) {
+  return {
+      .request_id = ToString(reader.getRequestId()),
+      .method = ToString(reader.getMethod()),
+      .target = ToString(reader.getTarget()),
+      .headers = ToString(reader.getHeaders()),
+      .body = std::string(body),
+      .caller_service = ToString(reader.getCallerService()),
+      .service = ToString(reader.getService()),
+      .remaining = std::chrono::milliseconds(reader.getRemainingMs()),
+      .wait_allowance = std::chrono::milliseconds(reader.getWaitAllowanceMs()),
+      .expected_run = std::chrono::microseconds(reader.getExpectedRunUs()),
+      .fingerprint = reader.getFingerprint(),
+      .priority = reader.getPriority(),
+      .is_repeatable = reader.getIsRepeatable()};
+}
+
+void Encode(CallId id, const mesh::Outcome& outcome,
+            const mesh::BackendLoad& load, wire::Answer::Builder builder) {
+  builder.setId(id);
+  Encode(load, builder.initLoad());
+  std::visit(OutcomeEncoder{builder}, outcome);
+}
+
+mesh::Outcome Decode(wire::Answer::Reader reader, std::string_view body) {
+  switch (reader.getOutcome()) {
+    case wire::Answer::Outcome::COMPLETED:
+      return mesh::Completed{
+          .status = reader.getStatus(),
+          .headers = ToString(reader.getHeaders()),
+          .body = std::string(body),
+          .run_time = std::chrono::microseconds(reader.getRunUs())};
+    case wire::Answer::Outcome::NOT_RUN:
+      return mesh::NotRun{DecodeReason(reader.getReason()),
+                          reader.getReachedBackend()};
+    case wire::Answer::Outcome::UNKNOWN:
+      break;
+  }
+  // An outcome that a later version of a node may send is not known either.
+  return mesh::Unknown{DecodeReason(reader.getReason())};
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/link_codec.h
@@ -0,0 +1,46 @@
+// Conversions between the node's types and the messages of links.
+
+#ifndef OLEANDERTIDE_SIDECAR_LINK_CODEC_H_
+#define OLEANDERTIDE_SIDECAR_LINK_CODEC_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/time.h"
+#include "mesh/outcome.h"
+#include "routing/quarantine.h"
+#include "sidecar/call.h"
+#include "sidecar/link.capnp.h"
+
+namespace oleandertide::sidecar {
+
+// What a node tells of itself to those that opened a connection to it.
+struct NodeStatus {
+  std::string service{};
+  mesh::BackendLoad load;
+  std::uint64_t configuration_version = 0;
+  // The maximum if the store never confirmed the version.
+  Duration confirmation_age = Duration::max();
+  std::vector<routing::CrashReport> crash_reports{};
+};
+
+void Encode(const mesh::BackendLoad& load, wire::Load::Builder builder);
+mesh::BackendLoad Decode(wire::Load::Reader reader);
+
+void Encode(const NodeStatus& status, wire::Status::Builder builder);
+NodeStatus Decode(wire::Status::Reader reader);
+
+// The body travels beside the message.
+void Encode(CallId id, const Call& call, wire::Call::Builder builder);
+Call Decode(wire::Call::Reader reader, std::string_view body);
+
+// The body of a completed answer travels beside the message.
+void Encode(CallId id, const mesh::Outcome& outcome,
+            const mesh::BackendLoad& load, wire::Answer::Builder builder);
+mesh::Outcome Decode(wire::Answer::Reader reader, std::string_view body);
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_LINK_CODEC_H_
--- /dev/null
+++ b/libraries/sidecar/link_server.cc
@@ -0,0 +1,178 @@
+#include "sidecar/link_server.h"
+
+#include <capnp/message.h>
+
+#include <cstdlib>
+#include <utility>
+#include <variant>
+
+#include "logging/log.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+// How often the load is compared with what was last told.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+
+// The status is sent at least this often, so that a silent link is noticed.
+constexpr Duration kStatusInterval = std::chrono::milliseconds(250);
+
+// A change of this many requests is told at the next check.
+constexpr int kMaterialChange = 3;
+
+bool IsFull(const mesh::BackendLoad& load) {
+  return load.running + load.waiting >= load.slots;
+}
+
+bool IsMaterialChange(const mesh::BackendLoad& before,
+                      const mesh::BackendLoad& after) {
+  const int change =
+      after.running + after.waiting - before.running - before.waiting;
+  return before.accepts_requests != after.accepts_requests ||
+         before.slots != after.slots || IsFull(before) != IsFull(after) ||
+         std::abs(change) >= kMaterialChange;
+}
+
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+}  // namespace
+
+Result<std::unique_ptr<LinkServer>> LinkServer::Create(EventLoop& loop,
+                                                       const Address& address,
+                                                       Receiver& receiver,
+                                                       Callbacks callbacks) {
+  OLEANDERTIDE_TRY(acceptor, Listen(loop, address));
+  std::unique_ptr<LinkServer> server(new LinkServer(
+      loop, std::move(acceptor), receiver, std::move(callbacks)));
+  server->Accept();
+  server->ScheduleBroadcast();
+  return server;
+}
+
+LinkServer::LinkServer(EventLoop& loop, Tcp::acceptor acceptor,
+                       Receiver& receiver, Callbacks callbacks)
+    : acceptor_(std::move(acceptor)),
+      broadcast_timer_(loop),
+      accept_timer_(loop),
+      receiver_(receiver),
+      callbacks_(std::move(callbacks)) {}
+
+LinkServer::~LinkServer() {
+  const auto sessions = std::exchange(sessions_, {});
+  for (const auto& session : sessions) session->connection->Close();
+}
+
+void LinkServer::Accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error,
+                                Tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {
+      accept_timer_.expires_after(kAcceptPause);
+      accept_timer_.async_wait([this](const boost::system::error_code& failed) {
+        if (!failed) Accept();
+      });
+      return;
+    }
+    auto session = std::make_shared<Session>();
+    session->connection = std::make_shared<FramedConnection>(std::move(socket));
+    sessions_.insert(session);
+    // The connection holds its callbacks until it is closed.
+    session->connection->Start(
+        [this, session](wire::Frame::Reader frame, std::string_view body) {
+          OnFrame(session, frame, body);
+        },
+        [this, session] { OnClosed(session); });
+    Accept();
+  });
+}
+
+void LinkServer::OnFrame(const std::shared_ptr<Session>& session,
+                         wire::Frame::Reader frame, std::string_view body) {
+  switch (frame.which()) {
+    case wire::Frame::HELLO: {
+      const auto hello = frame.getHello();
+      callbacks_.on_hello({.name = hello.getNode().cStr(),
+                           .data_centre = hello.getDataCentre().cStr(),
+                           .address = hello.getAddress().cStr(),
+                           .incarnation = hello.getIncarnation()});
+      capnp::MallocMessageBuilder message;
+      Encode(callbacks_.make_status(),
+             message.initRoot<wire::Frame>().initStatus());
+      session->connection->Send(message);
+      return;
+    }
+    case wire::Frame::CALL:
+      OnCall(session, frame.getCall(), body);
+      return;
+    case wire::Frame::CANCEL: {
+      const auto found = session->calls.find(frame.getCancel().getId());
+      if (found == session->calls.end()) return;
+      const CallId local = found->second;
+      session->calls.erase(found);
+      receiver_.Cancel(local);
+      return;
+    }
+    case wire::Frame::CONFIGURATION_REQUEST: {
+      capnp::MallocMessageBuilder message;
+      message.initRoot<wire::Frame>().setConfiguration();
+      session->connection->Send(message, callbacks_.configuration_text());
+      return;
+    }
+    default:
+      // Frames of later versions are of no use here.
+      return;
+  }
+}
+
+void LinkServer::OnCall(const std::shared_ptr<Session>& session,
+                        wire::Call::Reader call, std::string_view body) {
+  const CallId id = call.getId();
+  // Entered first, since the outcome may come before Submit returns.
+  session->calls[id] = 0;
+  const CallId local = receiver_.Submit(
+      Decode(call, body), [this, session, id](const mesh::Outcome& outcome) {
+        session->calls.erase(id);
+        capnp::MallocMessageBuilder message;
+        Encode(id, outcome, receiver_.load(),
+               message.initRoot<wire::Frame>().initAnswer());
+        const auto* completed = std::get_if<mesh::Completed>(&outcome);
+        session->connection->Send(
+            message, completed != nullptr ? std::string_view(completed->body)
+                                          : std::string_view());
+      });
+  if (const auto found = session->calls.find(id);
+      found != session->calls.end()) {
+    found->second = local;
+  }
+}
+
+void LinkServer::OnClosed(const std::shared_ptr<Session>& session) {
+  const auto calls = std::exchange(session->calls, {});
+  for (const auto& [id, local] : calls) receiver_.Cancel(local);
+  sessions_.erase(session);
+}
+
+void LinkServer::ScheduleBroadcast() {
+  broadcast_timer_.expires_after(kCheckInterval);
+  broadcast_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    if (MonotonicClock::now() - announced_at_ >= kStatusInterval ||
+        IsMaterialChange(announced_load_, receiver_.load())) {
+      Broadcast();
+    }
+    ScheduleBroadcast();
+  });
+}
+
+void LinkServer::Broadcast() {
+  const NodeStatus status = callbacks_.make_status();
+  announced_load_ = status.load;
+  announced_at_ = MonotonicClock::now();
+  capnp::MallocMessageBuilder message;
+  Encode(status, message.initRoot<wire::Frame>().initStatus());
+  // A failing link removes itself from the set.
+  const auto sessions = sessions_;
+  for (const auto& session : sessions) session->connection->Send(message);
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/link_server.h
@@ -0,0 +1,88 @@
+// Links that other nodes opened to this one: they send calls here.
+
+#ifndef OLEANDERTIDE_SIDECAR_LINK_SERVER_H_
+#define OLEANDERTIDE_SIDECAR_LINK_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "core/address.h"
+#include "core/result.h"
+#include "sidecar/call.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/framed_connection.h"
+#include "sidecar/link_codec.h"
+#include "sidecar/receiver.h"
+
+namespace oleandertide::sidecar {
+
+// A node as other nodes reach it.
+struct NodeIdentity {
+  std::string name;
+  std::string data_centre;
+  // Where it accepts links.
+  std::string address;
+  // Distinguishes the lives of its process.
+  std::uint64_t incarnation = 0;
+
+  bool operator==(const NodeIdentity&) const = default;
+};
+
+// Passes calls to the receiver and answers back, and tells all that opened a
+// link the status of this node. A call ends with its link. Not thread-safe.
+class LinkServer {
+ public:
+  struct Callbacks {
+    // A node opened a link.
+    std::function<void(const NodeIdentity&)> on_hello;
+    // Returns what to tell other nodes.
+    std::function<NodeStatus()> make_status;
+    // Returns the configuration as the store holds it.
+    std::function<std::string_view()> configuration_text;
+  };
+
+  // Listens on `address`.
+  static Result<std::unique_ptr<LinkServer>> Create(EventLoop& loop,
+                                                    const Address& address,
+                                                    Receiver& receiver,
+                                                    Callbacks callbacks);
+  ~LinkServer();
+
+  // Sends the status to all links now.
+  void Broadcast();
+
+ private:
+  struct Session {
+    std::shared_ptr<FramedConnection> connection;
+    // By the id that the other node gave: the id at the receiver.
+    std::unordered_map<CallId, CallId> calls;
+  };
+
+  LinkServer(EventLoop& loop, Tcp::acceptor acceptor, Receiver& receiver,
+             Callbacks callbacks);
+  void Accept();
+  void ScheduleBroadcast();
+  void OnFrame(const std::shared_ptr<Session>& session,
+               wire::Frame::Reader frame, std::string_view body);
+  void OnCall(const std::shared_ptr<Session>& session, wire::Call::Reader call,
+              std::string_view body);
+  void OnClosed(const std::shared_ptr<Session>& session);
+
+  Tcp::acceptor acceptor_;
+  Timer broadcast_timer_;
+  Timer accept_timer_;
+  Receiver& receiver_;
+  Callbacks callbacks_;
+  std::unordered_set<std::shared_ptr<Session>> sessions_;
+  mesh::BackendLoad announced_load_;
+  std::uint64_t announced_version_ = 0;
+  MonotonicTime announced_at_;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_LINK_SERVER_H_
--- /dev/null
+++ b/libraries/sidecar/member_directory.cc
@@ -0,0 +1,119 @@
+#include "sidecar/member_directory.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "logging/log.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using logging::Level;
+using nlohmann::json;
+
+constexpr std::string_view kTable = "oleandertide-nodes";
+
+// Pause after a failure: short, since a node without others serves nobody, and
+// spread, since all nodes may have lost the store together.
+constexpr Duration kShortestPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestPause = std::chrono::milliseconds(500);
+
+std::string EncodeMember(const NodeIdentity& node) {
+  return json{{"address", node.address}, {"data-centre", node.data_centre}}
+      .dump();
+}
+
+std::optional<NodeIdentity> DecodeMember(const platform::Row& row) {
+  const json value = json::parse(row.value, nullptr, false);
+  if (!value.is_object() || !value.contains("address") ||
+      !value["address"].is_string() || !value.contains("data-centre") ||
+      !value["data-centre"].is_string()) {
+    return std::nullopt;
+  }
+  return NodeIdentity{.name = row.key,
+                      .data_centre = value["data-centre"],
+                      .address = value["address"]};
+}
+
+// The first key after `key` in the store's order.
+std::string KeyAfter(const std::string& key) { return key + "!"; }
+
+}  // namespace
+
+MemberDirectory::MemberDirectory(EventLoop& loop, StoreClient& store,
+                                 RandomSource& random, NodeIdentity self,
+                                 OnMember on_member)
+    : store_(store),
+      random_(random),
+      self_(std::move(self)),
+      on_member_(std::move(on_member)),
+      timer_(loop) {}
+
+void MemberDirectory::Start() {
+  is_own_row_seen_ = false;
+  own_value_.clear();
+  own_version_ = 0;
+  Read({});
+}
+
+void MemberDirectory::Read(std::string first_key) {
+  store_.ReadRows(kTable, first_key,
+                  [this](const auto& rows) { OnRows(rows); });
+}
+
+void MemberDirectory::OnRows(const Result<platform::RowList>& rows) {
+  if (!rows) {
+    logging::Log(Level::kWarning, "members", "read failed",
+                 {{"error", rows.error().message()}});
+    Retry();
+    return;
+  }
+  for (const platform::Row& row : rows.value().rows) {
+    if (row.key == self_.name) {
+      is_own_row_seen_ = true;
+      own_value_ = row.value;
+      own_version_ = row.version;
+      continue;
+    }
+    if (const auto member = DecodeMember(row)) {
+      on_member_(*member);
+    } else {
+      logging::Log(Level::kWarning, "members", "row is not readable",
+                   {{"node", row.key}});
+    }
+  }
+  if (rows.value().has_more && !rows.value().rows.empty()) {
+    Read(KeyAfter(rows.value().rows.back().key));
+    return;
+  }
+  if (!is_own_row_seen_ || own_value_ != EncodeMember(self_)) Write();
+}
+
+void MemberDirectory::Write() {
+  const std::string value = EncodeMember(self_);
+  store_.Write({.table = kTable,
+                .key = self_.name,
+                .expected_version = own_version_,
+                .value = &value},
+               [this](std::error_code error) {
+                 if (error) {
+                   logging::Log(Level::kWarning, "members", "write failed",
+                                {{"error", error.message()}});
+                   Retry();
+                   return;
+                 }
+                 // Those that wrote before this row are seen now; those that
+                 // write later will see this row.
+                 Start();
+               });
+}
+
+void MemberDirectory::Retry() {
+  timer_.expires_after(random_.Between(kShortestPause, kLongestPause));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Start();
+  });
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/node_metrics.cc
@@ -0,0 +1,75 @@
+#include "sidecar/node_metrics.h"
+
+#include <string_view>
+
+namespace oleandertide::sidecar {
+namespace {
+
+std::vector<std::string_view> ReasonNames() {
+  std::vector<std::string_view> names;
+  for (int i = 0; i < mesh::kReasonCount; ++i) {
+    names.push_back(mesh::ToString(static_cast<mesh::Reason>(i)));
+  }
+  return names;
+}
+
+std::vector<metrics::Counter*> RegisterByReason(metrics::Registry& registry,
+                                                std::string_view name,
+                                                std::string_view help) {
+  return registry.RegisterCounters(name, help, "reason", ReasonNames());
+}
+
+}  // namespace
+
+NodeMetrics::NodeMetrics()
+    : requests(registry.RegisterCounter(
+          "requests_total", "Requests of clients on this instance")),
+      answered(registry.RegisterCounter(
+          "answered_total", "Requests with an answer of a backend server")),
+      unknown_routes(registry.RegisterCounter("unknown_routes_total",
+                                              "Requests without a route")),
+      clients_left(registry.RegisterCounter(
+          "clients_left_total",
+          "Requests whose client left before the answer")),
+      answer_latency(registry.RegisterLatency(
+          "answer_seconds", "Time from a request to its answer")),
+      refused(RegisterByReason(registry, "refused_total",
+                               "Requests refused as not run")),
+      failed(RegisterByReason(registry, "failed_total",
+                              "Requests of unknown outcome")),
+      retried(RegisterByReason(registry, "retried_total",
+                               "Requests sent to another node")),
+      runs(registry.RegisterCounter(
+          "runs_total", "Requests handed to the local backend server")),
+      run_latency(registry.RegisterLatency(
+          "run_seconds", "Time of requests at the local backend server")),
+      connections_lost(registry.RegisterCounter(
+          "backend_connections_lost_total",
+          "Connections to the local backend server lost during a run")),
+      crashes(registry.RegisterCounter("backend_crashes_total",
+                                       "Crashes of the local backend server")),
+      running(registry.RegisterGauge("running", "Requests that hold a slot")),
+      waiting(
+          registry.RegisterGauge("waiting", "Requests that wait for a slot")),
+      announcements(registry.RegisterCounter(
+          "announcements_total", "Heartbeats of the local backend server")),
+      malformed_announcements(
+          registry.RegisterCounter("malformed_announcements_total",
+                                   "Heartbeats that were not readable")),
+      configurations(registry.RegisterCounter("configurations_total",
+                                              "Configurations put in force")),
+      malformed_configurations(
+          registry.RegisterCounter("malformed_configurations_total",
+                                   "Configurations that were not readable")),
+      configuration_version(registry.RegisterGauge(
+          "configuration_version", "Version of the configuration in force")),
+      confirmation_age(registry.RegisterGauge(
+          "configuration_confirmation_age_seconds",
+          "Time since the store confirmed the configuration")),
+      links(registry.RegisterGauge("links", "Open links to other nodes")),
+      store_calls(
+          registry.RegisterCounter("store_calls_total", "Calls to the store")),
+      store_failures(registry.RegisterCounter(
+          "store_failures_total", "Calls to the store that failed")) {}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/receiver.cc
@@ -0,0 +1,378 @@
+#include "sidecar/receiver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log.h"
+#include "platform/http_codec.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using logging::Level;
+
+// A backend server answers at its deadline itself; this is how long its answer
+// may take to arrive.
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(60);
+
+// How long a connection may have been idle before a request is sent on it.
+constexpr Duration kIdleLimit = std::chrono::seconds(8);
+// The same for a request that must not run twice: the shortest time after which
+// the users' backend servers were seen to forget a connection is longer.
+constexpr Duration kIdleLimitUnrepeatable = std::chrono::milliseconds(500);
+
+// Connections that a crash breaks end together; they are gathered for this long
+// before the backend server is checked.
+constexpr Duration kCrashGathering = std::chrono::milliseconds(5);
+
+// Time between health checks of a backend server that is to be verified.
+constexpr Duration kVerifyInterval = std::chrono::milliseconds(300);
+constexpr Duration kVerifyLimit = std::chrono::milliseconds(500);
+
+constexpr Duration kRelaxInterval = std::chrono::milliseconds(250);
+
+constexpr int kStatusMisdirected = 421;
+constexpr int kStatusFirstServerError = 500;
+constexpr int kStatusGatewayTimeout = 504;
+
+bool is_success(int status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+Receiver::Receiver(EventLoop& loop, const Options& options,
+                   routing::Quarantine& quarantine, NodeMetrics& metrics)
+    : loop_(loop),
+      backend_address_(options.backend_address),
+      quarantine_(quarantine),
+      metrics_(metrics),
+      client_(loop, options.backend_server),
+      backend_(options.standing),
+      fence_timer_(loop),
+      relax_timer_(loop),
+      verify_timer_(loop) {
+  ScheduleRelaxation();
+}
+
+std::string_view Receiver::service() const {
+  if (backend_.standing() == mesh::BackendStanding::kUnknown) return {};
+  return backend_.announcement().service;
+}
+
+mesh::BackendLoad Receiver::load() const {
+  mesh::BackendLoad load = queue_.load();
+  load.accepts_requests = backend_.is_accepting() && !is_stopping_;
+  if (backend_.is_accepting() &&
+      backend_.cold_remaining(MonotonicClock::now()) > Duration::zero()) {
+    // A backend server runs at half its speed while it is cold.
+    constexpr double kColdSlowness = 2;
+    load.slowness = std::max(load.slowness, kColdSlowness);
+  }
+  return load;
+}
+
+std::optional<mesh::Reason> Receiver::FindRefusal(const Call& call) {
+  if (is_stopping_) return mesh::Reason::kStopping;
+  const MonotonicTime now = MonotonicClock::now();
+  if (!backend_.is_dispatch_allowed(now) || call.service != service()) {
+    return mesh::Reason::kBackendServerAway;
+  }
+  if (quarantine_.IsRefused(now, call.fingerprint)) {
+    return mesh::Reason::kQuarantined;
+  }
+  if (call.remaining <= Duration::zero()) {
+    return mesh::Reason::kDeadlinePassed;
+  }
+  return std::nullopt;
+}
+
+CallId Receiver::Submit(Call call, OnOutcome on_outcome) {
+  const CallId id = next_id_++;
+  if (const auto reason = FindRefusal(call)) {
+    on_outcome(mesh::NotRun{*reason});
+    return id;
+  }
+  const MonotonicTime now = MonotonicClock::now();
+  const mesh::AdmissionQueue::Request request{
+      .priority = call.priority,
+      .wait_allowance = call.wait_allowance,
+      .remaining = call.remaining,
+      .expected_run = call.expected_run};
+  const auto verdict = queue_.Offer(now, id, request);
+  if (verdict == mesh::AdmissionQueue::Verdict::kReject) {
+    on_outcome(mesh::NotRun{mesh::Reason::kNoRoom});
+    return id;
+  }
+  const MonotonicTime deadline = now + call.remaining;
+  calls_.emplace(id, Pending{.call = std::move(call),
+                             .on_outcome = std::move(on_outcome),
+                             .deadline = deadline});
+  if (verdict == mesh::AdmissionQueue::Verdict::kStart) Start(id);
+  return id;
+}
+
+void Receiver::Start(CallId id) {
+  Pending& pending = calls_.at(id);
+  const Call& call = pending.call;
+  const MonotonicTime now = MonotonicClock::now();
+  const Duration remaining = pending.deadline - now;
+  pending.is_running = true;
+  pending.started = now;
+  HttpExchange exchange;
+  exchange.head = platform::EncodeBackendRequest(
+      {.method = call.method,
+       .target = call.target,
+       .headers = call.headers,
+       .caller_service = call.caller_service,
+       .expected_instance = backend_.announcement().id,
+       .remaining = remaining,
+       .body_size = call.body.size()});
+  exchange.body = std::move(pending.call.body);
+  exchange.is_head_request = call.method == "HEAD";
+  exchange.limit = remaining + kAnswerGrace;
+  exchange.is_answer = [request_id = call.request_id](const auto& fields) {
+    const std::string_view answered = platform::FindRequestId(fields);
+    return answered.empty() || answered == request_id;
+  };
+  exchange.on_answer = [this, id](HttpResponse response) {
+    OnAnswer(id, std::move(response));
+  };
+  exchange.on_failure = [this, id](HttpFailure failure) {
+    OnFailure(id, failure);
+  };
+  metrics_.runs.Add();
+  const Duration idle_limit =
+      call.is_repeatable ? kIdleLimit : kIdleLimitUnrepeatable;
+  pending.exchange = client_.Send(std::move(exchange), idle_limit);
+}
+
+void Receiver::OnAnswer(CallId id, HttpResponse response) {
+  const Pending& pending = calls_.at(id);
+  const MonotonicTime now = MonotonicClock::now();
+  const Duration run_time = now - pending.started;
+  platform::BackendAnswerHead head = platform::DecodeBackendAnswer(response);
+  const int status = static_cast<int>(response.result_int());
+  if (head.is_not_executed) {
+    queue_.RecordQuality(false);
+    if (status == kStatusMisdirected) {
+      backend_.RecordDown();
+      OnStandingChanged("another backend server answers at its address");
+    }
+    Finish(id, mesh::NotRun{mesh::Reason::kBackendServerRefused, true}, false);
+    return;
+  }
+  if (is_success(status) && (!head.is_stamped || head.is_encoded)) {
+    queue_.RecordQuality(false);
+    Finish(id, mesh::Unknown{mesh::Reason::kAnswerUnusable}, true);
+    return;
+  }
+  const bool is_failure =
+      status >= kStatusFirstServerError && status != kStatusGatewayTimeout;
+  queue_.RecordQuality(!is_failure);
+  quarantine_.RecordCompletion(now, pending.call.fingerprint);
+  metrics_.run_latency.Record(run_time, now);
+  Finish(id,
+         mesh::Completed{.status = status,
+                         .headers = std::move(head.headers),
+                         .body = std::move(response.body()),
+                         .run_time = run_time},
+         !is_failure);
+}
+
+void Receiver::OnFailure(CallId id, HttpFailure failure) {
+  const routing::Fingerprint fingerprint = calls_.at(id).call.fingerprint;
+  switch (failure) {
+    case HttpFailure::kConnectRefused:
+    case HttpFailure::kConnectTimeout:
+      backend_.RecordDown();
+      OnStandingChanged("connection refused");
+      Finish(id, mesh::NotRun{mesh::Reason::kConnectFailed}, false);
+      RejectWaiting(mesh::Reason::kBackendServerAway);
+      return;
+    case HttpFailure::kConnectionLost:
+      metrics_.connections_lost.Add();
+      queue_.RecordQuality(false);
+      OnConnectionLost(fingerprint);
+      Finish(id, mesh::Unknown{mesh::Reason::kConnectionLost}, false);
+      return;
+    case HttpFailure::kMalformedAnswer:
+      queue_.RecordQuality(false);
+      Finish(id, mesh::Unknown{mesh::Reason::kAnswerUnusable}, false);
+      return;
+    case HttpFailure::kTimeout:
+      Finish(id, mesh::Unknown{mesh::Reason::kDeadlinePassed}, true);
+      return;
+  }
+}
+
+void Receiver::Finish(CallId id, mesh::Outcome outcome, bool is_sample) {
+  auto node = calls_.extract(id);
+  Pending& pending = node.mapped();
+  const Duration run_time = MonotonicClock::now() - pending.started;
+  queue_.Finish(run_time, pending.call.expected_run, is_sample);
+  StartWaiting();
+  if (pending.on_outcome) pending.on_outcome(std::move(outcome));
+}
+
+void Receiver::StartWaiting() {
+  const MonotonicTime now = MonotonicClock::now();
+  if (!backend_.is_dispatch_allowed(now)) {
+    RejectWaiting(mesh::Reason::kBackendServerAway);
+    return;
+  }
+  std::vector<CallId> expired;
+  while (const auto id = queue_.TakeNext(now, expired)) Start(*id);
+  for (const CallId id : expired) Reject(id, mesh::Reason::kDeadlinePassed);
+}
+
+void Receiver::Reject(CallId id, mesh::Reason reason) {
+  auto node = calls_.extract(id);
+  if (node.mapped().on_outcome) node.mapped().on_outcome(mesh::NotRun{reason});
+}
+
+void Receiver::RejectWaiting(mesh::Reason reason) {
+  for (const CallId id : queue_.RemoveAll()) Reject(id, reason);
+}
+
+void Receiver::Cancel(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  Pending& pending = found->second;
+  if (!pending.is_running) {
+    queue_.Remove(id);
+    calls_.erase(found);
+    return;
+  }
+  pending.on_outcome = nullptr;
+  if (!pending.call.is_repeatable) return;
+  client_.Cancel(pending.exchange);
+  Finish(id, mesh::Unknown{mesh::Reason::kCancelled}, false);
+}
+
+void Receiver::Apply(const mesh::Announcement& announcement) {
+  metrics_.announcements.Add();
+  const auto effect = backend_.Apply(announcement, MonotonicClock::now());
+  if (effect == mesh::LocalBackend::Effect::kStale) {
+    logging::Log(Level::kInfo, "backend", "late announcement ignored",
+                 {{"id", announcement.id},
+                  {"sequence", announcement.sequence},
+                  {"started_at_ms", announcement.started_at_ms}});
+    return;
+  }
+  if (effect == mesh::LocalBackend::Effect::kReplaced) {
+    queue_.ResetStatistics();
+    client_.CloseIdle();
+  }
+  queue_.set_slots(announcement.slots);
+  if (effect != mesh::LocalBackend::Effect::kRefreshed) {
+    OnStandingChanged("announcement");
+  }
+  if (backend_.standing() == mesh::BackendStanding::kUnverified) Verify();
+}
+
+void Receiver::Apply(const mesh::Departure& departure) {
+  const auto effect = backend_.ApplyDeparture(departure, MonotonicClock::now());
+  if (effect == mesh::LocalBackend::Effect::kChanged) {
+    OnStandingChanged("departure");
+  }
+}
+
+void Receiver::set_stopping() {
+  is_stopping_ = true;
+  RejectWaiting(mesh::Reason::kStopping);
+  if (on_standing_changed_) on_standing_changed_();
+}
+
+void Receiver::OnStandingChanged(std::string_view cause) {
+  const auto standing = backend_.standing();
+  logging::Log(Level::kInfo, "backend", "standing changed",
+               {{"standing", mesh::ToString(standing)},
+                {"cause", cause},
+                {"id", standing == mesh::BackendStanding::kUnknown
+                           ? std::string_view()
+                           : std::string_view(backend_.announcement().id)},
+                {"running", queue_.running()},
+                {"waiting", queue_.waiting()}});
+  if (standing == mesh::BackendStanding::kDraining) ScheduleFence();
+  if (on_standing_changed_) on_standing_changed_();
+}
+
+void Receiver::ScheduleFence() {
+  // Those that still wait when the fence falls have not run.
+  const Duration interval = std::chrono::milliseconds(100);
+  fence_timer_.expires_after(interval);
+  fence_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error || backend_.standing() != mesh::BackendStanding::kDraining) {
+      return;
+    }
+    if (backend_.is_dispatch_allowed(MonotonicClock::now())) {
+      ScheduleFence();
+    } else {
+      RejectWaiting(mesh::Reason::kBackendServerAway);
+    }
+  });
+}
+
+void Receiver::ScheduleRelaxation() {
+  relax_timer_.expires_after(kRelaxInterval);
+  relax_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    queue_.Relax(kRelaxInterval);
+    metrics_.running.set_value(queue_.running());
+    metrics_.waiting.set_value(queue_.waiting());
+    ScheduleRelaxation();
+  });
+}
+
+void Receiver::Verify() {
+  if (is_verifying_) return;
+  is_verifying_ = true;
+  const auto finish = [this](bool is_healthy, const std::string& id) {
+    is_verifying_ = false;
+    backend_.RecordVerification(id, is_healthy);
+    if (backend_.standing() == mesh::BackendStanding::kUnverified) {
+      verify_timer_.expires_after(kVerifyInterval);
+      verify_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error) return;
+        if (backend_.standing() == mesh::BackendStanding::kUnverified) Verify();
+      });
+      return;
+    }
+    OnStandingChanged("health check");
+  };
+  HttpExchange exchange;
+  exchange.head = platform::EncodeHealthCheck(health_path_);
+  exchange.limit = kVerifyLimit;
+  exchange.on_answer = [finish](const HttpResponse& response) {
+    finish(is_success(static_cast<int>(response.result_int())),
+           platform::DecodeBackendAnswer(response).instance_id);
+  };
+  exchange.on_failure = [finish](HttpFailure /*failure*/) {
+    finish(false, {});
+  };
+  client_.Send(std::move(exchange), kIdleLimit);
+}
+
+void Receiver::OnConnectionLost(routing::Fingerprint fingerprint) {
+  lost_.push_back(fingerprint);
+  if (is_checking_) return;
+  is_checking_ = true;
+  auto timer = std::make_shared<Timer>(loop_, kCrashGathering);
+  timer->async_wait([this, timer](const boost::system::error_code& error) {
+    if (error) return;
+    client_.CheckReachable([this](bool is_reachable) {
+      is_checking_ = false;
+      const auto lost = std::exchange(lost_, {});
+      if (is_reachable) return;
+      metrics_.crashes.Add();
+      quarantine_.RecordDeath(MonotonicClock::now(), lost, backend_address_);
+      logging::Log(
+          Level::kWarning, "backend", "crashed",
+          {{"id", backend_.announcement().id}, {"requests_lost", lost.size()}});
+      backend_.RecordDown();
+      OnStandingChanged("crash");
+      RejectWaiting(mesh::Reason::kBackendServerAway);
+    });
+  });
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/receiver.h
@@ -0,0 +1,119 @@
+// Runs requests at the backend server beside the node.
+
+#ifndef OLEANDERTIDE_SIDECAR_RECEIVER_H_
+#define OLEANDERTIDE_SIDECAR_RECEIVER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/time.h"
+#include "mesh/admission_queue.h"
+#include "mesh/local_backend.h"
+#include "routing/quarantine.h"
+#include "sidecar/backend_client.h"
+#include "sidecar/call.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/node_metrics.h"
+
+namespace oleandertide::sidecar {
+
+// Holds what is known of the backend server, lets requests wait for its slots
+// and hands them over. Only here is it certain that a request has not run.
+// Not thread-safe.
+class Receiver {
+ public:
+  struct Options {
+    Tcp::endpoint backend_server;
+    mesh::LocalBackend::Options standing;
+    std::string backend_address;
+  };
+
+  Receiver(EventLoop& loop, const Options& options,
+           routing::Quarantine& quarantine, NodeMetrics& metrics);
+
+  // Takes a call; `on_outcome` may be called before this returns.
+  CallId Submit(Call call, OnOutcome on_outcome);
+
+  // The sender has no more use for the answer. A run that may be repeated is
+  // broken off; another one goes on and its answer is dropped.
+  void Cancel(CallId id);
+
+  // Takes in what the backend server says of itself.
+  void Apply(const mesh::Announcement& announcement);
+  void Apply(const mesh::Departure& departure);
+
+  // Path of health checks, from the configuration.
+  void set_health_path(std::string path) { health_path_ = std::move(path); }
+
+  // Stops taking calls, since the node is about to end.
+  void set_stopping();
+
+  // Called when the standing of the backend server changed.
+  void set_on_standing_changed(std::function<void()> on_changed) {
+    on_standing_changed_ = std::move(on_changed);
+  }
+
+  // Service of the backend server; empty if none has announced itself.
+  std::string_view service() const;
+
+  mesh::BackendLoad load() const;
+
+  mesh::BackendStanding standing() const { return backend_.standing(); }
+
+  // Whether no call waits or runs.
+  bool is_idle() const { return calls_.empty(); }
+
+ private:
+  struct Pending {
+    Call call;
+    OnOutcome on_outcome;
+    MonotonicTime deadline;
+    MonotonicTime started{};
+    bool is_running = false;
+    BackendClient::ExchangeId exchange = 0;
+  };
+
+  std::optional<mesh::Reason> FindRefusal(const Call& call);
+  void Start(CallId id);
+  void StartWaiting();
+  void Finish(CallId id, mesh::Outcome outcome, bool is_sample);
+  void Reject(CallId id, mesh::Reason reason);
+  void RejectWaiting(mesh::Reason reason);
+  void OnAnswer(CallId id, HttpResponse response);
+  void OnFailure(CallId id, HttpFailure failure);
+  void OnStandingChanged(std::string_view cause);
+  void Verify();
+  void OnConnectionLost(routing::Fingerprint fingerprint);
+  void ScheduleFence();
+  void ScheduleRelaxation();
+
+  EventLoop& loop_;
+  const std::string backend_address_;
+  routing::Quarantine& quarantine_;
+  NodeMetrics& metrics_;
+  BackendClient client_;
+  mesh::LocalBackend backend_;
+  mesh::AdmissionQueue queue_;
+  std::string health_path_ = "/health";
+  std::function<void()> on_standing_changed_;
+  CallId next_id_ = 1;
+  std::unordered_map<CallId, Pending> calls_;
+  Timer fence_timer_;
+  Timer relax_timer_;
+  Timer verify_timer_;
+  bool is_stopping_ = false;
+  bool is_verifying_ = false;
+  // Requests whose connections were lost together, until it is known whether
+  // the backend server died.
+  std::vector<routing::Fingerprint> lost_;
+  bool is_checking_ = false;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_RECEIVER_H_
--- /dev/null
+++ b/libraries/sidecar/settings.cc
@@ -0,0 +1,96 @@
+#include "sidecar/settings.h"
+
+#include <span>
+#include <vector>
+
+#include "config/field.h"
+#include "config/settings_reader.h"
+#include "config/value.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using config::AddressRule;
+using config::Assign;
+using config::BooleanRule;
+using config::ChoiceRule;
+using config::DurationRule;
+using config::Field;
+using config::IntegerRule;
+using config::PercentRule;
+using config::TextRule;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Settings = SidecarSettings;
+
+// One row for each setting: section, key, range, meaning, default.
+std::span<const Field<Settings>> Fields() {
+  static const std::vector<Field<Settings>> fields = {
+      {{"node", "name", TextRule{}, "name of the instance"},
+       Assign<&Settings::node, &Settings::Node::name>::To},
+      {{"node", "data-centre", TextRule{}, "data centre of the instance"},
+       Assign<&Settings::node, &Settings::Node::data_centre>::To},
+      {{"node", "service", TextRule{}, "service of the backend server"},
+       Assign<&Settings::node, &Settings::Node::service>::To},
+      {{"node", "first-start", BooleanRule{},
+        "whether the whole system starts for the first time", "false"},
+       Assign<&Settings::node, &Settings::Node::is_first_start>::To},
+
+      {{"listen", "clients", AddressRule{}, "address for clients"},
+       Assign<&Settings::listen, &Settings::Listen::clients>::To},
+      {{"listen", "peers", AddressRule{}, "address for other nodes"},
+       Assign<&Settings::listen, &Settings::Listen::peers>::To},
+      {{"listen", "readiness", AddressRule{}, "address for readiness checks"},
+       Assign<&Settings::listen, &Settings::Listen::readiness>::To},
+      {{"listen", "announcements", AddressRule{},
+        "address for heartbeats of the backend server"},
+       Assign<&Settings::listen, &Settings::Listen::announcements>::To},
+      {{"listen", "metrics", AddressRule{}, "address for metrics"},
+       Assign<&Settings::listen, &Settings::Listen::metrics>::To},
+
+      {{"backend", "address", AddressRule{},
+        "address of the backend server beside the node"},
+       Assign<&Settings::backend, &Settings::Backend::address>::To},
+
+      {{"store", "address", AddressRule{}, "address of the metadata store"},
+       Assign<&Settings::store, &Settings::Store::address>::To},
+
+      {{"drain", "fence", DurationRule{milliseconds(0), seconds(60)},
+        "time after the notice of a leaving backend server until which waiting "
+        "requests are handed over",
+        "1500ms"},
+       Assign<&Settings::drain, &Settings::Drain::fence>::To},
+      {{"drain", "announce-time", DurationRule{milliseconds(0), seconds(60)},
+        "time after SIGTERM for which the node takes requests", "2500ms"},
+       Assign<&Settings::drain, &Settings::Drain::announce_time>::To},
+      {{"drain", "deadline", DurationRule{seconds(1), seconds(3600)},
+        "time after SIGTERM at which the node ends with requests in flight",
+        "5500ms"},
+       Assign<&Settings::drain, &Settings::Drain::deadline>::To},
+
+      {{"retries", "ratio", PercentRule{0, 100},
+        "repeats for each 100 requests of a service", "8"},
+       Assign<&Settings::retries, &Settings::Retries::ratio_percent>::To},
+      {{"retries", "saved", IntegerRule{0, 1000},
+        "most repeats that are saved up for a burst", "3"},
+       Assign<&Settings::retries, &Settings::Retries::saved>::To},
+
+      {{"log", "level", ChoiceRule{{"debug", "info", "warning", "error"}},
+        "least severe events that are logged", "info"},
+       Assign<&Settings::log, &Settings::Log::level>::To},
+  };
+  return fields;
+}
+
+}  // namespace
+
+config::Checked<SidecarSettings> SidecarSettings::Parse(
+    std::string_view text, std::string_view file_name) {
+  return config::detail::ReadSettings(Fields(), text, file_name);
+}
+
+std::string SidecarSettings::Describe() {
+  return config::DescribeFields(Fields());
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/settings.h
@@ -0,0 +1,68 @@
+// Settings of a node beside a backend server on the users' platform.
+
+#ifndef OLEANDERTIDE_SIDECAR_SETTINGS_H_
+#define OLEANDERTIDE_SIDECAR_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+
+#include "config/diagnostic.h"
+#include "core/address.h"
+#include "core/time.h"
+
+namespace oleandertide::sidecar {
+
+// All values are checked; see Describe for units, defaults and ranges.
+struct SidecarSettings {
+  struct Node {
+    std::string name;
+    std::string data_centre;
+    std::string service;
+    // Whether this is the first start of the whole system.
+    bool is_first_start = false;
+  };
+  struct Listen {
+    Address clients;
+    Address peers;
+    Address readiness;
+    Address announcements;
+    Address metrics;
+  };
+  struct Backend {
+    Address address;
+  };
+  struct Store {
+    Address address;
+  };
+  struct Drain {
+    Duration fence{};
+    Duration announce_time{};
+    Duration deadline{};
+  };
+  struct Retries {
+    double ratio_percent = 0;
+    std::int64_t saved = 0;
+  };
+  struct Log {
+    std::string level;
+  };
+
+  Node node;
+  Listen listen;
+  Backend backend;
+  Store store;
+  Drain drain;
+  Retries retries;
+  Log log;
+
+  // Reads settings in INI; all errors are reported together. Thread-safe.
+  static config::Checked<SidecarSettings> Parse(std::string_view text,
+                                                std::string_view file_name);
+
+  // Describes all settings, for the command line. Thread-safe.
+  static std::string Describe();
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_SETTINGS_H_
--- /dev/null
+++ b/libraries/sidecar/sidecar.cc
@@ -0,0 +1,353 @@
+#include "sidecar/sidecar.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "core/hash.h"
+#include "core/random.h"
+#include "logging/log.h"
+#include "mesh/configuration_holder.h"
+#include "platform/announcement_codec.h"
+#include "platform/names.h"
+#include "routing/quarantine.h"
+#include "sidecar/configuration_source.h"
+#include "sidecar/http_server.h"
+#include "sidecar/ingress.h"
+#include "sidecar/link_client.h"
+#include "sidecar/link_server.h"
+#include "sidecar/member_directory.h"
+#include "sidecar/node_metrics.h"
+#include "sidecar/receiver.h"
+#include "sidecar/store_client.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using logging::Level;
+
+// Crash reports in one status: those of a backend server's death with all its
+// slots busy.
+constexpr std::size_t kReportsInStatus = 16;
+
+// How often a stopping node looks whether it may end.
+constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+constexpr std::string_view kJsonLine = "Content-Type: application/json\r\n";
+constexpr std::string_view kMetricsLine =
+    "Content-Type: text/plain; version=0.0.4\r\n";
+
+std::string_view Target(const HttpRequest& request) {
+  return {request.target().data(), request.target().size()};
+}
+
+std::uint64_t MakeSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+}  // namespace
+
+class Sidecar::Parts {
+ public:
+  Parts(EventLoop& loop, const SidecarSettings& settings,
+        Tcp::endpoint backend_server, Tcp::endpoint store)
+      : loop_(loop),
+        settings_(settings),
+        random_(MakeSeed()),
+        identity_{.name = settings.node.name,
+                  .data_centre = settings.node.data_centre,
+                  .address = settings.listen.peers.ToString(),
+                  .incarnation = random_.Next()},
+        receiver_(loop,
+                  {.backend_server = std::move(backend_server),
+                   .standing = {.verifies_first = !settings.node.is_first_start,
+                                .drain_fence = settings.drain.fence},
+                   .backend_address = settings.backend.address.ToString()},
+                  quarantine_, metrics_),
+        links_(loop, identity_, random_, MakeLinkCallbacks()),
+        ingress_({.loop = loop,
+                  .receiver = receiver_,
+                  .links = links_,
+                  .configuration = holder_,
+                  .quarantine = quarantine_,
+                  .metrics = metrics_,
+                  .random = random_},
+                 {.node = identity_.name,
+                  .data_centre = identity_.data_centre,
+                  .service = settings.node.service,
+                  .retries = {.ratio = settings.retries.ratio_percent / 100,
+                              .saved = static_cast<double>(
+                                  settings.retries.saved)}}),
+        store_(loop, std::move(store), settings.store.address.ToString(),
+               metrics_),
+        source_({.loop = loop,
+                 .store = store_,
+                 .holder = holder_,
+                 .metrics = metrics_,
+                 .random = random_},
+                identity_, [this] { OnConfigurationChanged(); }),
+        members_(loop, store_, random_, identity_,
+                 [this](const NodeIdentity& node) { links_.Learn(node); }),
+        stop_timer_(loop) {}
+
+  Result<void> Start() {
+    const auto& listen = settings_.listen;
+    OLEANDERTIDE_TRY(
+        link_server,
+        LinkServer::Create(
+            loop_, listen.peers, receiver_,
+            {.on_hello =
+                 [this](const NodeIdentity& node) { links_.Learn(node); },
+             .make_status = [this] { return MakeStatus(); },
+             .configuration_text =
+                 [this] { return std::string_view(holder_.text()); }}));
+    link_server_ = std::move(link_server);
+    receiver_.set_on_standing_changed([this] { link_server_->Broadcast(); });
+    source_.set_links(links_);
+    OLEANDERTIDE_TRY(
+        clients,
+        HttpServer::Create(loop_, listen.clients,
+                           [this](const std::shared_ptr<HttpRequest>& request,
+                                  HttpReply reply) {
+                             ingress_.Handle(request, std::move(reply));
+                           }));
+    clients_ = std::move(clients);
+    OLEANDERTIDE_TRY(
+        readiness,
+        HttpServer::Create(loop_, listen.readiness,
+                           [this](const std::shared_ptr<HttpRequest>& request,
+                                  HttpReply reply) {
+                             OnReadinessCheck(*request, std::move(reply));
+                           }));
+    readiness_ = std::move(readiness);
+    OLEANDERTIDE_TRY(
+        announcements,
+        HttpServer::Create(loop_, listen.announcements,
+                           [this](const std::shared_ptr<HttpRequest>& request,
+                                  HttpReply reply) {
+                             OnAnnouncement(*request, std::move(reply));
+                           }));
+    announcements_ = std::move(announcements);
+    OLEANDERTIDE_TRY(
+        metrics_server,
+        HttpServer::Create(
+            loop_, listen.metrics,
+            [this](const std::shared_ptr<HttpRequest>& /*request*/,
+                   HttpReply reply) {
+              reply.Send({.status = kStatusOk,
+                          .headers = std::string(kMetricsLine),
+                          .body = metrics_.registry.ToPrometheusText(
+                              MonotonicClock::now())});
+            }));
+    metrics_server_ = std::move(metrics_server);
+    source_.Start();
+    members_.Start();
+    return Success();
+  }
+
+  void Reload(const SidecarSettings& settings) {
+    logging::Log(Level::kInfo, "node", "settings reloaded",
+                 {{"service", settings.node.service},
+                  {"service_before", settings_.node.service}});
+    ingress_.set_service(settings.node.service);
+    settings_.node.service = settings.node.service;
+  }
+
+  void Stop() {
+    if (stopping_since_) return;
+    stopping_since_ = MonotonicClock::now();
+    clients_->set_closing(true);
+    logging::Log(Level::kInfo, "node", "stopping",
+                 {{"standing", mesh::ToString(receiver_.standing())}});
+    CheckStop();
+  }
+
+ private:
+  LinkClient::Callbacks MakeLinkCallbacks() {
+    return {.on_status =
+                [this](const NodeIdentity& node, const NodeStatus& status) {
+                  OnPeerStatus(node, status);
+                },
+            .on_load =
+                [this](const std::string& node, const mesh::BackendLoad& load) {
+                  ingress_.placement().UpdateLoad(node, load);
+                },
+            .on_lost =
+                [this](const std::string& node) {
+                  ingress_.placement().Remove(node);
+                  metrics_.links.set_value(
+                      static_cast<double>(links_.connected().size()));
+                },
+            .on_configuration =
+                [this](std::string_view text) { source_.Offer(text, "node"); }};
+  }
+
+  void OnPeerStatus(const NodeIdentity& node, const NodeStatus& status) {
+    ingress_.placement().Update(node.name, status.service,
+                                node.data_centre == identity_.data_centre,
+                                status.load);
+    if (!status.crash_reports.empty()) {
+      quarantine_.Merge(MonotonicClock::now(), status.crash_reports);
+    }
+    source_.OnPeerStatus(node, status.configuration_version,
+                         status.confirmation_age);
+  }
+
+  NodeStatus MakeStatus() {
+    const MonotonicTime now = MonotonicClock::now();
+    return {.service = std::string(receiver_.service()),
+            .load = receiver_.load(),
+            .configuration_version = holder_.version(),
+            .confirmation_age = holder_.confirmation_age(now),
+            .crash_reports = quarantine_.TakeReports(now, kReportsInStatus)};
+  }
+
+  void OnConfigurationChanged() {
+    const mesh::Configuration& configuration = *holder_.current();
+    const mesh::ClientLimits& limits = configuration.limits;
+    clients_->set_limits({.maximum_header_bytes = limits.maximum_header_bytes,
+                          .maximum_body_bytes = limits.maximum_body_bytes,
+                          .header_timeout = limits.header_timeout,
+                          .idle_timeout = limits.idle_timeout});
+    if (const auto* service =
+            configuration.FindService(settings_.node.service)) {
+      receiver_.set_health_path(service->health_path);
+    }
+    link_server_->Broadcast();
+  }
+
+  bool is_ready() const {
+    if (stopping_since_ || !holder_.current()) return false;
+    return true;
+  }
+
+  void OnReadinessCheck(const HttpRequest& request, HttpReply reply) {
+    if (Target(request) != platform::kReadinessPath) {
+      reply.Send({.status = kStatusNotFound});
+      return;
+    }
+    reply.Send({.status = is_ready() ? kStatusOk : kStatusUnavailable});
+  }
+
+  void OnAnnouncement(const HttpRequest& request, HttpReply reply) {
+    std::string_view target = Target(request);
+    if (!target.starts_with(platform::kAnnouncementPathPrefix)) {
+      reply.Send({.status = kStatusNotFound});
+      return;
+    }
+    target.remove_prefix(platform::kAnnouncementPathPrefix.size());
+    const bool is_accepted =
+        request.method() == boost::beast::http::verb::delete_
+            ? TakeDeparture(target, request.body())
+            : TakeAnnouncement(target, request.body());
+    reply.Send({.status = is_accepted ? kStatusOk : kStatusBadRequest,
+                .headers = std::string(kJsonLine),
+                .body = "{}"});
+  }
+
+  bool TakeAnnouncement(std::string_view id, std::string_view body) {
+    auto announcement = platform::DecodeAnnouncement(id, body);
+    if (!announcement) {
+      RejectAnnouncement(id, announcement.error());
+      return false;
+    }
+    const auto& configuration = holder_.current();
+    if (configuration &&
+        configuration->FindService(announcement.value().service) == nullptr) {
+      RejectAnnouncement(id, "service is not in the configuration");
+      return false;
+    }
+    if (announcement.value().address != settings_.backend.address.ToString()) {
+      RejectAnnouncement(id, "address is not that of the local backend server");
+      return false;
+    }
+    receiver_.Apply(announcement.value());
+    return true;
+  }
+
+  bool TakeDeparture(std::string_view id, std::string_view body) {
+    const auto departure = platform::DecodeDeparture(id, body);
+    if (!departure) {
+      RejectAnnouncement(id, departure.error());
+      return false;
+    }
+    receiver_.Apply(departure.value());
+    return true;
+  }
+
+  void RejectAnnouncement(std::string_view id, std::string_view why) {
+    metrics_.malformed_announcements.Add();
+    logging::Log(Level::kWarning, "backend", "announcement rejected",
+                 {{"id", id}, {"why", why}});
+  }
+
+  void CheckStop() {
+    const Duration elapsed = MonotonicClock::now() - *stopping_since_;
+    if (elapsed >= settings_.drain.announce_time && !is_receiver_stopped_) {
+      is_receiver_stopped_ = true;
+      receiver_.set_stopping();
+    }
+    const bool is_done =
+        is_receiver_stopped_ && receiver_.is_idle() && ingress_.is_idle();
+    if (is_done || elapsed >= settings_.drain.deadline) {
+      logging::Log(
+          Level::kInfo, "node", "stopped",
+          {{"elapsed_ms", ToMilliseconds(elapsed)}, {"complete", is_done}});
+      loop_.stop();
+      return;
+    }
+    stop_timer_.expires_after(kStopCheckInterval);
+    stop_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) CheckStop();
+    });
+  }
+
+  EventLoop& loop_;
+  SidecarSettings settings_;
+  RandomSource random_;
+  NodeIdentity identity_;
+  NodeMetrics metrics_;
+  routing::Quarantine quarantine_;
+  mesh::ConfigurationHolder holder_;
+  Receiver receiver_;
+  LinkClient links_;
+  Ingress ingress_;
+  StoreClient store_;
+  ConfigurationSource source_;
+  MemberDirectory members_;
+  std::unique_ptr<LinkServer> link_server_;
+  std::unique_ptr<HttpServer> clients_;
+  std::unique_ptr<HttpServer> readiness_;
+  std::unique_ptr<HttpServer> announcements_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  std::optional<MonotonicTime> stopping_since_;
+  bool is_receiver_stopped_ = false;
+  Timer stop_timer_;
+};
+
+Result<std::unique_ptr<Sidecar>> Sidecar::Create(
+    EventLoop& loop, const SidecarSettings& settings) {
+  OLEANDERTIDE_TRY(backend_server, ToEndpoint(settings.backend.address));
+  OLEANDERTIDE_TRY(store, ToEndpoint(settings.store.address));
+  auto parts = std::make_unique<Parts>(loop, settings, backend_server, store);
+  OLEANDERTIDE_CHECK(parts->Start());
+  return std::unique_ptr<Sidecar>(new Sidecar(std::move(parts)));
+}
+
+Sidecar::Sidecar(std::unique_ptr<Parts> parts) : parts_(std::move(parts)) {}
+
+Sidecar::~Sidecar() = default;
+
+void Sidecar::Reload(const SidecarSettings& settings) {
+  parts_->Reload(settings);
+}
+
+void Sidecar::Stop() { parts_->Stop(); }
+
+}  // namespace oleandertide::sidecar
--- a/libraries/platform/http_store.cc
+++ b/libraries/store/http_store.cc
@@ -1,4 +1,4 @@
-#include "platform/http_store.h"
+#include "store/http_store.h"
 
 #include <arpa/inet.h>
 #include <httplib.h>
@@ -9,7 +9,7 @@
 #include <set>
 #include <utility>
 
-namespace oleandertide::platform {
+namespace oleandertide::store {
 namespace {
 
 using Json = nlohmann::json;
@@ -411,4 +411,4 @@
   return std::move(exchange.answer);
 }
 
-}  // namespace oleandertide::platform
+}  // namespace oleandertide::store
--- a/libraries/platform/http_store.h
+++ b/libraries/store/http_store.h
@@ -1,7 +1,7 @@
 // Client of the platform's HTTP protocol (docs/design.md, section 4.1).
 
-#ifndef OLEANDERTIDE_PLATFORM_HTTP_STORE_H_
-#define OLEANDERTIDE_PLATFORM_HTTP_STORE_H_
+#ifndef OLEANDERTIDE_STORE_HTTP_STORE_H_
+#define OLEANDERTIDE_STORE_HTTP_STORE_H_
 
 #include <atomic>
 #include <cstddef>
@@ -16,9 +16,9 @@
 
 #include "core/result.h"
 #include "core/time.h"
-#include "platform/store.h"
+#include "store/store.h"
 
-namespace oleandertide::platform {
+namespace oleandertide::store {
 
 struct HttpStoreOptions {
   // Longest wait for a TCP connection.
@@ -100,6 +100,6 @@
   std::atomic<std::uint64_t> bytes_received_{0};
 };
 
-}  // namespace oleandertide::platform
+}  // namespace oleandertide::store
 
-#endif  // OLEANDERTIDE_PLATFORM_HTTP_STORE_H_
+#endif  // OLEANDERTIDE_STORE_HTTP_STORE_H_
--- a/libraries/platform/store.h
+++ b/libraries/store/store.h
@@ -1,7 +1,7 @@
 // Interface to the platform's transactional table and object store.
 
-#ifndef OLEANDERTIDE_PLATFORM_STORE_H_
-#define OLEANDERTIDE_PLATFORM_STORE_H_
+#ifndef OLEANDERTIDE_STORE_STORE_H_
+#define OLEANDERTIDE_STORE_STORE_H_
 
 #include <cstdint>
 #include <map>
@@ -14,7 +14,7 @@
 
 #include "core/result.h"
 
-namespace oleandertide::platform {
+namespace oleandertide::store {
 
 // Version of a row. It grows with each write; kAbsent stands for no row.
 using RowVersion = std::uint64_t;
@@ -86,6 +86,6 @@
   virtual Result<std::string> FetchObject(std::string_view digest) = 0;
 };
 
-}  // namespace oleandertide::platform
+}  // namespace oleandertide::store
 
-#endif  // OLEANDERTIDE_PLATFORM_STORE_H_
+#endif  // OLEANDERTIDE_STORE_STORE_H_
--- a/programs/command/session.cc
+++ b/programs/command/session.cc
@@ -80,16 +80,16 @@
   if (auto* failure = std::get_if<Report>(&applied)) return std::move(*failure);
   const auto& settings = std::get<config::CommandSettings>(applied);
   const std::string address = settings.platform.address.ToString();
-  platform::HttpStoreOptions options;
+  store::HttpStoreOptions options;
   options.request_timeout = settings.platform.request_timeout;
-  auto store = platform::HttpStore::Make(address, options);
+  auto store = store::HttpStore::Make(address, options);
   if (!store.has_value()) return ReportError(address, store.error());
   return std::unique_ptr<Session>(
       new Session(settings, std::move(store).value()));
 }
 
 Session::Session(const config::CommandSettings& settings,
-                 std::unique_ptr<platform::HttpStore> store)
+                 std::unique_ptr<store::HttpStore> store)
     : operator_name_(settings.command.operator_name),
       store_(std::move(store)),
       random_(RandomSeed()),
--- a/programs/command/session.h
+++ b/programs/command/session.h
@@ -12,7 +12,7 @@
 #include "command/report.h"
 #include "config/command_settings.h"
 #include "core/random.h"
-#include "platform/http_store.h"
+#include "store/http_store.h"
 
 namespace oleandertide::command {
 
@@ -32,10 +32,10 @@
 
  private:
   Session(const config::CommandSettings& settings,
-          std::unique_ptr<platform::HttpStore> store);
+          std::unique_ptr<store::HttpStore> store);
 
   const std::string operator_name_;
-  std::unique_ptr<platform::HttpStore> store_;
+  std::unique_ptr<store::HttpStore> store_;
   acceptance::SystemWaiter waiter_;
   RandomSource random_;
   acceptance::Acceptance acceptance_;
--- a/programs/node/control.cc
+++ b/programs/node/control.cc
@@ -301,16 +301,16 @@
 
 distribution::RowResult Control::ReadRow() {
   std::lock_guard lock(row_mutex_);
-  const auto known = row_version_ == platform::kAbsent
+  const auto known = row_version_ == store::kAbsent
                          ? std::nullopt
                          : std::optional(row_version_);
   const auto outcome =
       parts_.store.ReadRow(acceptance::EnvironmentKey(environment_), known);
   if (!outcome) return distribution::RowError{};
-  if (std::holds_alternative<platform::Unchanged>(outcome.value())) {
+  if (std::holds_alternative<store::Unchanged>(outcome.value())) {
     return distribution::RowUnchanged{};
   }
-  const auto* row = std::get_if<platform::Row>(&outcome.value());
+  const auto* row = std::get_if<store::Row>(&outcome.value());
   if (row == nullptr) return distribution::RowAbsent{};
   const auto record = acceptance::ParseEnvironmentRecord(row->value);
   if (!record) {
@@ -329,7 +329,7 @@
   const auto outcome =
       parts_.store.ReadRow(ContactsKey(data_centre), std::nullopt);
   if (!outcome) return addresses;
-  const auto* row = std::get_if<platform::Row>(&outcome.value());
+  const auto* row = std::get_if<store::Row>(&outcome.value());
   if (row == nullptr) return addresses;
   const auto list = nlohmann::json::parse(row->value, nullptr, false);
   if (!list.is_array()) return addresses;
@@ -346,12 +346,12 @@
   const std::string key = ContactsKey(effect.data_centre);
   const auto outcome = parts_.store.ReadRow(key, std::nullopt);
   if (!outcome) return;
-  platform::RowVersion version = platform::kAbsent;
-  if (const auto* row = std::get_if<platform::Row>(&outcome.value())) {
+  store::RowVersion version = store::kAbsent;
+  if (const auto* row = std::get_if<store::Row>(&outcome.value())) {
     version = row->version;
   }
-  const std::vector<platform::Condition> conditions = {{key, version}};
-  const std::vector<platform::Write> writes = {
+  const std::vector<store::Condition> conditions = {{key, version}};
+  const std::vector<store::Write> writes = {
       {key, nlohmann::json(effect.addresses).dump()}};
   const auto written = parts_.store.Transact(conditions, writes);
   if (!written) {
--- a/programs/node/control.h
+++ b/programs/node/control.h
@@ -23,7 +23,7 @@
 #include "node/document_cache.h"
 #include "peers/gossip.h"
 #include "peers/peer_client.h"
-#include "platform/store.h"
+#include "store/store.h"
 #include "routing/quarantine.h"
 
 namespace oleandertide::node {
@@ -53,7 +53,7 @@
 class Control {
  public:
   struct Parts {
-    platform::Store& store;
+    store::Store& store;
     peers::PeerClient& peers;
     config::SnapshotHolder& snapshots;
     DocumentCache& documents;
@@ -139,7 +139,7 @@
 
   // The row of the environment as last read, so that a read costs few bytes.
   std::mutex row_mutex_;
-  platform::RowVersion row_version_ = platform::kAbsent;
+  store::RowVersion row_version_ = store::kAbsent;
   distribution::Version row_;
 
   WorkerPool workers_;
--- a/programs/node/job_runner.h
+++ b/programs/node/job_runner.h
@@ -17,7 +17,7 @@
 #include "core/worker_pool.h"
 #include "jobs/job_scheduler.h"
 #include "membership/member_view.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace oleandertide::node {
 
@@ -26,7 +26,7 @@
 class JobRunner {
  public:
   struct Parts {
-    platform::Store& store;
+    store::Store& store;
     const config::SnapshotHolder& snapshots;
     const calls::PublishedStanding& standing;
     calls::Ingress& ingress;
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -96,10 +96,10 @@
 }
 
 Result<void> Node::StartPeers() {
-  platform::HttpStoreOptions store_options;
+  store::HttpStoreOptions store_options;
   store_options.request_timeout = settings_.platform.request_timeout;
   OLEANDERTIDE_TRY(
-      store, platform::HttpStore::Make(settings_.platform.address.ToString(),
+      store, store::HttpStore::Make(settings_.platform.address.ToString(),
                                        store_options));
   store_ = std::move(store);
   loop_ = std::make_unique<peers::EventLoop>();
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -27,7 +27,7 @@
 #include "peers/handlers.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
-#include "platform/http_store.h"
+#include "store/http_store.h"
 #include "routing/drain.h"
 #include "routing/quarantine.h"
 
@@ -105,7 +105,7 @@
   MonotonicTime next_backend_check_;
 
   // Destroyed in reverse order: listeners first, then what they use.
-  std::unique_ptr<platform::HttpStore> store_;
+  std::unique_ptr<store::HttpStore> store_;
   std::unique_ptr<peers::EventLoop> loop_;
   std::unique_ptr<peers::PeerClient> peer_client_;
   std::unique_ptr<once::BlockingClaimWriter> claim_writer_;
--- a/programs/node/status.cc
+++ b/programs/node/status.cc
@@ -72,7 +72,7 @@
   };
 }
 
-NamedCounts PlatformCounts(const platform::HttpStoreStatistics& statistics) {
+NamedCounts PlatformCounts(const store::HttpStoreStatistics& statistics) {
   return {{"requests", statistics.requests},
           {"failures", statistics.failures},
           {"bytes_sent", statistics.bytes_sent},
--- a/programs/node/status.h
+++ b/programs/node/status.h
@@ -10,7 +10,7 @@
 #include "node/control.h"
 #include "once/claim_writer.h"
 #include "peers/traffic.h"
-#include "platform/http_store.h"
+#include "store/http_store.h"
 
 namespace oleandertide::node {
 
@@ -26,7 +26,7 @@
   bool has_backend_server = false;
   once::ClaimWriterCounters claims;
   jobs::JobCounters jobs;
-  platform::HttpStoreStatistics platform;
+  store::HttpStoreStatistics platform;
   peers::Traffic peers;
 };
 
--- /dev/null
+++ b/programs/sidecar/main.cc
@@ -0,0 +1,181 @@
+// oleandertide-sidecar: the process beside each backend server of the users'
+// platform.
+
+#include <fcntl.h>
+#include <gflags/gflags.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+
+#include "logging/log.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/settings.h"
+#include "sidecar/sidecar.h"
+
+DEFINE_string(settings, "", "INI file with the node's settings (required)");
+DEFINE_bool(check, false, "check the settings and exit");
+DEFINE_bool(help_settings, false, "describe all settings and exit");
+
+namespace oleandertide::sidecar {
+namespace {
+
+// Exit statuses, as documented in docs/operators.md.
+constexpr int kExitSuccess = 0;
+constexpr int kExitCannotStart = 1;
+constexpr int kExitInvalidSettings = 2;
+constexpr int kExitUsage = 64;
+
+// The settings file may change without a signal.
+constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) return std::nullopt;
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// A reader of the log that stalls must not stall the node: lines that do not
+// fit are lost.
+void MakeOutputNonBlocking() {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  struct stat status {};
+  if (flags < 0 || fstat(STDOUT_FILENO, &status) != 0) return;
+  if (!S_ISFIFO(status.st_mode) && !S_ISSOCK(status.st_mode)) return;
+  fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+// Reloads settings at SIGHUP and when the file's content has changed, and stops
+// at SIGTERM.
+class Supervisor {
+ public:
+  Supervisor(EventLoop& loop, Sidecar& sidecar, std::string path,
+             std::string text)
+      : sidecar_(sidecar),
+        path_(std::move(path)),
+        text_(std::move(text)),
+        signals_(loop, SIGTERM, SIGINT, SIGHUP),
+        timer_(loop) {
+    AwaitSignal();
+    AwaitCheck();
+  }
+
+ private:
+  void AwaitSignal() {
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int number) {
+          if (error) return;
+          if (number == SIGHUP) {
+            Reload();
+          } else {
+            sidecar_.Stop();
+          }
+          AwaitSignal();
+        });
+  }
+
+  void AwaitCheck() {
+    timer_.expires_after(kSettingsCheckInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      Reload();
+      AwaitCheck();
+    });
+  }
+
+  void Reload() {
+    const auto text = ReadFile(path_);
+    if (!text) {
+      logging::Log(logging::Level::kError, "node",
+                   "settings cannot be read, the old ones stay",
+                   {{"path", path_}});
+      return;
+    }
+    if (*text == text_) return;
+    text_ = *text;
+    const auto settings = SidecarSettings::Parse(*text, path_);
+    if (settings) {
+      sidecar_.Reload(settings.value());
+      return;
+    }
+    for (const config::Diagnostic& diagnostic : settings.error()) {
+      logging::Log(logging::Level::kError, "node",
+                   "settings are wrong, the old ones stay",
+                   {{"why", config::ToString(diagnostic)}});
+    }
+  }
+
+  Sidecar& sidecar_;
+  const std::string path_;
+  std::string text_;
+  boost::asio::signal_set signals_;
+  Timer timer_;
+};
+
+int Serve(const SidecarSettings& settings, const std::string& text) {
+  EventLoop loop(1);
+  auto sidecar = Sidecar::Create(loop, settings);
+  if (!sidecar) {
+    std::cerr << "oleandertide-sidecar: cannot start: "
+              << sidecar.error().message()
+              << "; check that the addresses in [listen] are free\n";
+    return kExitCannotStart;
+  }
+  logging::Log(logging::Level::kInfo, "node", "started",
+               {{"node", settings.node.name},
+                {"data_centre", settings.node.data_centre},
+                {"service", settings.node.service},
+                {"first_start", settings.node.is_first_start}});
+  Supervisor supervisor(loop, *sidecar.value(), FLAGS_settings, text);
+  loop.run();
+  return kExitSuccess;
+}
+
+int Main() {
+  if (FLAGS_help_settings) {
+    std::cout << SidecarSettings::Describe();
+    return kExitSuccess;
+  }
+  if (FLAGS_settings.empty()) {
+    std::cerr
+        << "oleandertide-sidecar: --settings FILE is required; see --help\n";
+    return kExitUsage;
+  }
+  const auto text = ReadFile(FLAGS_settings);
+  if (!text) {
+    std::cerr << FLAGS_settings << ": cannot be read\n";
+    return kExitInvalidSettings;
+  }
+  const auto settings = SidecarSettings::Parse(*text, FLAGS_settings);
+  if (!settings) {
+    for (const config::Diagnostic& diagnostic : settings.error()) {
+      std::cerr << config::ToString(diagnostic) << '\n';
+    }
+    return kExitInvalidSettings;
+  }
+  if (FLAGS_check) return kExitSuccess;
+  signal(SIGPIPE, SIG_IGN);
+  MakeOutputNonBlocking();
+  const auto level = logging::ParseLevel(settings.value().log.level);
+  logging::Initialize(level ? level.value() : logging::Level::kInfo,
+                      "oleandertide-sidecar", logging::Stream::kStandardOutput);
+  return Serve(settings.value(), *text);
+}
+
+}  // namespace
+}  // namespace oleandertide::sidecar
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("--settings FILE [--check | --help_settings]");
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return oleandertide::sidecar::Main();
+}
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build ccache pkg-config git clang-format clang-tidy python3
   libabsl-dev libcapnp-dev capnproto libboost-dev libcpp-httplib-dev
-  libgflags-dev libspdlog-dev catch2 libinih-dev librapidcheck-dev
+  libgflags-dev libspdlog-dev libfmt-dev catch2 libinih-dev librapidcheck-dev
   libxxhash-dev nlohmann-json3-dev libbenchmark-dev liburcu-dev
 )
 missing=()
--- a/tests/acceptance/acceptance_property_test.cc
+++ b/tests/acceptance/acceptance_property_test.cc
@@ -19,8 +19,8 @@
 namespace oleandertide::acceptance {
 namespace {
 
-using platform::MemoryStore;
-using platform::TransactionFault;
+using store::MemoryStore;
+using store::TransactionFault;
 
 constexpr std::string_view kDocument = "service rooms\n";
 
@@ -33,7 +33,7 @@
 };
 
 using Promoter =
-    std::function<Report(platform::Store& store, TestOperator& person)>;
+    std::function<Report(store::Store& store, TestOperator& person)>;
 
 Report ToReport(const Result<Outcome>& result) {
   if (!result.has_value()) return {Told::kRefused, std::nullopt};
@@ -50,11 +50,11 @@
   return {Told::kRefused, std::nullopt};
 }
 
-Report PromoteWithAcceptance(platform::Store& /*store*/, TestOperator& person) {
+Report PromoteWithAcceptance(store::Store& /*store*/, TestOperator& person) {
   return ToReport(person.Promote());
 }
 
-Result<platform::TransactionOutcome> WriteNextRecord(platform::Store& store,
+Result<store::TransactionOutcome> WriteNextRecord(store::Store& store,
                                                      TestOperator& person) {
   const auto trial = person.acceptance().Status(kTrial);
   if (!trial.has_value()) return trial.error();
@@ -62,15 +62,15 @@
   if (!read.has_value()) return read.error();
   EnvironmentRecord record = trial.value();
   record.operator_name = person.name();
-  platform::RowVersion version = platform::kAbsent;
+  store::RowVersion version = store::kAbsent;
   record.sequence = 1;
-  if (const auto* row = std::get_if<platform::Row>(&read.value())) {
+  if (const auto* row = std::get_if<store::Row>(&read.value())) {
     version = row->version;
     record.sequence = ParseEnvironmentRecord(row->value).value().sequence + 1;
   }
   const std::string value = FormatEnvironmentRecord(record);
-  const platform::Condition condition{EnvironmentKey(kProduction), version};
-  const std::vector<platform::Write> writes = {
+  const store::Condition condition{EnvironmentKey(kProduction), version};
+  const std::vector<store::Write> writes = {
       {EnvironmentKey(kProduction), value},
       {HistoryKey(kProduction, record.sequence), value}};
   return store.Transact({&condition, 1}, writes);
@@ -78,22 +78,22 @@
 
 // Variant without base check: writes over whatever is there, trying again
 // until it wins.
-Report PromoteWithoutBaseCheck(platform::Store& store, TestOperator& person) {
+Report PromoteWithoutBaseCheck(store::Store& store, TestOperator& person) {
   for (;;) {
     const auto outcome = WriteNextRecord(store, person);
     if (!outcome.has_value()) return {};
-    if (std::holds_alternative<platform::Committed>(outcome.value())) {
+    if (std::holds_alternative<store::Committed>(outcome.value())) {
       return {Told::kAccepted, std::nullopt};
     }
   }
 }
 
 // Variant without resolution: a lost answer counts as a failure.
-Report PromoteWithoutResolution(platform::Store& store, TestOperator& person) {
+Report PromoteWithoutResolution(store::Store& store, TestOperator& person) {
   const auto outcome = WriteNextRecord(store, person);
   const bool accepted =
       outcome.has_value() &&
-      std::holds_alternative<platform::Committed>(outcome.value());
+      std::holds_alternative<store::Committed>(outcome.value());
   return {accepted ? Told::kAccepted : Told::kRefused, std::nullopt};
 }
 
--- a/tests/acceptance/acceptance_test.cc
+++ b/tests/acceptance/acceptance_test.cc
@@ -15,8 +15,8 @@
 namespace oleandertide::acceptance {
 namespace {
 
-using platform::MemoryStore;
-using platform::TransactionFault;
+using store::MemoryStore;
+using store::TransactionFault;
 
 constexpr std::string_view kFirst = "service rooms\njob reminders\n";
 constexpr std::string_view kWithoutJob = "service rooms\n";
@@ -79,9 +79,9 @@
 
   SECTION("by promoting the stale trial") {
     const auto trial = store.ReadRow(EnvironmentKey(kTrial), {}).value();
-    const platform::Condition condition{EnvironmentKey(kTrial),
-                                        std::get<platform::Row>(trial).version};
-    const platform::Write write{EnvironmentKey(kTrial),
+    const store::Condition condition{EnvironmentKey(kTrial),
+                                        std::get<store::Row>(trial).version};
+    const store::Write write{EnvironmentKey(kTrial),
                                 FormatEnvironmentRecord(stale)};
     REQUIRE(store.Transact({&condition, 1}, {&write, 1}).has_value());
     const auto outcome = bo.Promote();
@@ -278,7 +278,7 @@
 TEST_CASE("a change of too many items for one transaction is refused") {
   // The environment's, the history's and the trial's row are named beside
   // those of the retired items.
-  constexpr std::size_t kMostItems = platform::kMaximumTransactionRows - 3;
+  constexpr std::size_t kMostItems = store::kMaximumTransactionRows - 3;
   for (const std::size_t items : {kMostItems, kMostItems + 1}) {
     MemoryStore store;
     TestOperator person(store, "ana", 1);
--- a/tests/acceptance/test_operator.cc
+++ b/tests/acceptance/test_operator.cc
@@ -49,7 +49,7 @@
 
 DocumentInspector LineInspector() { return {LineItems, LineDifference}; }
 
-TestOperator::TestOperator(platform::Store& store, std::string name,
+TestOperator::TestOperator(store::Store& store, std::string name,
                            std::uint64_t seed)
     : name_(std::move(name)),
       random_(seed),
@@ -74,7 +74,7 @@
   return std::get<Accepted>(promoted.value()).record;
 }
 
-std::optional<EnvironmentRecord> FindRecordOf(platform::Store& store,
+std::optional<EnvironmentRecord> FindRecordOf(store::Store& store,
                                               std::string_view environment,
                                               std::string_view person) {
   TestOperator reader(store, "reader", 0);
--- a/tests/acceptance/test_operator.h
+++ b/tests/acceptance/test_operator.h
@@ -40,7 +40,7 @@
 // An operator with a clock and a source of nonces of its own.
 class TestOperator {
  public:
-  TestOperator(platform::Store& store, std::string name, std::uint64_t seed);
+  TestOperator(store::Store& store, std::string name, std::uint64_t seed);
 
   Result<Outcome> Submit(std::string_view document);
   Result<Outcome> Promote(std::vector<std::string> revive = {});
@@ -61,7 +61,7 @@
                           std::vector<std::string> revive = {});
 
 // The record in the environment's history that `person` wrote last, if any.
-std::optional<EnvironmentRecord> FindRecordOf(platform::Store& store,
+std::optional<EnvironmentRecord> FindRecordOf(store::Store& store,
                                               std::string_view environment,
                                               std::string_view person);
 
