--- a/tests/jobs/job_scheduler_test.cc
+++ b/tests/jobs/job_scheduler_test.cc
@@ -20,7 +20,7 @@
 }
 
 void SetSequence(testing::FakeTable& table, std::uint64_t sequence) {
-  const platform::Write write{
+  const store::Write write{
       EnvironmentRowKey(kEnvironment),
       R"({"sequence":)" + std::to_string(sequence) + "}"};
   REQUIRE(table.Transact({}, {&write, 1}).has_value());
@@ -68,10 +68,10 @@
     }
     return true;
   }
-  Result<platform::TransactionOutcome> Commit(const ClaimDueTime& claim) {
+  Result<store::TransactionOutcome> Commit(const ClaimDueTime& claim) {
     if (is_down_) return Error::kUnavailable;
     const ClaimTransaction transaction = BuildClaim(kEnvironment, claim);
-    Result<platform::TransactionOutcome> outcome =
+    Result<store::TransactionOutcome> outcome =
         table_.Transact(transaction.conditions, transaction.writes);
     if (std::exchange(loses_next_answer_, false)) return Error::kOutcomeUnknown;
     return outcome;
@@ -87,7 +87,7 @@
   void set_sequence(std::uint64_t sequence) { sequence_ = sequence; }
 
  private:
-  Result<platform::ReadOutcome> Read(const std::string& key) {
+  Result<store::ReadOutcome> Read(const std::string& key) {
     if (is_down_) return Error::kUnavailable;
     return table_.ReadRow(key, std::nullopt);
   }
--- a/tests/jobs/job_world.cc
+++ b/tests/jobs/job_world.cc
@@ -82,7 +82,7 @@
   if (Chance(60)) jobs.push_back(EveryMinute("run", MissedPolicy::kRunLatest));
   configurations_.push_back(std::move(jobs));
   const std::uint64_t sequence = configurations_.size();
-  const platform::Write write{
+  const store::Write write{
       EnvironmentRowKey(kEnvironment),
       R"({"sequence":)" + std::to_string(sequence) + "}"};
   static_cast<void>(table_.Transact({}, {&write, 1}));
@@ -164,7 +164,7 @@
   events_.After(milliseconds(random_.Below(50)), [this, &node, life = node.life,
                                                   read] {
     if (node.life != life) return;
-    Result<platform::ReadOutcome> job = table_.ReadRow(read.job_row_key, {});
+    Result<store::ReadOutcome> job = table_.ReadRow(read.job_row_key, {});
     if (is_down_ || Chance(10)) job = Error::kUnavailable;
     const auto environment = table_.ReadRow(read.environment_row_key, {});
     Deliver(node, milliseconds(random_.Below(50)),
@@ -177,11 +177,11 @@
 
 void JobWorld::Claim(Node& node, const ClaimDueTime& claim) {
   const auto answer = [this, &node,
-                       claim](Result<platform::TransactionOutcome> outcome) {
+                       claim](Result<store::TransactionOutcome> outcome) {
     const bool is_unknown =
         outcome.has_error() && outcome.error() == Error::kOutcomeUnknown;
     if (is_unknown && !options_.compares_tokens) {
-      outcome = platform::TransactionOutcome(platform::Committed{});
+      outcome = store::TransactionOutcome(store::Committed{});
     }
     Deliver(node, milliseconds(random_.Below(50)),
             [this, &node, claim, outcome] {
--- a/tests/once/blocking_claim_writer_test.cc
+++ b/tests/once/blocking_claim_writer_test.cc
@@ -24,9 +24,9 @@
 // Blocks its transactions until it is opened.
 class GatedTable : public testing::FakeTable {
  public:
-  Result<platform::TransactionOutcome> Transact(
-      std::span<const platform::Condition> conditions,
-      std::span<const platform::Write> writes) override {
+  Result<store::TransactionOutcome> Transact(
+      std::span<const store::Condition> conditions,
+      std::span<const store::Write> writes) override {
     std::unique_lock lock(mutex_);
     opened_.wait(lock, [this] { return is_open_; });
     return testing::FakeTable::Transact(conditions, writes);
--- a/tests/once/claim_world.cc
+++ b/tests/once/claim_world.cc
@@ -12,9 +12,9 @@
 // The receiver of this key always refuses before hand-over.
 constexpr std::size_t kNeverRunKey = 0;
 
-platform::TransactionOutcome PretendCommitted(const CommitClaims& commit) {
-  platform::Committed committed;
-  for (const platform::Condition& condition : commit.conditions) {
+store::TransactionOutcome PretendCommitted(const CommitClaims& commit) {
+  store::Committed committed;
+  for (const store::Condition& condition : commit.conditions) {
     committed.versions[condition.key] = condition.version + 1;
   }
   return committed;
@@ -119,7 +119,7 @@
 void ClaimWorld::Commit(std::size_t slot, const CommitClaims& commit) {
   const std::uint64_t life = writers_[slot].life;
   const auto answer = [this, slot, life,
-                       commit](Result<platform::TransactionOutcome> outcome) {
+                       commit](Result<store::TransactionOutcome> outcome) {
     if (outcome.has_error() && outcome.error() == Error::kOutcomeUnknown) {
       if (options_.lost_answers == LostAnswerReport::kTakenAsNotWritten) {
         outcome = Error::kUnavailable;
@@ -154,7 +154,7 @@
 void ClaimWorld::Read(std::size_t slot, const ReadClaimRow& read) {
   const std::uint64_t life = writers_[slot].life;
   events_.After(Delay(0, 3), [this, slot, life, read] {
-    Result<platform::ReadOutcome> outcome =
+    Result<store::ReadOutcome> outcome =
         table_.ReadRow(read.key, std::nullopt);
     if (is_down_) outcome = Error::kUnavailable;
     if (Fault(3)) outcome = Error::kTimeout;
--- a/tests/once/claim_writer_test.cc
+++ b/tests/once/claim_writer_test.cc
@@ -220,7 +220,7 @@
     bench.Wait(milliseconds(60));
     REQUIRE(bench.Got<AlreadyRunning>(claim));
     bench.Run(milliseconds(200));
-    REQUIRE(std::holds_alternative<platform::Refused>(
+    REQUIRE(std::holds_alternative<store::Refused>(
         table.Transact(late.conditions, late.writes).value()));
     const ClaimId repeat = bench.Claim("key", 2);
     bench.Run(milliseconds(10));
--- a/tests/stand_ins/platform/platform_server.cc
+++ b/tests/stand_ins/platform/platform_server.cc
@@ -42,9 +42,9 @@
   Answer(response, status, {{"error", reason}});
 }
 
-std::optional<platform::RowVersion> ParseEntityTag(const std::string& tag) {
+std::optional<store::RowVersion> ParseEntityTag(const std::string& tag) {
   if (tag.size() < 3) return std::nullopt;
-  platform::RowVersion version = 0;
+  store::RowVersion version = 0;
   const char* end = tag.data() + tag.size() - 1;
   const auto [stop, error] = std::from_chars(tag.data() + 1, end, version);
   if (error != std::errc() || stop != end) return std::nullopt;
@@ -52,8 +52,8 @@
 }
 
 struct Transaction {
-  std::vector<platform::Condition> conditions;
-  std::vector<platform::Write> writes;
+  std::vector<store::Condition> conditions;
+  std::vector<store::Write> writes;
 };
 
 std::size_t CountRows(const Transaction& transaction) {
@@ -72,7 +72,7 @@
     for (const Json& condition : body.at("conditions")) {
       transaction.conditions.push_back(
           {condition.at("key").get<std::string>(),
-           condition.at("version").get<platform::RowVersion>()});
+           condition.at("version").get<store::RowVersion>()});
     }
     for (const Json& write : body.at("writes")) {
       transaction.writes.push_back({write.at("key").get<std::string>(),
@@ -81,7 +81,7 @@
   } catch (const Json::exception&) {
     return std::nullopt;
   }
-  if (CountRows(transaction) > platform::kMaximumTransactionRows) {
+  if (CountRows(transaction) > store::kMaximumTransactionRows) {
     return std::nullopt;
   }
   return transaction;
@@ -173,17 +173,17 @@
   ++row_reads_;
   const auto known = ParseEntityTag(request.get_header_value("If-None-Match"));
   const auto outcome = store_.ReadRow(request.matches[1].str(), known).value();
-  if (std::holds_alternative<platform::Absent>(outcome)) {
+  if (std::holds_alternative<store::Absent>(outcome)) {
     AnswerProblem(response, kNotFound, "no such row");
     return;
   }
-  if (std::holds_alternative<platform::Unchanged>(outcome)) {
+  if (std::holds_alternative<store::Unchanged>(outcome)) {
     ++unchanged_row_reads_;
     response.status = kNotModified;
     response.set_header("ETag", request.get_header_value("If-None-Match"));
     return;
   }
-  const auto& row = std::get<platform::Row>(outcome);
+  const auto& row = std::get<store::Row>(outcome);
   response.set_header("ETag", '"' + std::to_string(row.version) + '"');
   Answer(response, kOk, {{"value", row.value}});
 }
@@ -199,13 +199,13 @@
   ++transactions_;
   const auto outcome =
       store_.Transact(transaction->conditions, transaction->writes).value();
-  if (const auto* refused = std::get_if<platform::Refused>(&outcome)) {
+  if (const auto* refused = std::get_if<store::Refused>(&outcome)) {
     ++refused_conditions_;
     Answer(response, kPreconditionFailed, {{"failed", refused->failed_keys}});
   } else {
     written_rows_ += transaction->writes.size();
     Answer(response, kOk,
-           {{"versions", std::get<platform::Committed>(outcome).versions}});
+           {{"versions", std::get<store::Committed>(outcome).versions}});
   }
   MaybeLoseAnswer(request);
 }
--- a/tests/stand_ins/platform/platform_server.h
+++ b/tests/stand_ins/platform/platform_server.h
@@ -52,7 +52,7 @@
   // Closes the connection if an answer is to be lost.
   void MaybeLoseAnswer(const httplib::Request& request);
 
-  platform::MemoryStore store_;
+  store::MemoryStore store_;
   RateLimit write_limit_;
   RateLimit read_limit_;
   std::atomic<bool> is_down_{false};
--- a/tests/platform/http_store_test.cc
+++ b/tests/store/http_store_test.cc
@@ -1,4 +1,4 @@
-#include "platform/http_store.h"
+#include "store/http_store.h"
 
 #include <arpa/inet.h>
 #include <httplib.h>
@@ -18,7 +18,7 @@
 
 #include "stand_ins/platform/platform_server.h"
 
-namespace oleandertide::platform {
+namespace oleandertide::store {
 namespace {
 
 // The platform stand-in, served inside the test.
@@ -320,4 +320,4 @@
 }
 
 }  // namespace
-}  // namespace oleandertide::platform
+}  // namespace oleandertide::store
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -10,43 +10,43 @@
 #include <string_view>
 #include <utility>
 
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace oleandertide::testing {
 
-class FakeTable : public platform::Store {
+class FakeTable : public store::Store {
  public:
-  Result<platform::ReadOutcome> ReadRow(
+  Result<store::ReadOutcome> ReadRow(
       std::string_view key,
-      std::optional<platform::RowVersion> known_version) override {
+      std::optional<store::RowVersion> known_version) override {
     ++reads_;
     const auto found = rows_.find(std::string(key));
-    if (found == rows_.end()) return platform::ReadOutcome(platform::Absent{});
+    if (found == rows_.end()) return store::ReadOutcome(store::Absent{});
     if (known_version == found->second.version) {
-      return platform::ReadOutcome(platform::Unchanged{});
+      return store::ReadOutcome(store::Unchanged{});
     }
-    return platform::ReadOutcome(found->second);
+    return store::ReadOutcome(found->second);
   }
 
-  Result<platform::TransactionOutcome> Transact(
-      std::span<const platform::Condition> conditions,
-      std::span<const platform::Write> writes) override {
+  Result<store::TransactionOutcome> Transact(
+      std::span<const store::Condition> conditions,
+      std::span<const store::Write> writes) override {
     ++transactions_;
-    platform::Refused refused;
-    for (const platform::Condition& condition : conditions) {
+    store::Refused refused;
+    for (const store::Condition& condition : conditions) {
       if (checks_conditions_ && version(condition.key) != condition.version) {
         refused.failed_keys.push_back(condition.key);
       }
     }
     if (!refused.failed_keys.empty()) {
-      return platform::TransactionOutcome(std::move(refused));
+      return store::TransactionOutcome(std::move(refused));
     }
-    platform::Committed committed;
-    for (const platform::Write& write : writes) {
+    store::Committed committed;
+    for (const store::Write& write : writes) {
       rows_[write.key] = {write.value, ++last_version_};
       committed.versions[write.key] = last_version_;
     }
-    return platform::TransactionOutcome(std::move(committed));
+    return store::TransactionOutcome(std::move(committed));
   }
 
   Result<void> PutObject(std::string_view, std::string_view) override {
@@ -57,9 +57,9 @@
   }
 
   // Returns the version of a row; kAbsent if there is none.
-  platform::RowVersion version(const std::string& key) const {
+  store::RowVersion version(const std::string& key) const {
     const auto found = rows_.find(key);
-    return found == rows_.end() ? platform::kAbsent : found->second.version;
+    return found == rows_.end() ? store::kAbsent : found->second.version;
   }
   // Without checks every transaction commits, to show what the conditions are
   // for.
@@ -68,8 +68,8 @@
   std::size_t reads() const { return reads_; }
 
  private:
-  std::map<std::string, platform::Row> rows_;
-  platform::RowVersion last_version_ = 0;
+  std::map<std::string, store::Row> rows_;
+  store::RowVersion last_version_ = 0;
   bool checks_conditions_ = true;
   std::size_t transactions_ = 0;
   std::size_t reads_ = 0;
--- a/tests/support/memory_store/memory_store.cc
+++ b/tests/support/memory_store/memory_store.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace oleandertide::platform {
+namespace oleandertide::store {
 
 Result<ReadOutcome> MemoryStore::ReadRow(
     std::string_view key, std::optional<RowVersion> known_version) {
@@ -148,4 +148,4 @@
   return committed;
 }
 
-}  // namespace oleandertide::platform
+}  // namespace oleandertide::store
--- a/tests/support/memory_store/memory_store.h
+++ b/tests/support/memory_store/memory_store.h
@@ -15,9 +15,9 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/store.h"
+#include "store/store.h"
 
-namespace oleandertide::platform {
+namespace oleandertide::store {
 
 // What happens to one transaction.
 enum class TransactionFault {
@@ -90,6 +90,6 @@
   std::vector<Transaction> delayed_;
 };
 
-}  // namespace oleandertide::platform
+}  // namespace oleandertide::store
 
 #endif  // OLEANDERTIDE_TESTS_SUPPORT_MEMORY_STORE_MEMORY_STORE_H_
