--- a/libraries/config/value.cc
+++ b/libraries/config/value.cc
@@ -157,14 +157,22 @@
     return *number;
   }
 
+  std::optional<Value> operator()(const NumberRule& rule) const {
+    return ReadNumber(rule.minimum, rule.maximum);
+  }
+
   std::optional<Value> operator()(const PercentRule& rule) const {
+    return ReadNumber(rule.minimum, rule.maximum);
+  }
+
+  std::optional<Value> ReadNumber(double minimum, double maximum) const {
     double number = 0;
     const char* const end = text.data() + text.size();
     const auto [rest, code] =
         std::from_chars(text.data(), end, number, std::chars_format::fixed);
     // The negated comparison also refuses a value that is not a number.
     if (code != std::errc() || rest != end ||
-        !(number >= rule.minimum && number <= rule.maximum)) {
+        !(number >= minimum && number <= maximum)) {
       return std::nullopt;
     }
     return number;
@@ -263,6 +271,11 @@
            std::to_string(rule.maximum);
   }
 
+  std::string operator()(const NumberRule& rule) const {
+    return "a number (without unit) from " + FormatDecimal(rule.minimum) +
+           " to " + FormatDecimal(rule.maximum);
+  }
+
   std::string operator()(const PercentRule& rule) const {
     return "a percentage (without unit) from " + FormatDecimal(rule.minimum) +
            " to " + FormatDecimal(rule.maximum);
--- a/libraries/config/value.h
+++ b/libraries/config/value.h
@@ -38,6 +38,12 @@
   std::int64_t maximum;
 };
 
+// Accepts a decimal number without unit. Value: double.
+struct NumberRule {
+  double minimum;
+  double maximum;
+};
+
 // Accepts a decimal number without unit, in percent. Value: double.
 struct PercentRule {
   double minimum;
@@ -96,7 +102,7 @@
 };
 
 using Rule =
-    std::variant<DurationRule, IntegerRule, PercentRule, SizeRule, BooleanRule,
+    std::variant<DurationRule, IntegerRule, NumberRule, PercentRule, SizeRule, BooleanRule,
                  ChoiceRule, NameRule, TextRule, PathRule, MethodsRule,
                  AddressRule, AddressListRule, NameListRule>;
 
--- a/libraries/mesh/admission_queue.cc
+++ b/libraries/mesh/admission_queue.cc
@@ -63,9 +63,7 @@
     const Waiting waiting = first->second;
     keys_.erase(waiting.ticket);
     waiting_.erase(first);
-    const Duration needed =
-        Scale(ExpectedRunHere(waiting.expected_run), kHopelessShare);
-    if (now + needed >= waiting.deadline) {
+    if (IsHopeless(waiting, now)) {
       expired.push_back(waiting.ticket);
       continue;
     }
@@ -75,6 +73,23 @@
   return std::nullopt;
 }
 
+bool AdmissionQueue::IsHopeless(const Waiting& waiting,
+                                MonotonicTime now) const {
+  const Duration needed =
+      Scale(ExpectedRunHere(waiting.expected_run), kHopelessShare);
+  return now + needed >= waiting.deadline;
+}
+
+std::vector<AdmissionQueue::Ticket> AdmissionQueue::TakeExpired(
+    MonotonicTime now) {
+  std::vector<Ticket> expired;
+  for (const auto& [key, waiting] : waiting_) {
+    if (IsHopeless(waiting, now)) expired.push_back(waiting.ticket);
+  }
+  for (const Ticket ticket : expired) Remove(ticket);
+  return expired;
+}
+
 bool AdmissionQueue::Remove(Ticket ticket) {
   const auto found = keys_.find(ticket);
   if (found == keys_.end()) return false;
--- a/libraries/mesh/admission_queue.h
+++ b/libraries/mesh/admission_queue.h
@@ -53,6 +53,10 @@
   std::optional<Ticket> TakeNext(MonotonicTime now,
                                  std::vector<Ticket>& expired);
 
+  // Removes and returns the waiting requests that can no longer be answered in
+  // time.
+  std::vector<Ticket> TakeExpired(MonotonicTime now);
+
   // Removes a waiting request; returns whether it was waiting.
   bool Remove(Ticket ticket);
 
@@ -90,6 +94,7 @@
   // Rank, latest useful start, order of arrival.
   using Key = std::tuple<int, MonotonicTime, std::uint64_t>;
 
+  bool IsHopeless(const Waiting& waiting, MonotonicTime now) const;
   Duration EstimateWait(const Key& key) const;
   Duration ExpectedRunHere(Duration expected_run) const;
 
--- a/libraries/mesh/attempt_policy.cc
+++ b/libraries/mesh/attempt_policy.cc
@@ -8,7 +8,14 @@
 
 // Nodes to which a request is sent before it is refused: more would hold the
 // client longer than it takes to come back.
-constexpr int kMaximumHops = 3;
+constexpr int kMaximumHops = 4;
+
+// Nodes that are to run a request at once or refuse it.
+constexpr int kHopsWithoutWait = 2;
+
+// Reports are some tens of milliseconds old: so much more wait than expected is
+// still better than another node.
+constexpr Duration kWaitTolerance = std::chrono::milliseconds(15);
 
 // Share of the usual run time that must be left for a further run.
 constexpr double kNeededShare = 0.6;
@@ -68,6 +75,12 @@
   return std::visit(Decide{history}, outcome);
 }
 
+Duration ChooseWaitAllowance(int hops, Duration expected_wait,
+                             Duration wait_allowance) {
+  if (hops >= kHopsWithoutWait) return wait_allowance;
+  return std::min(wait_allowance, expected_wait + kWaitTolerance);
+}
+
 Duration ChooseRetryAfter(Duration until_room, Duration expected_run,
                           double unit) {
   const Duration base = std::max(until_room, kMinimumRetryAfter);
--- a/libraries/mesh/attempt_policy.h
+++ b/libraries/mesh/attempt_policy.h
@@ -44,6 +44,13 @@
 // Thread-safe.
 NextStep DecideNextStep(const AttemptHistory& history, const Outcome& outcome);
 
+// Time for which a request may wait at the node that it is sent to. `hops` are
+// the nodes that refused it. The first nodes are chosen because they seem to
+// have a free slot; if that has changed meanwhile, another one is better than a
+// place in the queue. Thread-safe.
+Duration ChooseWaitAllowance(int hops, Duration expected_wait,
+                             Duration wait_allowance);
+
 // Time after which a client that was refused should come back: when there is
 // likely to be room, spread so that those refused together do not return
 // together. `unit` is a random number in [0, 1). Thread-safe.
--- a/libraries/mesh/configuration.cc
+++ b/libraries/mesh/configuration.cc
@@ -17,7 +17,7 @@
   for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;
        slash = path.rfind('/')) {
     const auto route = routes->second.find(path.substr(0, slash + 1));
-    if (route != routes->second.end()) return &route->second;
+    if (route != routes->second.end()) return route->second.get();
     path = path.substr(0, slash);
   }
   return nullptr;
--- a/libraries/mesh/configuration.h
+++ b/libraries/mesh/configuration.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,6 +76,11 @@
   bool operator==(const ClientLimits&) const = default;
 };
 
+// Routes by path prefix. Versions share the routes that did not change.
+using RouteMap =
+    std::map<std::string, std::shared_ptr<const Route>, std::less<>>;
+using HostMap = std::map<std::string, RouteMap, std::less<>>;
+
 // One version of the configuration, complete and checked. Immutable once it is
 // shared.
 struct Configuration {
@@ -82,9 +88,8 @@
   std::uint64_t version = 0;
   std::vector<Service> services;
   ClientLimits limits;
-  // Routes by path prefix, by host in lower case.
-  std::map<std::string, std::map<std::string, Route, std::less<>>, std::less<>>
-      hosts;
+  // Routes by host in lower case.
+  HostMap hosts;
 
   // Returns the route with the longest prefix of `target` (path and query)
   // among those of `host` (with or without port), or nullptr. Thread-safe.
--- a/libraries/mesh/configuration_holder.cc
+++ b/libraries/mesh/configuration_holder.cc
@@ -5,13 +5,23 @@
 
 namespace oleandertide::mesh {
 
-bool ConfigurationHolder::Offer(Configuration configuration, std::string text) {
+bool ConfigurationHolder::Offer(Configuration configuration) {
   if (configuration.version <= version()) return false;
   current_ = std::make_shared<const Configuration>(std::move(configuration));
-  text_ = std::move(text);
+  kept_.push_back(current_);
+  if (kept_.size() > kKeptVersions) kept_.pop_front();
   return true;
 }
 
+ConfigurationUpdate ConfigurationHolder::MakeUpdateSince(
+    std::uint64_t version) const {
+  const auto base =
+      std::ranges::find_if(kept_, [&](const auto& configuration) {
+        return configuration->version == version;
+      });
+  return MakeUpdate(base == kept_.end() ? nullptr : base->get(), *current_);
+}
+
 void ConfigurationHolder::Confirm(std::uint64_t version, MonotonicTime now,
                                   Duration age) {
   if (version != this->version() || !current_) return;
--- a/libraries/mesh/configuration_holder.h
+++ b/libraries/mesh/configuration_holder.h
@@ -3,25 +3,35 @@
 #ifndef OLEANDERTIDE_MESH_CONFIGURATION_HOLDER_H_
 #define OLEANDERTIDE_MESH_CONFIGURATION_HOLDER_H_
 
+#include <cstddef>
+#include <deque>
 #include <memory>
 #include <optional>
-#include <string>
 
 #include "core/time.h"
 #include "mesh/configuration.h"
+#include "mesh/configuration_update.h"
 
 namespace oleandertide::mesh {
 
-// Never moves to an older version. Keeps the text as the store holds it, to
-// pass it on to other nodes. Not thread-safe; snapshots are immutable.
+// Never moves to an older version. Keeps the last versions, to tell other nodes
+// what changed since theirs. Not thread-safe; configurations are immutable.
 class ConfigurationHolder {
  public:
+  // Versions that are kept: a node is seldom further behind, and gets the whole
+  // configuration if it is.
+  static constexpr std::size_t kKeptVersions = 8;
+
   // Puts a configuration in force if it is newer; returns whether it was.
-  bool Offer(Configuration configuration, std::string text);
+  bool Offer(Configuration configuration);
 
   // The store, `age` ago, had no newer version than `version`.
   void Confirm(std::uint64_t version, MonotonicTime now, Duration age);
 
+  // Returns what a node that has `version` needs; the whole configuration if
+  // that version is not kept. Precondition: current() is not nullptr.
+  ConfigurationUpdate MakeUpdateSince(std::uint64_t version) const;
+
   // nullptr until the first one is known.
   const std::shared_ptr<const Configuration>& current() const {
     return current_;
@@ -30,14 +40,13 @@
   // 0 until the first configuration is known.
   std::uint64_t version() const { return current_ ? current_->version : 0; }
 
-  const std::string& text() const { return text_; }
-
   // Time since the store confirmed the version; the maximum if it never did.
   Duration confirmation_age(MonotonicTime now) const;
 
  private:
   std::shared_ptr<const Configuration> current_;
-  std::string text_;
+  // Oldest first, the current one at the end.
+  std::deque<std::shared_ptr<const Configuration>> kept_;
   std::optional<MonotonicTime> confirmed_at_;
 };
 
--- /dev/null
+++ b/libraries/mesh/configuration_update.h
@@ -0,0 +1,55 @@
+// Differences between versions of the configuration.
+
+#ifndef OLEANDERTIDE_MESH_CONFIGURATION_UPDATE_H_
+#define OLEANDERTIDE_MESH_CONFIGURATION_UPDATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/result.h"
+#include "mesh/configuration.h"
+
+namespace oleandertide::mesh {
+
+// What turns one version into another. A configuration of 1,600 routes has some
+// 300 kB and a change of it less than one, so nodes pass on differences.
+struct ConfigurationUpdate {
+  struct RemovedRoute {
+    std::string host;
+    std::string path_prefix;
+  };
+  struct PutRoute {
+    std::string host;
+    std::shared_ptr<const Route> route;
+  };
+
+  // 0 if the update holds the whole configuration.
+  std::uint64_t base_version = 0;
+  std::uint64_t version = 0;
+  // Of the resulting configuration.
+  std::uint64_t digest = 0;
+  std::vector<Service> services{};
+  ClientLimits limits{};
+  std::vector<RemovedRoute> removed{};
+  std::vector<PutRoute> put{};
+};
+
+// Returns a hash of everything but the version, the same at every node.
+// Thread-safe.
+std::uint64_t Digest(const Configuration& configuration);
+
+// Returns what turns `base` into `target`; without base, the whole. Thread-safe.
+ConfigurationUpdate MakeUpdate(const Configuration* base,
+                               const Configuration& target);
+
+// Applies an update to a copy of its base. Errors: kConflict if `base` is not
+// the version that the update starts from, kDataDamaged if the result is not
+// what the sender has. Thread-safe.
+Result<Configuration> ApplyUpdate(const Configuration* base,
+                                  const ConfigurationUpdate& update);
+
+}  // namespace oleandertide::mesh
+
+#endif  // OLEANDERTIDE_MESH_CONFIGURATION_UPDATE_H_
--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -16,9 +16,9 @@
 // Share of the mean run time by which scores are blurred.
 constexpr double kBlur = 0.15;
 
-// Backend servers slow down when they are nearly full: the charge for the last
-// slot, as a share of the mean run time.
-constexpr double kCrowdingCharge = 0.3;
+// Backend servers slow down when they are nearly full, and reports are old: the
+// charge for a full one, as a share of the mean run time.
+constexpr double kCrowdingCharge = 0.8;
 // Load share from which crowding is charged.
 constexpr double kCrowdingFrom = 0.5;
 
@@ -32,14 +32,14 @@
 }  // namespace
 
 void Placement::Update(std::string_view node, std::string_view service,
-                       bool is_in_own_data_centre, const BackendLoad& load) {
+                       const Location& location, const BackendLoad& load) {
   auto found = candidates_.find(node);
   if (found == candidates_.end()) {
     found = candidates_.emplace(node, Candidate{}).first;
   }
   Candidate& candidate = found->second;
   candidate.service = service;
-  candidate.is_in_own_data_centre = is_in_own_data_centre;
+  candidate.location = location;
   candidate.load = load;
   candidate.unreported = 0;
 }
@@ -75,7 +75,13 @@
   score += run * kCrowdingCharge * std::max(0.0, used - kCrowdingFrom);
   score += load.failure_share * kFailureCharge *
            Microseconds(request.target_latency);
-  if (!candidate.is_in_own_data_centre) {
+  if (candidate.location.link_mbps > 0) {
+    // A megabit per second is a bit per microsecond.
+    constexpr double kBitsPerByte = 8;
+    score += request.expected_bytes * kBitsPerByte /
+             candidate.location.link_mbps;
+  }
+  if (!candidate.location.is_in_own_data_centre) {
     score +=
         kOtherDataCentreUs + request.expected_bytes * kOtherDataCentreUsPerByte;
   }
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -51,9 +51,16 @@
   struct NoBackendServer {};
   using Decision = std::variant<Choice, NoRoom, NoBackendServer>;
 
+  // Where a backend server is, as seen from this node.
+  struct Location {
+    bool is_in_own_data_centre = false;
+    // Bandwidth of the way there in Mbit/s; 0 for the own instance.
+    double link_mbps = 0;
+  };
+
   // Takes in a report on the backend server beside `node`.
   void Update(std::string_view node, std::string_view service,
-              bool is_in_own_data_centre, const BackendLoad& load);
+              const Location& location, const BackendLoad& load);
 
   // Takes in the load that came with an answer of `node`.
   void UpdateLoad(std::string_view node, const BackendLoad& load);
@@ -71,7 +78,7 @@
  private:
   struct Candidate {
     std::string service;
-    bool is_in_own_data_centre = false;
+    Location location;
     BackendLoad load;
     // Requests sent since the report.
     int unreported = 0;
--- a/libraries/mesh/reader_election.cc
+++ b/libraries/mesh/reader_election.cc
@@ -1,21 +1,27 @@
 #include "mesh/reader_election.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "core/hash.h"
 
 namespace oleandertide::mesh {
 
-bool IsReader(std::string_view self, std::span<const std::string> peers,
+std::strong_ordering CompareReaders(const ReaderCandidate& first,
+                                    const ReaderCandidate& second) {
+  if (first.link_mbps != second.link_mbps) {
+    return second.link_mbps <=> first.link_mbps;
+  }
+  const auto by_hash = Hash64(first.node) <=> Hash64(second.node);
+  return by_hash != 0 ? by_hash : first.node <=> second.node;
+}
+
+bool IsReader(const ReaderCandidate& self,
+              std::span<const ReaderCandidate> peers,
               Duration confirmation_age) {
   if (confirmation_age > kConfirmationLimit) return true;
-  // Rendezvous hashing: nodes that see the same peers agree.
-  const auto rank = [](std::string_view node) {
-    return std::pair(Hash64(node), node);
-  };
-  return std::ranges::all_of(
-      peers, [&](const std::string& peer) { return rank(self) < rank(peer); });
+  return std::ranges::all_of(peers, [&](const ReaderCandidate& peer) {
+    return CompareReaders(self, peer) < 0;
+  });
 }
 
 }  // namespace oleandertide::mesh
--- a/libraries/mesh/reader_election.h
+++ b/libraries/mesh/reader_election.h
@@ -3,6 +3,8 @@
 #ifndef OLEANDERTIDE_MESH_READER_ELECTION_H_
 #define OLEANDERTIDE_MESH_READER_ELECTION_H_
 
+#include <compare>
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,9 +19,22 @@
 // reader may be dead, cut off or turned away.
 inline constexpr Duration kConfirmationLimit = std::chrono::milliseconds(1200);
 
+struct ReaderCandidate {
+  std::string node{};
+  // Bandwidth of the instance's link in Mbit/s.
+  std::uint32_t link_mbps = 0;
+};
+
+// Orders candidates; the least one reads. The widest link comes first, since a
+// configuration of some 300 kB fills a link of 5 Mbit/s for half a second. All
+// nodes agree on the order. Thread-safe.
+std::strong_ordering CompareReaders(const ReaderCandidate& first,
+                                    const ReaderCandidate& second);
+
 // Whether `self` is to follow the configuration. `peers` are the nodes of the
 // same data centre with an open link. Thread-safe.
-bool IsReader(std::string_view self, std::span<const std::string> peers,
+bool IsReader(const ReaderCandidate& self,
+              std::span<const ReaderCandidate> peers,
               Duration confirmation_age);
 
 }  // namespace oleandertide::mesh
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -26,8 +26,8 @@
 // own data centre's reader has had time to bring it: bytes between data centres
 // are priced.
 constexpr Duration kOtherDataCentreDelay = std::chrono::milliseconds(200);
-// Time between requests for a configuration.
-constexpr Duration kRequestInterval = std::chrono::milliseconds(200);
+// A node that does not answer a request within this time is not waited for.
+constexpr Duration kRequestLimit = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -56,11 +56,15 @@
       age == Duration::max() ? kUnconfirmedSeconds
                              : std::chrono::duration<double>(age).count());
   if (is_reading_ || now < backoff_until_) return;
-  std::vector<std::string> peers;
+  std::vector<mesh::ReaderCandidate> peers;
   for (const NodeIdentity& peer : links_->connected()) {
-    if (peer.data_centre == self_.data_centre) peers.push_back(peer.name);
+    if (peer.data_centre != self_.data_centre) continue;
+    peers.push_back({.node = peer.name, .link_mbps = peer.link_mbps});
+  }
+  if (!mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
+                      peers, age)) {
+    return;
   }
-  if (!mesh::IsReader(self_.name, peers, age)) return;
   if (followed_) {
     Follow();
   } else {
@@ -96,7 +100,7 @@
   }
   for (const platform::Row& row : rows.value().rows) {
     if (row.key != platform::kConfigurationKey || row.is_deleted) continue;
-    Offer(row.value, "store");
+    OnText(row.value);
   }
   followed_ = rows.value().store_version;
   parts_.holder.Confirm(parts_.holder.version(), now, Duration::zero());
@@ -115,33 +119,60 @@
     return;
   }
   if (version < parts_.holder.version()) return;
-  if (now - requested_at_ < kRequestInterval) return;
-  requested_at_ = now;
+  if (requested_at_ && now - *requested_at_ < kRequestLimit) return;
   if (peer.data_centre == self_.data_centre) {
-    links_->RequestConfiguration(peer.name);
+    Request(peer.name);
     return;
   }
+  if (is_request_scheduled_) return;
+  is_request_scheduled_ = true;
   auto timer = std::make_shared<Timer>(parts_.loop, kOtherDataCentreDelay);
   timer->async_wait([this, timer, name = peer.name,
                      version](const boost::system::error_code& error) {
-    if (error || parts_.holder.version() >= version) return;
-    links_->RequestConfiguration(name);
+    is_request_scheduled_ = false;
+    if (error || requested_at_ || parts_.holder.version() >= version) return;
+    Request(name);
   });
 }
 
-void ConfigurationSource::Offer(std::string_view text,
-                                std::string_view source) {
+void ConfigurationSource::Request(const std::string& node) {
+  requested_at_ = MonotonicClock::now();
+  links_->RequestConfiguration(node,
+                               needs_whole_ ? 0 : parts_.holder.version());
+}
+
+void ConfigurationSource::OnUpdate(const mesh::ConfigurationUpdate& update) {
+  requested_at_.reset();
+  if (update.version <= parts_.holder.version()) return;
+  auto configuration =
+      mesh::ApplyUpdate(parts_.holder.current().get(), update);
+  needs_whole_ = !configuration;
+  if (!configuration) {
+    logging::Log(Level::kWarning, "configuration", "update does not fit",
+                 {{"base", update.base_version},
+                  {"version", update.version},
+                  {"own", parts_.holder.version()},
+                  {"error", configuration.error().message()}});
+    return;
+  }
+  Offer(std::move(configuration).value(), "node");
+}
+
+void ConfigurationSource::OnText(std::string_view text) {
   auto decoded = platform::DecodeConfiguration(text);
   if (!decoded) {
     parts_.metrics.malformed_configurations.Add();
     logging::Log(Level::kError, "configuration", "not readable",
-                 {{"source", source}, {"why", decoded.error()}});
+                 {{"why", decoded.error()}});
     return;
   }
+  Offer(std::move(decoded).value(), "store");
+}
+
+void ConfigurationSource::Offer(mesh::Configuration configuration,
+                                std::string_view source) {
   const std::uint64_t before = parts_.holder.version();
-  if (!parts_.holder.Offer(std::move(decoded).value(), std::string(text))) {
-    return;
-  }
+  if (!parts_.holder.Offer(std::move(configuration))) return;
   parts_.metrics.configurations.Add();
   parts_.metrics.configuration_version.set_value(
       static_cast<double>(parts_.holder.version()));
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -15,6 +15,7 @@
 #include "mesh/configuration_holder.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/link_client.h"
+#include "sidecar/node_identity.h"
 #include "sidecar/node_metrics.h"
 #include "sidecar/store_client.h"
 
@@ -48,14 +49,17 @@
   void OnPeerStatus(const NodeIdentity& peer, std::uint64_t version,
                     Duration confirmation_age);
 
-  // Takes in a configuration as the store holds it.
-  void Offer(std::string_view text, std::string_view source);
+  // Takes in what another node sent.
+  void OnUpdate(const mesh::ConfigurationUpdate& update);
 
  private:
   void ScheduleTick(Duration interval);
   void Tick();
   void ReadAll();
   void Follow();
+  void Offer(mesh::Configuration configuration, std::string_view source);
+  void OnText(std::string_view text);
+  void Request(const std::string& node);
   void OnRows(const Result<platform::RowList>& rows);
 
   const Parts parts_;
@@ -67,8 +71,12 @@
   // store has forgotten its history.
   std::optional<std::uint64_t> followed_;
   bool is_reading_ = false;
+  bool is_request_scheduled_ = false;
   MonotonicTime backoff_until_;
-  MonotonicTime requested_at_;
+  // When a node was last asked, until it has answered.
+  std::optional<MonotonicTime> requested_at_;
+  // The last update did not fit; the whole configuration is asked for.
+  bool needs_whole_ = false;
 };
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -19,6 +19,10 @@
 // may take.
 constexpr Duration kOutcomeGrace = std::chrono::milliseconds(110);
 
+// A request that a stopping node takes is to be answered this long before its
+// end.
+constexpr Duration kEndMargin = std::chrono::milliseconds(250);
+
 // A route that is not in the configuration is denied only if the store has
 // confirmed the configuration within this time.
 constexpr Duration kFreshLimit = std::chrono::seconds(2);
@@ -144,6 +148,9 @@
   const Duration limit =
       std::min(head.remaining.value_or(route->timeout), route->timeout);
   exchange->deadline = exchange->arrived + limit;
+  if (end_) {
+    exchange->deadline = std::min(exchange->deadline, *end_ - kEndMargin);
+  }
   exchange->call = {.request_id = std::move(head.request_id),
                     .method = std::string(View(request->method_string())),
                     .target = std::string(View(request->target())),
@@ -156,11 +163,16 @@
   exchange->call.fingerprint = MakeFingerprint(exchange->call);
   retries_.RecordRequest(exchange->call.service);
   exchanges_.insert(exchange);
-  exchange->timer.expires_after(limit + kOutcomeGrace);
+  exchange->timer.expires_after(exchange->deadline - exchange->arrived +
+                                kOutcomeGrace);
   exchange->timer.async_wait(
       [this, exchange](const boost::system::error_code& error) {
         if (!error) OnDeadline(exchange);
       });
+  if (end_ && exchange->deadline - exchange->arrived < route->target_latency) {
+    GiveUp(exchange, mesh::Reason::kStopping, kAwayRetryAfter);
+    return;
+  }
   if (parts_.quarantine.IsRefused(exchange->arrived,
                                   exchange->call.fingerprint)) {
     GiveUp(exchange, mesh::Reason::kQuarantined, kQuarantineRetryAfter);
@@ -186,8 +198,8 @@
   const Duration spare = route.target_latency + share(kWaitShare) -
                          (now - exchange->arrived) - call.expected_run;
   call.wait_allowance = std::max(spare, share(kMinimumWaitShare));
-  placement_.Update(node_, parts_.receiver.service(), true,
-                    parts_.receiver.load());
+  placement_.Update(node_, parts_.receiver.service(),
+                    {.is_in_own_data_centre = true}, parts_.receiver.load());
   const mesh::Placement::Request request{
       .service = call.service,
       .expected_run = call.expected_run,
@@ -197,6 +209,8 @@
   const auto decision =
       placement_.Choose(request, exchange->tried, parts_.random);
   if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
+    call.wait_allowance = mesh::ChooseWaitAllowance(
+        exchange->hops, choice->expected_wait, call.wait_allowance);
     Send(exchange, choice->node);
   } else if (const auto* no_room =
                  std::get_if<mesh::Placement::NoRoom>(&decision)) {
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -64,6 +64,10 @@
 
   void set_service(std::string service) { service_ = std::move(service); }
 
+  // The node ends at `end`: requests from now on are taken only if they can be
+  // answered before.
+  void set_end(MonotonicTime end) { end_ = end; }
+
   // Whether no request waits for its answer.
   bool is_idle() const { return exchanges_.empty(); }
 
@@ -96,6 +100,7 @@
   const std::string node_;
   const std::string data_centre_;
   std::string service_;
+  std::optional<MonotonicTime> end_;
   mesh::Placement placement_;
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -1,7 +1,7 @@
 @0xb9a1f0c6d2e84a57;
 # Messages between nodes. A frame is the length of the message and the length
 # of the body that follows it (32 bits each, little endian), the message, and
-# the body: that of a request, an answer or a configuration.
+# the body: that of a request or an answer.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("oleandertide::sidecar::wire");
@@ -12,8 +12,14 @@
   # Where the node accepts connections of other nodes.
   address @1 :Text;
   dataCentre @2 :Text;
-  # Distinguishes the lives of a process.
-  incarnation @3 :UInt64;
+  # Service of the instance.
+  service @3 :Text;
+  # Bandwidth of the instance's link.
+  linkMbps @4 :UInt32;
+}
+
+struct Members {
+  members @0 :List(Hello);
 }
 
 struct Load {
@@ -89,6 +95,52 @@
   load @7 :Load;
 }
 
+struct WeightedService {
+  service @0 :Text;
+  weight @1 :Float64;
+}
+
+struct Route {
+  host @0 :Text;
+  name @1 :Text;
+  pathPrefix @2 :Text;
+  kind @3 :UInt8;
+  timeoutUs @4 :UInt64;
+  targetLatencyUs @5 :UInt64;
+  priority @6 :Int32;
+  maximumAttempts @7 :Int32;
+  services @8 :List(WeightedService);
+}
+
+struct RemovedRoute {
+  host @0 :Text;
+  pathPrefix @1 :Text;
+}
+
+struct Service {
+  name @0 :Text;
+  healthPath @1 :Text;
+  maximumConnections @2 :UInt64;
+}
+
+struct Limits {
+  maximumHeaderBytes @0 :UInt64;
+  maximumBodyBytes @1 :UInt64;
+  headerTimeoutUs @2 :UInt64;
+  idleTimeoutUs @3 :UInt64;
+}
+
+# What turns the base version into the version; base 0 is the whole.
+struct ConfigurationUpdate {
+  baseVersion @0 :UInt64;
+  version @1 :UInt64;
+  digest @2 :UInt64;
+  services @3 :List(Service);
+  limits @4 :Limits;
+  removed @5 :List(RemovedRoute);
+  put @6 :List(Route);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -96,9 +148,10 @@
     call @2 :Call;
     cancel @3 :Cancel;
     answer @4 :Answer;
-    # Asks for the configuration that the other node holds.
-    configurationRequest @5 :Void;
-    # The body is the configuration as the store holds it.
-    configuration @6 :Void;
+    # Asks for what changed since this version; 0 asks for the whole.
+    configurationRequest @5 :UInt64;
+    configuration @6 :ConfigurationUpdate;
+    # Nodes that the sender has learnt of.
+    members @7 :Members;
   }
 }
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(922351551e03af05);
+CAPNP_DECLARE_SCHEMA(ab13522bf8284de5);
 CAPNP_DECLARE_SCHEMA(c5dec65f0f9772d2);
 CAPNP_DECLARE_SCHEMA(e26735599c25665d);
 CAPNP_DECLARE_SCHEMA(a279f3b106171c7e);
@@ -30,6 +31,12 @@
   UNKNOWN,
 };
 CAPNP_DECLARE_ENUM(Outcome, f05ab7e8659d4434);
+CAPNP_DECLARE_SCHEMA(9af0ee040e3f41a7);
+CAPNP_DECLARE_SCHEMA(d99b792aeee256b2);
+CAPNP_DECLARE_SCHEMA(ad963a1e736a02c4);
+CAPNP_DECLARE_SCHEMA(cf160ba5d6363942);
+CAPNP_DECLARE_SCHEMA(991e241e1b6bd37b);
+CAPNP_DECLARE_SCHEMA(c8e9b4b1f26659f4);
 CAPNP_DECLARE_SCHEMA(bdbc62cef11bf3a1);
 
 }  // namespace schemas
@@ -47,7 +54,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(922351551e03af05, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(922351551e03af05, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Members {
+  Members() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab13522bf8284de5, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -146,6 +168,96 @@
   };
 };
 
+struct WeightedService {
+  WeightedService() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9af0ee040e3f41a7, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Route {
+  Route() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d99b792aeee256b2, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RemovedRoute {
+  RemovedRoute() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad963a1e736a02c4, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Service {
+  Service() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cf160ba5d6363942, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Limits {
+  Limits() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(991e241e1b6bd37b, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ConfigurationUpdate {
+  ConfigurationUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c8e9b4b1f26659f4, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -160,10 +272,11 @@
     ANSWER,
     CONFIGURATION_REQUEST,
     CONFIGURATION,
+    MEMBERS,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdbc62cef11bf3a1, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bdbc62cef11bf3a1, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -198,7 +311,10 @@
   inline bool hasDataCentre() const;
   inline  ::capnp::Text::Reader getDataCentre() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getLinkMbps() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -249,8 +365,15 @@
   inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getLinkMbps();
+  inline void setLinkMbps( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -278,6 +401,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Members::Reader {
+public:
+  typedef Members Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Members::Builder {
+public:
+  typedef Members Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>> disownMembers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Members::Pipeline {
+public:
+  typedef Members Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Load::Reader {
 public:
   typedef Load Reads;
@@ -956,9 +1160,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Frame::Reader {
+class WeightedService::Reader {
 public:
-  typedef Frame Reads;
+  typedef WeightedService Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -973,32 +1177,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isHello() const;
-  inline bool hasHello() const;
-  inline  ::oleandertide::sidecar::wire::Hello::Reader getHello() const;
-
-  inline bool isStatus() const;
-  inline bool hasStatus() const;
-  inline  ::oleandertide::sidecar::wire::Status::Reader getStatus() const;
-
-  inline bool isCall() const;
-  inline bool hasCall() const;
-  inline  ::oleandertide::sidecar::wire::Call::Reader getCall() const;
-
-  inline bool isCancel() const;
-  inline bool hasCancel() const;
-  inline  ::oleandertide::sidecar::wire::Cancel::Reader getCancel() const;
-
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::oleandertide::sidecar::wire::Answer::Reader getAnswer() const;
-
-  inline bool isConfigurationRequest() const;
-  inline  ::capnp::Void getConfigurationRequest() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool isConfiguration() const;
-  inline  ::capnp::Void getConfiguration() const;
+  inline double getWeight() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1012,9 +1194,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Frame::Builder {
+class WeightedService::Builder {
 public:
-  typedef Frame Builds;
+  typedef WeightedService Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1028,54 +1210,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isHello();
-  inline bool hasHello();
-  inline  ::oleandertide::sidecar::wire::Hello::Builder getHello();
-  inline void setHello( ::oleandertide::sidecar::wire::Hello::Reader value);
-  inline  ::oleandertide::sidecar::wire::Hello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::oleandertide::sidecar::wire::Hello>&& value);
-  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Hello> disownHello();
-
-  inline bool isStatus();
-  inline bool hasStatus();
-  inline  ::oleandertide::sidecar::wire::Status::Builder getStatus();
-  inline void setStatus( ::oleandertide::sidecar::wire::Status::Reader value);
-  inline  ::oleandertide::sidecar::wire::Status::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::oleandertide::sidecar::wire::Status>&& value);
-  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Status> disownStatus();
-
-  inline bool isCall();
-  inline bool hasCall();
-  inline  ::oleandertide::sidecar::wire::Call::Builder getCall();
-  inline void setCall( ::oleandertide::sidecar::wire::Call::Reader value);
-  inline  ::oleandertide::sidecar::wire::Call::Builder initCall();
-  inline void adoptCall(::capnp::Orphan< ::oleandertide::sidecar::wire::Call>&& value);
-  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Call> disownCall();
-
-  inline bool isCancel();
-  inline bool hasCancel();
-  inline  ::oleandertide::sidecar::wire::Cancel::Builder getCancel();
-  inline void setCancel( ::oleandertide::sidecar::wire::Cancel::Reader value);
-  inline  ::oleandertide::sidecar::wire::Cancel::Builder initCancel();
-  inline void adoptCancel(::capnp::Orphan< ::oleandertide::sidecar::wire::Cancel>&& value);
-  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Cancel> disownCancel();
-
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::oleandertide::sidecar::wire::Answer::Builder getAnswer();
-  inline void setAnswer( ::oleandertide::sidecar::wire::Answer::Reader value);
-  inline  ::oleandertide::sidecar::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::oleandertide::sidecar::wire::Answer>&& value);
-  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Answer> disownAnswer();
-
-  inline bool isConfigurationRequest();
-  inline  ::capnp::Void getConfigurationRequest();
-  inline void setConfigurationRequest( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool isConfiguration();
-  inline  ::capnp::Void getConfiguration();
-  inline void setConfiguration( ::capnp::Void value = ::capnp::VOID);
+  inline double getWeight();
+  inline void setWeight(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1087,9 +1230,9 @@
 };
 
 #if !CAPNP_LITE
-class Frame::Pipeline {
+class WeightedService::Pipeline {
 public:
-  typedef Frame Pipelines;
+  typedef WeightedService Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1103,906 +1246,2322 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Route::Reader {
+public:
+  typedef Route Reads;
 
-inline bool Hello::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hello::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Hello::Builder::getNode() {
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasPathPrefix() const;
+  inline  ::capnp::Text::Reader getPathPrefix() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint64_t getTimeoutUs() const;
+
+  inline  ::uint64_t getTargetLatencyUs() const;
+
+  inline  ::int32_t getPriority() const;
+
+  inline  ::int32_t getMaximumAttempts() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Reader getServices() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Route::Builder {
+public:
+  typedef Route Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasPathPrefix();
+  inline  ::capnp::Text::Builder getPathPrefix();
+  inline void setPathPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPathPrefix(unsigned int size);
+  inline void adoptPathPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPathPrefix();
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint64_t getTimeoutUs();
+  inline void setTimeoutUs( ::uint64_t value);
+
+  inline  ::uint64_t getTargetLatencyUs();
+  inline void setTargetLatencyUs( ::uint64_t value);
+
+  inline  ::int32_t getPriority();
+  inline void setPriority( ::int32_t value);
+
+  inline  ::int32_t getMaximumAttempts();
+  inline void setMaximumAttempts( ::int32_t value);
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Builder getServices();
+  inline void setServices( ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>> disownServices();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Route::Pipeline {
+public:
+  typedef Route Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RemovedRoute::Reader {
+public:
+  typedef RemovedRoute Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasPathPrefix() const;
+  inline  ::capnp::Text::Reader getPathPrefix() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RemovedRoute::Builder {
+public:
+  typedef RemovedRoute Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasPathPrefix();
+  inline  ::capnp::Text::Builder getPathPrefix();
+  inline void setPathPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPathPrefix(unsigned int size);
+  inline void adoptPathPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPathPrefix();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RemovedRoute::Pipeline {
+public:
+  typedef RemovedRoute Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Service::Reader {
+public:
+  typedef Service Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasHealthPath() const;
+  inline  ::capnp::Text::Reader getHealthPath() const;
+
+  inline  ::uint64_t getMaximumConnections() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Service::Builder {
+public:
+  typedef Service Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasHealthPath();
+  inline  ::capnp::Text::Builder getHealthPath();
+  inline void setHealthPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHealthPath(unsigned int size);
+  inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
+
+  inline  ::uint64_t getMaximumConnections();
+  inline void setMaximumConnections( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Service::Pipeline {
+public:
+  typedef Service Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Limits::Reader {
+public:
+  typedef Limits Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMaximumHeaderBytes() const;
+
+  inline  ::uint64_t getMaximumBodyBytes() const;
+
+  inline  ::uint64_t getHeaderTimeoutUs() const;
+
+  inline  ::uint64_t getIdleTimeoutUs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Limits::Builder {
+public:
+  typedef Limits Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMaximumHeaderBytes();
+  inline void setMaximumHeaderBytes( ::uint64_t value);
+
+  inline  ::uint64_t getMaximumBodyBytes();
+  inline void setMaximumBodyBytes( ::uint64_t value);
+
+  inline  ::uint64_t getHeaderTimeoutUs();
+  inline void setHeaderTimeoutUs( ::uint64_t value);
+
+  inline  ::uint64_t getIdleTimeoutUs();
+  inline void setIdleTimeoutUs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Limits::Pipeline {
+public:
+  typedef Limits Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigurationUpdate::Reader {
+public:
+  typedef ConfigurationUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBaseVersion() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getDigest() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Reader getServices() const;
+
+  inline bool hasLimits() const;
+  inline  ::oleandertide::sidecar::wire::Limits::Reader getLimits() const;
+
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Reader getRemoved() const;
+
+  inline bool hasPut() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Reader getPut() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationUpdate::Builder {
+public:
+  typedef ConfigurationUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBaseVersion();
+  inline void setBaseVersion( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Builder getServices();
+  inline void setServices( ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>> disownServices();
+
+  inline bool hasLimits();
+  inline  ::oleandertide::sidecar::wire::Limits::Builder getLimits();
+  inline void setLimits( ::oleandertide::sidecar::wire::Limits::Reader value);
+  inline  ::oleandertide::sidecar::wire::Limits::Builder initLimits();
+  inline void adoptLimits(::capnp::Orphan< ::oleandertide::sidecar::wire::Limits>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Limits> disownLimits();
+
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>> disownRemoved();
+
+  inline bool hasPut();
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Builder getPut();
+  inline void setPut( ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Builder initPut(unsigned int size);
+  inline void adoptPut(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>> disownPut();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationUpdate::Pipeline {
+public:
+  typedef ConfigurationUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::oleandertide::sidecar::wire::Limits::Pipeline getLimits();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Frame::Reader {
+public:
+  typedef Frame Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::oleandertide::sidecar::wire::Hello::Reader getHello() const;
+
+  inline bool isStatus() const;
+  inline bool hasStatus() const;
+  inline  ::oleandertide::sidecar::wire::Status::Reader getStatus() const;
+
+  inline bool isCall() const;
+  inline bool hasCall() const;
+  inline  ::oleandertide::sidecar::wire::Call::Reader getCall() const;
+
+  inline bool isCancel() const;
+  inline bool hasCancel() const;
+  inline  ::oleandertide::sidecar::wire::Cancel::Reader getCancel() const;
+
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::oleandertide::sidecar::wire::Answer::Reader getAnswer() const;
+
+  inline bool isConfigurationRequest() const;
+  inline  ::uint64_t getConfigurationRequest() const;
+
+  inline bool isConfiguration() const;
+  inline bool hasConfiguration() const;
+  inline  ::oleandertide::sidecar::wire::ConfigurationUpdate::Reader getConfiguration() const;
+
+  inline bool isMembers() const;
+  inline bool hasMembers() const;
+  inline  ::oleandertide::sidecar::wire::Members::Reader getMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Frame::Builder {
+public:
+  typedef Frame Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::oleandertide::sidecar::wire::Hello::Builder getHello();
+  inline void setHello( ::oleandertide::sidecar::wire::Hello::Reader value);
+  inline  ::oleandertide::sidecar::wire::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::oleandertide::sidecar::wire::Hello>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Hello> disownHello();
+
+  inline bool isStatus();
+  inline bool hasStatus();
+  inline  ::oleandertide::sidecar::wire::Status::Builder getStatus();
+  inline void setStatus( ::oleandertide::sidecar::wire::Status::Reader value);
+  inline  ::oleandertide::sidecar::wire::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::oleandertide::sidecar::wire::Status>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Status> disownStatus();
+
+  inline bool isCall();
+  inline bool hasCall();
+  inline  ::oleandertide::sidecar::wire::Call::Builder getCall();
+  inline void setCall( ::oleandertide::sidecar::wire::Call::Reader value);
+  inline  ::oleandertide::sidecar::wire::Call::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::oleandertide::sidecar::wire::Call>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Call> disownCall();
+
+  inline bool isCancel();
+  inline bool hasCancel();
+  inline  ::oleandertide::sidecar::wire::Cancel::Builder getCancel();
+  inline void setCancel( ::oleandertide::sidecar::wire::Cancel::Reader value);
+  inline  ::oleandertide::sidecar::wire::Cancel::Builder initCancel();
+  inline void adoptCancel(::capnp::Orphan< ::oleandertide::sidecar::wire::Cancel>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Cancel> disownCancel();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::oleandertide::sidecar::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::oleandertide::sidecar::wire::Answer::Reader value);
+  inline  ::oleandertide::sidecar::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::oleandertide::sidecar::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Answer> disownAnswer();
+
+  inline bool isConfigurationRequest();
+  inline  ::uint64_t getConfigurationRequest();
+  inline void setConfigurationRequest( ::uint64_t value);
+
+  inline bool isConfiguration();
+  inline bool hasConfiguration();
+  inline  ::oleandertide::sidecar::wire::ConfigurationUpdate::Builder getConfiguration();
+  inline void setConfiguration( ::oleandertide::sidecar::wire::ConfigurationUpdate::Reader value);
+  inline  ::oleandertide::sidecar::wire::ConfigurationUpdate::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::oleandertide::sidecar::wire::ConfigurationUpdate>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::ConfigurationUpdate> disownConfiguration();
+
+  inline bool isMembers();
+  inline bool hasMembers();
+  inline  ::oleandertide::sidecar::wire::Members::Builder getMembers();
+  inline void setMembers( ::oleandertide::sidecar::wire::Members::Reader value);
+  inline  ::oleandertide::sidecar::wire::Members::Builder initMembers();
+  inline void adoptMembers(::capnp::Orphan< ::oleandertide::sidecar::wire::Members>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Members> disownMembers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Frame::Pipeline {
+public:
+  typedef Frame Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Hello::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Hello::Reader::getLinkMbps() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getLinkMbps() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setLinkMbps( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Members::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Members::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Reader Members::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Builder Members::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Members::Builder::setMembers( ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>::Builder Members::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Members::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>> Members::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Hello,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Load::Reader::getAccepts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getAccepts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setAccepts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getWaiting() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setWaiting( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getMeanRunUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getMeanRunUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setMeanRunUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getSlownessPermille() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getSlownessPermille() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSlownessPermille( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getFailurePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getFailurePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setFailurePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasBackendAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasBackendAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashReport::Reader::getBackendAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::getBackendAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setBackendAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::initBackendAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptBackendAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownBackendAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CrashReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getIsCompletion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getIsCompletion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIsCompletion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Status::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Status::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Status::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Status::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Status::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Status::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Status::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Status::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Status::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandertide::sidecar::wire::Load::Reader Status::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::oleandertide::sidecar::wire::Load::Builder Status::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::oleandertide::sidecar::wire::Load::Pipeline Status::Pipeline::getLoad() {
+  return  ::oleandertide::sidecar::wire::Load::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Status::Builder::setLoad( ::oleandertide::sidecar::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandertide::sidecar::wire::Load::Builder Status::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Status::Builder::adoptLoad(
+    ::capnp::Orphan< ::oleandertide::sidecar::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Load> Status::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Status::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Status::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Status::Reader::getConfirmationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Status::Builder::getConfirmationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setConfirmationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Status::Reader::hasCrashReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Status::Builder::hasCrashReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader Status::Reader::getCrashReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Status::Builder::getCrashReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Status::Builder::setCrashReports( ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Status::Builder::initCrashReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Status::Builder::adoptCrashReports(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>> Status::Builder::disownCrashReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Call::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Call::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setNode( ::capnp::Text::Reader value) {
+inline void Call::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hello::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder Call::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptNode(
+inline void Call::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Hello::Reader::hasAddress() const {
+inline bool Call::Reader::hasMethod() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Hello::Builder::hasAddress() {
+inline bool Call::Builder::hasMethod() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Hello::Reader::getAddress() const {
+inline  ::capnp::Text::Reader Call::Reader::getMethod() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Hello::Builder::getAddress() {
+inline  ::capnp::Text::Builder Call::Builder::getMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void Call::Builder::setMethod( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hello::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Call::Builder::initMethod(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptAddress(
+inline void Call::Builder::adoptMethod(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Hello::Reader::hasDataCentre() const {
+inline bool Call::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Hello::Builder::hasDataCentre() {
+inline bool Call::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Hello::Reader::getDataCentre() const {
+inline  ::capnp::Text::Reader Call::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Hello::Builder::getDataCentre() {
+inline  ::capnp::Text::Builder Call::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setDataCentre( ::capnp::Text::Reader value) {
+inline void Call::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hello::Builder::initDataCentre(unsigned int size) {
+inline  ::capnp::Text::Builder Call::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptDataCentre(
+inline void Call::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDataCentre() {
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Hello::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Call::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Hello::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Call::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Hello::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Call::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline bool Load::Reader::getAccepts() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Call::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline bool Load::Builder::getAccepts() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Call::Builder::setHeaders( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void Load::Builder::setAccepts(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder Call::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Load::Reader::getSlots() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Call::Reader::hasCallerService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasCallerService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getCallerService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setCallerService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initCallerService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptCallerService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Load::Builder::getSlots() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Call::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setSlots( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool Call::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Load::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint32_t Call::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint32_t Call::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void Call::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint32_t Call::Reader::getWaitAllowanceMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getWaiting() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint32_t Call::Builder::getWaitAllowanceMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setWaiting( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void Call::Builder::setWaitAllowanceMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getMeanRunUs() const {
+inline  ::uint32_t Call::Reader::getExpectedRunUs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getMeanRunUs() {
+inline  ::uint32_t Call::Builder::getExpectedRunUs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setMeanRunUs( ::uint32_t value) {
+inline void Call::Builder::setExpectedRunUs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getSlownessPermille() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Call::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getSlownessPermille() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Call::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setSlownessPermille( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Call::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getFailurePermille() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Call::Reader::getPriority() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getFailurePermille() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Call::Builder::getPriority() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setFailurePermille( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setPriority( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CrashReport::Reader::getFingerprint() const {
+inline bool Call::Reader::getIsRepeatable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+}
+
+inline bool Call::Builder::getIsRepeatable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setIsRepeatable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<168>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Cancel::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashReport::Builder::getFingerprint() {
+inline  ::uint64_t Cancel::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setFingerprint( ::uint64_t value) {
+inline void Cancel::Builder::setId( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashReport::Reader::hasBackendAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool CrashReport::Builder::hasBackendAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader CrashReport::Reader::getBackendAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint64_t Answer::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::getBackendAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Answer::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setBackendAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Answer::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::initBackendAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::oleandertide::sidecar::wire::Answer::Outcome Answer::Reader::getOutcome() const {
+  return _reader.getDataField< ::oleandertide::sidecar::wire::Answer::Outcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::adoptBackendAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::oleandertide::sidecar::wire::Answer::Outcome Answer::Builder::getOutcome() {
+  return _builder.getDataField< ::oleandertide::sidecar::wire::Answer::Outcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownBackendAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Answer::Builder::setOutcome( ::oleandertide::sidecar::wire::Answer::Outcome value) {
+  _builder.setDataField< ::oleandertide::sidecar::wire::Answer::Outcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CrashReport::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Answer::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CrashReport::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Answer::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashReport::Reader::getIsCompletion() const {
+inline bool Answer::Reader::getReachedBackend() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<88>() * ::capnp::ELEMENTS);
 }
 
-inline bool CrashReport::Builder::getIsCompletion() {
+inline bool Answer::Builder::getReachedBackend() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<88>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setIsCompletion(bool value) {
+inline void Answer::Builder::setReachedBackend(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<88>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Status::Reader::hasService() const {
+inline  ::uint16_t Answer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Answer::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasHeaders() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasService() {
+inline bool Answer::Builder::hasHeaders() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Status::Reader::getService() const {
+inline  ::capnp::Text::Reader Answer::Reader::getHeaders() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Status::Builder::getService() {
+inline  ::capnp::Text::Builder Answer::Builder::getHeaders() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::setService( ::capnp::Text::Reader value) {
+inline void Answer::Builder::setHeaders( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Status::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder Answer::Builder::initHeaders(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Status::Builder::adoptService(
+inline void Answer::Builder::adoptHeaders(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownHeaders() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Status::Reader::hasLoad() const {
+inline  ::uint32_t Answer::Reader::getRunUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Answer::Builder::getRunUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setRunUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::hasLoad() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasLoad() {
+inline bool Answer::Builder::hasLoad() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandertide::sidecar::wire::Load::Reader Status::Reader::getLoad() const {
+inline  ::oleandertide::sidecar::wire::Load::Reader Answer::Reader::getLoad() const {
   return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::oleandertide::sidecar::wire::Load::Builder Status::Builder::getLoad() {
+inline  ::oleandertide::sidecar::wire::Load::Builder Answer::Builder::getLoad() {
   return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::oleandertide::sidecar::wire::Load::Pipeline Status::Pipeline::getLoad() {
+inline  ::oleandertide::sidecar::wire::Load::Pipeline Answer::Pipeline::getLoad() {
   return  ::oleandertide::sidecar::wire::Load::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Status::Builder::setLoad( ::oleandertide::sidecar::wire::Load::Reader value) {
+inline void Answer::Builder::setLoad( ::oleandertide::sidecar::wire::Load::Reader value) {
   ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandertide::sidecar::wire::Load::Builder Status::Builder::initLoad() {
+inline  ::oleandertide::sidecar::wire::Load::Builder Answer::Builder::initLoad() {
   return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::adoptLoad(
+inline void Answer::Builder::adoptLoad(
     ::capnp::Orphan< ::oleandertide::sidecar::wire::Load>&& value) {
   ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Load> Status::Builder::disownLoad() {
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Load> Answer::Builder::disownLoad() {
   return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Status::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Status::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Status::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Status::Reader::getConfirmationAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Status::Builder::getConfirmationAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Status::Builder::setConfirmationAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Status::Reader::hasCrashReports() const {
+inline bool WeightedService::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasCrashReports() {
+inline bool WeightedService::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader Status::Reader::getCrashReports() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader WeightedService::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Status::Builder::getCrashReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder WeightedService::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::setCrashReports( ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void WeightedService::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Status::Builder::initCrashReports(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder WeightedService::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Status::Builder::adoptCrashReports(
-    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void WeightedService::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>> Status::Builder::disownCrashReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> WeightedService::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Call::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double WeightedService::Reader::getWeight() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Call::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
+inline double WeightedService::Builder::getWeight() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void WeightedService::Builder::setWeight(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Call::Reader::hasRequestId() const {
+inline bool Route::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Call::Builder::hasRequestId() {
+inline bool Route::Builder::hasHost() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Call::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader Route::Reader::getHost() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Call::Builder::getRequestId() {
+inline  ::capnp::Text::Builder Route::Builder::getHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void Route::Builder::setHost( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Call::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder Route::Builder::initHost(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptRequestId(
+inline void Route::Builder::adoptHost(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> Route::Builder::disownHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Call::Reader::hasMethod() const {
+inline bool Route::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Call::Builder::hasMethod() {
+inline bool Route::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Call::Reader::getMethod() const {
+inline  ::capnp::Text::Reader Route::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Call::Builder::getMethod() {
+inline  ::capnp::Text::Builder Route::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setMethod( ::capnp::Text::Reader value) {
+inline void Route::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Call::Builder::initMethod(unsigned int size) {
+inline  ::capnp::Text::Builder Route::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptMethod(
+inline void Route::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownMethod() {
+inline ::capnp::Orphan< ::capnp::Text> Route::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Call::Reader::hasTarget() const {
+inline bool Route::Reader::hasPathPrefix() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Call::Builder::hasTarget() {
+inline bool Route::Builder::hasPathPrefix() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Call::Reader::getTarget() const {
+inline  ::capnp::Text::Reader Route::Reader::getPathPrefix() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Call::Builder::getTarget() {
+inline  ::capnp::Text::Builder Route::Builder::getPathPrefix() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void Route::Builder::setPathPrefix( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Call::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder Route::Builder::initPathPrefix(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptTarget(
+inline void Route::Builder::adoptPathPrefix(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> Route::Builder::disownPathPrefix() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Call::Reader::hasHeaders() const {
+inline  ::uint8_t Route::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Route::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Route::Reader::getTimeoutUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Route::Builder::getTimeoutUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setTimeoutUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Route::Reader::getTargetLatencyUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Route::Builder::getTargetLatencyUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setTargetLatencyUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Route::Reader::getPriority() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Route::Builder::getPriority() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setPriority( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Route::Reader::getMaximumAttempts() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Route::Builder::getMaximumAttempts() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setMaximumAttempts( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Route::Reader::hasServices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Call::Builder::hasHeaders() {
+inline bool Route::Builder::hasServices() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Call::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Reader Route::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Call::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Builder Route::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setHeaders( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Route::Builder::setServices( ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Call::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Builder Route::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Route::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>> Route::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Call::Reader::hasCallerService() const {
+inline bool RemovedRoute::Reader::hasHost() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Call::Builder::hasCallerService() {
+inline bool RemovedRoute::Builder::hasHost() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Call::Reader::getCallerService() const {
+inline  ::capnp::Text::Reader RemovedRoute::Reader::getHost() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Call::Builder::getCallerService() {
+inline  ::capnp::Text::Builder RemovedRoute::Builder::getHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setCallerService( ::capnp::Text::Reader value) {
+inline void RemovedRoute::Builder::setHost( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Call::Builder::initCallerService(unsigned int size) {
+inline  ::capnp::Text::Builder RemovedRoute::Builder::initHost(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptCallerService(
+inline void RemovedRoute::Builder::adoptHost(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownCallerService() {
+inline ::capnp::Orphan< ::capnp::Text> RemovedRoute::Builder::disownHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Call::Reader::hasService() const {
+inline bool RemovedRoute::Reader::hasPathPrefix() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Call::Builder::hasService() {
+inline bool RemovedRoute::Builder::hasPathPrefix() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Call::Reader::getService() const {
+inline  ::capnp::Text::Reader RemovedRoute::Reader::getPathPrefix() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Call::Builder::getService() {
+inline  ::capnp::Text::Builder RemovedRoute::Builder::getPathPrefix() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setService( ::capnp::Text::Reader value) {
+inline void RemovedRoute::Builder::setPathPrefix( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Call::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder RemovedRoute::Builder::initPathPrefix(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptService(
+inline void RemovedRoute::Builder::adoptPathPrefix(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> RemovedRoute::Builder::disownPathPrefix() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Call::Reader::getRemainingMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Service::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Call::Builder::getRemainingMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Service::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Call::Builder::setRemainingMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Service::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Call::Reader::getWaitAllowanceMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Service::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Service::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Service::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Service::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Service::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Call::Builder::getWaitAllowanceMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Service::Reader::hasHealthPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Call::Builder::setWaitAllowanceMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool Service::Builder::hasHealthPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Service::Reader::getHealthPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Service::Builder::getHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Service::Builder::setHealthPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Service::Builder::initHealthPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Service::Builder::adoptHealthPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Service::Builder::disownHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Call::Reader::getExpectedRunUs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Service::Reader::getMaximumConnections() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Call::Builder::getExpectedRunUs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Service::Builder::getMaximumConnections() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setExpectedRunUs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Service::Builder::setMaximumConnections( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Call::Reader::getFingerprint() const {
+inline  ::uint64_t Limits::Reader::getMaximumHeaderBytes() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Call::Builder::getFingerprint() {
+inline  ::uint64_t Limits::Builder::getMaximumHeaderBytes() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setFingerprint( ::uint64_t value) {
+inline void Limits::Builder::setMaximumHeaderBytes( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Call::Reader::getPriority() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Limits::Reader::getMaximumBodyBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Call::Builder::getPriority() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Limits::Builder::getMaximumBodyBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setPriority( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+inline void Limits::Builder::setMaximumBodyBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Call::Reader::getIsRepeatable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Limits::Reader::getHeaderTimeoutUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Call::Builder::getIsRepeatable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Limits::Builder::getHeaderTimeoutUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setIsRepeatable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<168>() * ::capnp::ELEMENTS, value);
+inline void Limits::Builder::setHeaderTimeoutUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Cancel::Reader::getId() const {
+inline  ::uint64_t Limits::Reader::getIdleTimeoutUs() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Cancel::Builder::getId() {
+inline  ::uint64_t Limits::Builder::getIdleTimeoutUs() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Cancel::Builder::setId( ::uint64_t value) {
+inline void Limits::Builder::setIdleTimeoutUs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Answer::Reader::getId() const {
+inline  ::uint64_t ConfigurationUpdate::Reader::getBaseVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Answer::Builder::getId() {
+inline  ::uint64_t ConfigurationUpdate::Builder::getBaseVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setId( ::uint64_t value) {
+inline void ConfigurationUpdate::Builder::setBaseVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::oleandertide::sidecar::wire::Answer::Outcome Answer::Reader::getOutcome() const {
-  return _reader.getDataField< ::oleandertide::sidecar::wire::Answer::Outcome>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::oleandertide::sidecar::wire::Answer::Outcome Answer::Builder::getOutcome() {
-  return _builder.getDataField< ::oleandertide::sidecar::wire::Answer::Outcome>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setOutcome( ::oleandertide::sidecar::wire::Answer::Outcome value) {
-  _builder.setDataField< ::oleandertide::sidecar::wire::Answer::Outcome>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t Answer::Reader::getReason() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t Answer::Builder::getReason() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setReason( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Answer::Reader::getReachedBackend() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<88>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfigurationUpdate::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Answer::Builder::getReachedBackend() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<88>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfigurationUpdate::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setReachedBackend(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<88>() * ::capnp::ELEMENTS, value);
+inline void ConfigurationUpdate::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Answer::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfigurationUpdate::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Answer::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConfigurationUpdate::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void ConfigurationUpdate::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Answer::Reader::hasHeaders() const {
+inline bool ConfigurationUpdate::Reader::hasServices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasHeaders() {
+inline bool ConfigurationUpdate::Builder::hasServices() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Answer::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Reader ConfigurationUpdate::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Answer::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setHeaders( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ConfigurationUpdate::Builder::setServices( ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Answer::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ConfigurationUpdate::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>> ConfigurationUpdate::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Service,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Answer::Reader::getRunUs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Answer::Builder::getRunUs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setRunUs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Answer::Reader::hasLoad() const {
+inline bool ConfigurationUpdate::Reader::hasLimits() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasLoad() {
+inline bool ConfigurationUpdate::Builder::hasLimits() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::oleandertide::sidecar::wire::Load::Reader Answer::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::get(_reader.getPointerField(
+inline  ::oleandertide::sidecar::wire::Limits::Reader ConfigurationUpdate::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Limits>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::oleandertide::sidecar::wire::Load::Builder Answer::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::get(_builder.getPointerField(
+inline  ::oleandertide::sidecar::wire::Limits::Builder ConfigurationUpdate::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Limits>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::oleandertide::sidecar::wire::Load::Pipeline Answer::Pipeline::getLoad() {
-  return  ::oleandertide::sidecar::wire::Load::Pipeline(_typeless.getPointerField(1));
+inline  ::oleandertide::sidecar::wire::Limits::Pipeline ConfigurationUpdate::Pipeline::getLimits() {
+  return  ::oleandertide::sidecar::wire::Limits::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Answer::Builder::setLoad( ::oleandertide::sidecar::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::set(_builder.getPointerField(
+inline void ConfigurationUpdate::Builder::setLimits( ::oleandertide::sidecar::wire::Limits::Reader value) {
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Limits>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::oleandertide::sidecar::wire::Load::Builder Answer::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::init(_builder.getPointerField(
+inline  ::oleandertide::sidecar::wire::Limits::Builder ConfigurationUpdate::Builder::initLimits() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Limits>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::adoptLoad(
-    ::capnp::Orphan< ::oleandertide::sidecar::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::adopt(_builder.getPointerField(
+inline void ConfigurationUpdate::Builder::adoptLimits(
+    ::capnp::Orphan< ::oleandertide::sidecar::wire::Limits>&& value) {
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Limits>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Load> Answer::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Load>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Limits> ConfigurationUpdate::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Limits>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool ConfigurationUpdate::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationUpdate::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Reader ConfigurationUpdate::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ConfigurationUpdate::Builder::setRemoved( ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationUpdate::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>> ConfigurationUpdate::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::RemovedRoute,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationUpdate::Reader::hasPut() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationUpdate::Builder::hasPut() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Reader ConfigurationUpdate::Reader::getPut() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::getPut() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ConfigurationUpdate::Builder::setPut( ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::initPut(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationUpdate::Builder::adoptPut(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>> ConfigurationUpdate::Builder::disownPut() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::oleandertide::sidecar::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2288,24 +3847,24 @@
 inline bool Frame::Builder::isConfigurationRequest() {
   return which() == Frame::CONFIGURATION_REQUEST;
 }
-inline  ::capnp::Void Frame::Reader::getConfigurationRequest() const {
+inline  ::uint64_t Frame::Reader::getConfigurationRequest() const {
   KJ_IREQUIRE((which() == Frame::CONFIGURATION_REQUEST),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void Frame::Builder::getConfigurationRequest() {
+inline  ::uint64_t Frame::Builder::getConfigurationRequest() {
   KJ_IREQUIRE((which() == Frame::CONFIGURATION_REQUEST),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Frame::Builder::setConfigurationRequest( ::capnp::Void value) {
+inline void Frame::Builder::setConfigurationRequest( ::uint64_t value) {
   _builder.setDataField<Frame::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CONFIGURATION_REQUEST);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Frame::Reader::isConfiguration() const {
@@ -2314,24 +3873,106 @@
 inline bool Frame::Builder::isConfiguration() {
   return which() == Frame::CONFIGURATION;
 }
-inline  ::capnp::Void Frame::Reader::getConfiguration() const {
+inline bool Frame::Reader::hasConfiguration() const {
+  if (which() != Frame::CONFIGURATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasConfiguration() {
+  if (which() != Frame::CONFIGURATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandertide::sidecar::wire::ConfigurationUpdate::Reader Frame::Reader::getConfiguration() const {
   KJ_IREQUIRE((which() == Frame::CONFIGURATION),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::ConfigurationUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::capnp::Void Frame::Builder::getConfiguration() {
+inline  ::oleandertide::sidecar::wire::ConfigurationUpdate::Builder Frame::Builder::getConfiguration() {
   KJ_IREQUIRE((which() == Frame::CONFIGURATION),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::ConfigurationUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Frame::Builder::setConfiguration( ::capnp::Void value) {
+inline void Frame::Builder::setConfiguration( ::oleandertide::sidecar::wire::ConfigurationUpdate::Reader value) {
   _builder.setDataField<Frame::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CONFIGURATION);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::ConfigurationUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandertide::sidecar::wire::ConfigurationUpdate::Builder Frame::Builder::initConfiguration() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CONFIGURATION);
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::ConfigurationUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::oleandertide::sidecar::wire::ConfigurationUpdate>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CONFIGURATION);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::ConfigurationUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::ConfigurationUpdate> Frame::Builder::disownConfiguration() {
+  KJ_IREQUIRE((which() == Frame::CONFIGURATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::ConfigurationUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isMembers() const {
+  return which() == Frame::MEMBERS;
+}
+inline bool Frame::Builder::isMembers() {
+  return which() == Frame::MEMBERS;
+}
+inline bool Frame::Reader::hasMembers() const {
+  if (which() != Frame::MEMBERS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasMembers() {
+  if (which() != Frame::MEMBERS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandertide::sidecar::wire::Members::Reader Frame::Reader::getMembers() const {
+  KJ_IREQUIRE((which() == Frame::MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Members>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandertide::sidecar::wire::Members::Builder Frame::Builder::getMembers() {
+  KJ_IREQUIRE((which() == Frame::MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Members>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setMembers( ::oleandertide::sidecar::wire::Members::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::MEMBERS);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Members>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandertide::sidecar::wire::Members::Builder Frame::Builder::initMembers() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::MEMBERS);
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Members>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptMembers(
+    ::capnp::Orphan< ::oleandertide::sidecar::wire::Members>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::MEMBERS);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Members>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Members> Frame::Builder::disownMembers() {
+  KJ_IREQUIRE((which() == Frame::MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Members>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -7,17 +7,23 @@
 
 #include "core/address.h"
 #include "logging/log.h"
+#include "mesh/peer_selection.h"
 
 namespace oleandertide::sidecar {
 namespace {
 
 using logging::Level;
 
-// Nodes tell their status four times a second; a link without any for this long
-// is taken as lost.
-constexpr Duration kSilenceLimit = std::chrono::milliseconds(1100);
+// Nodes tell their status three times a second; a link without any for this
+// long is taken as lost.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(1200);
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(100);
 
+// Nodes that are learnt together are considered together.
+constexpr Duration kSelectionDelay = std::chrono::milliseconds(10);
+// Failing nodes are replaced by others at this interval.
+constexpr Duration kSelectionInterval = std::chrono::milliseconds(500);
+
 constexpr Duration kConnectLimit = std::chrono::milliseconds(700);
 
 // Time until a lost link is opened again: short at first, since a restarted
@@ -33,8 +39,10 @@
       self_(std::move(self)),
       random_(random),
       callbacks_(std::move(callbacks)),
-      silence_timer_(loop) {
+      silence_timer_(loop),
+      selection_timer_(loop) {
   CheckSilence();
+  ScheduleSelection(kSelectionInterval);
 }
 
 LinkClient::~LinkClient() {
@@ -45,25 +53,65 @@
   }
 }
 
-void LinkClient::Learn(const NodeIdentity& node) {
-  if (node.name == self_.name) return;
+bool LinkClient::Learn(const NodeIdentity& node) {
+  if (node.name == self_.name) return false;
   auto& peer = peers_[node.name];
   if (!peer) {
     peer = std::make_unique<Peer>();
     peer->timer = std::make_unique<Timer>(loop_);
-  } else if (peer->identity.address == node.address) {
+  } else if (peer->identity == node) {
     // The node lives, so a retry need not wait.
-    if (!peer->connection && !peer->is_connecting) Connect(*peer);
-    return;
+    if (peer->is_selected && !peer->connection && !peer->is_connecting) {
+      Connect(*peer);
+    }
+    return false;
   }
-  const bool is_moved = !peer->identity.name.empty();
+  const bool is_moved =
+      !peer->identity.name.empty() && peer->identity.address != node.address;
   peer->identity = node;
   logging::Log(Level::kInfo, "link", is_moved ? "node moved" : "node learnt",
                {{"node", node.name}, {"address", node.address}});
-  if (peer->connection) {
-    peer->connection->Close();
-  } else if (!peer->is_connecting) {
-    Connect(*peer);
+  if (is_moved && peer->connection) peer->connection->Close();
+  if (!is_selection_due_) {
+    is_selection_due_ = true;
+    ScheduleSelection(kSelectionDelay);
+  }
+  return true;
+}
+
+void LinkClient::ScheduleSelection(Duration delay) {
+  selection_timer_.expires_after(delay);
+  selection_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    is_selection_due_ = false;
+    Select();
+    ScheduleSelection(kSelectionInterval);
+  });
+}
+
+void LinkClient::Select() {
+  std::vector<mesh::PeerCandidate> candidates;
+  for (const auto& [name, peer] : peers_) {
+    candidates.push_back({.name = name,
+                          .data_centre = peer->identity.data_centre,
+                          .service = peer->identity.service,
+                          .link_mbps = peer->identity.link_mbps,
+                          .is_failing = peer->is_failing});
+  }
+  for (auto& [name, peer] : peers_) peer->is_selected = false;
+  for (const std::string& name : mesh::SelectPeers(
+           self_.name, self_.data_centre, candidates, mesh::PeerLimits{})) {
+    Peer& peer = *peers_.find(name)->second;
+    peer.is_selected = true;
+    // A failing node is tried again by its timer.
+    if (!peer.connection && !peer.is_connecting && !peer.is_failing) {
+      Connect(peer);
+    }
+  }
+  for (auto& [name, peer] : peers_) {
+    if (!peer->is_selected && peer->connection && peer->calls.empty()) {
+      peer->connection->Close();
+    }
   }
 }
 
@@ -91,6 +139,7 @@
         peer.is_connecting = false;
         peer.timer->cancel();
         if (error || !socket->is_open()) {
+          peer.is_failing = true;
           ScheduleReconnect(peer);
           return;
         }
@@ -106,11 +155,7 @@
       },
       [this, &peer] { OnClosed(peer); });
   capnp::MallocMessageBuilder message;
-  auto hello = message.initRoot<wire::Frame>().initHello();
-  hello.setNode(self_.name);
-  hello.setAddress(self_.address);
-  hello.setDataCentre(self_.data_centre);
-  hello.setIncarnation(self_.incarnation);
+  Encode(self_, message.initRoot<wire::Frame>().initHello());
   peer.connection->Send(message);
 }
 
@@ -120,7 +165,8 @@
   peer.timer->expires_after(
       random_.Between(peer.retry_interval / 2, peer.retry_interval));
   peer.timer->async_wait([this, &peer](const boost::system::error_code& error) {
-    if (!error && !peer.connection && !peer.is_connecting) Connect(peer);
+    if (error || !peer.is_selected) return;
+    if (!peer.connection && !peer.is_connecting) Connect(peer);
   });
 }
 
@@ -130,6 +176,7 @@
     case wire::Frame::STATUS:
       if (!peer.is_open) {
         peer.is_open = true;
+        peer.is_failing = false;
         peer.retry_interval = Duration::zero();
         logging::Log(Level::kInfo, "link", "opened",
                      {{"node", peer.identity.name}});
@@ -140,7 +187,12 @@
       OnAnswer(peer, frame.getAnswer(), body);
       return;
     case wire::Frame::CONFIGURATION:
-      callbacks_.on_configuration(body);
+      callbacks_.on_configuration(Decode(frame.getConfiguration()));
+      return;
+    case wire::Frame::MEMBERS:
+      for (const auto member : frame.getMembers().getMembers()) {
+        callbacks_.on_member(Decode(member));
+      }
       return;
     default:
       return;
@@ -159,6 +211,7 @@
   const std::uint64_t submitted = peer.connection->submitted_bytes();
   peer.connection = nullptr;
   auto calls = std::exchange(peer.calls, {});
+  if (peer.is_selected) peer.is_failing = true;
   if (std::exchange(peer.is_open, false)) {
     logging::Log(Level::kWarning, "link", "lost",
                  {{"node", peer.identity.name}, {"calls", calls.size()}});
@@ -201,11 +254,12 @@
   peer.connection->Send(message);
 }
 
-void LinkClient::RequestConfiguration(const std::string& node) {
+void LinkClient::RequestConfiguration(const std::string& node,
+                                      std::uint64_t version) {
   const auto found = peers_.find(node);
   if (found == peers_.end() || !found->second->connection) return;
   capnp::MallocMessageBuilder message;
-  message.initRoot<wire::Frame>().setConfigurationRequest();
+  message.initRoot<wire::Frame>().setConfigurationRequest(version);
   found->second->connection->Send(message);
 }
 
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -18,12 +18,12 @@
 #include "sidecar/event_loop.h"
 #include "sidecar/framed_connection.h"
 #include "sidecar/link_codec.h"
-#include "sidecar/link_server.h"
+#include "sidecar/node_identity.h"
 
 namespace oleandertide::sidecar {
 
-// Keeps a link to each known node and opens it again when it is lost.
-// Not thread-safe.
+// Keeps links to some of the known nodes and opens them again when they are
+// lost. Not thread-safe.
 class LinkClient {
  public:
   struct Callbacks {
@@ -33,16 +33,19 @@
     std::function<void(const std::string&, const mesh::BackendLoad&)> on_load;
     // The link to the node was lost.
     std::function<void(const std::string&)> on_lost;
-    // The node sent its configuration, as the store holds it.
-    std::function<void(std::string_view)> on_configuration;
+    // The node sent what changed in the configuration.
+    std::function<void(const mesh::ConfigurationUpdate&)> on_configuration;
+    // The node told of another one.
+    std::function<void(const NodeIdentity&)> on_member;
   };
 
   LinkClient(EventLoop& loop, NodeIdentity self, RandomSource& random,
              Callbacks callbacks);
   ~LinkClient();
 
-  // Takes in a node, or a new address of a known one.
-  void Learn(const NodeIdentity& node);
+  // Takes in a node, or new facts of a known one; returns whether there were
+  // any.
+  bool Learn(const NodeIdentity& node);
 
   // Sends a call. If the node cannot be reached, the outcome comes before this
   // returns, as NotRun.
@@ -51,8 +54,8 @@
   // The outcome is of no use any more; on_outcome is not called.
   void Cancel(const std::string& node, CallId id);
 
-  // Asks a node for its configuration.
-  void RequestConfiguration(const std::string& node);
+  // Asks a node for what changed in the configuration since a version.
+  void RequestConfiguration(const std::string& node, std::uint64_t version);
 
   // Nodes with an open link.
   std::vector<NodeIdentity> connected() const;
@@ -73,10 +76,14 @@
     std::unordered_map<CallId, PendingCall> calls;
     std::unique_ptr<Timer> timer;
     Duration retry_interval{};
+    bool is_selected = false;
     bool is_connecting = false;
     bool is_open = false;
+    bool is_failing = false;
   };
 
+  void ScheduleSelection(Duration delay);
+  void Select();
   void Connect(Peer& peer);
   void OnConnected(Peer& peer, Tcp::socket socket);
   void ScheduleReconnect(Peer& peer);
@@ -93,6 +100,8 @@
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
   CallId next_id_ = 1;
   Timer silence_timer_;
+  Timer selection_timer_;
+  bool is_selection_due_ = false;
 };
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <memory>
 #include <utility>
 #include <variant>
 
@@ -28,6 +29,52 @@
   return {text.begin(), text.size()};
 }
 
+std::uint64_t ToUs(Duration duration) {
+  return static_cast<std::uint64_t>(duration.count());
+}
+
+Duration FromUs(std::uint64_t microseconds) {
+  return Duration(static_cast<std::int64_t>(microseconds));
+}
+
+void EncodeRoute(const mesh::Route& route, wire::Route::Builder builder) {
+  builder.setName(route.name);
+  builder.setPathPrefix(route.path_prefix);
+  builder.setKind(static_cast<std::uint8_t>(route.kind));
+  builder.setTimeoutUs(ToUs(route.timeout));
+  builder.setTargetLatencyUs(ToUs(route.target_latency));
+  builder.setPriority(route.priority);
+  builder.setMaximumAttempts(route.maximum_attempts);
+  auto services =
+      builder.initServices(static_cast<unsigned>(route.services.size()));
+  for (unsigned i = 0; i < services.size(); ++i) {
+    services[i].setService(route.services[i].service);
+    services[i].setWeight(route.services[i].weight);
+  }
+}
+
+// A kind that a later version of a node may send is not known to be
+// repeatable.
+mesh::RequestKind DecodeKind(std::uint8_t value) {
+  return value <= static_cast<std::uint8_t>(mesh::RequestKind::kDownload)
+             ? static_cast<mesh::RequestKind>(value)
+             : mesh::RequestKind::kNonIdempotent;
+}
+
+mesh::Route DecodeRoute(wire::Route::Reader reader) {
+  mesh::Route route{.name = ToString(reader.getName()),
+                    .path_prefix = ToString(reader.getPathPrefix()),
+                    .kind = DecodeKind(reader.getKind()),
+                    .timeout = FromUs(reader.getTimeoutUs()),
+                    .target_latency = FromUs(reader.getTargetLatencyUs()),
+                    .priority = reader.getPriority(),
+                    .maximum_attempts = reader.getMaximumAttempts()};
+  for (const auto part : reader.getServices()) {
+    route.services.push_back({ToString(part.getService()), part.getWeight()});
+  }
+  return route;
+}
+
 mesh::Reason DecodeReason(std::uint8_t value) {
   return value < mesh::kReasonCount ? static_cast<mesh::Reason>(value)
                                     : mesh::Reason::kNone;
@@ -58,6 +105,80 @@
 
 }  // namespace
 
+void Encode(const NodeIdentity& node, wire::Hello::Builder builder) {
+  builder.setNode(node.name);
+  builder.setAddress(node.address);
+  builder.setDataCentre(node.data_centre);
+  builder.setService(node.service);
+  builder.setLinkMbps(node.link_mbps);
+}
+
+NodeIdentity Decode(wire::Hello::Reader reader) {
+  return {.name = ToString(reader.getNode()),
+          .data_centre = ToString(reader.getDataCentre()),
+          .address = ToString(reader.getAddress()),
+          .service = ToString(reader.getService()),
+          .link_mbps = reader.getLinkMbps()};
+}
+
+void Encode(const mesh::ConfigurationUpdate& update,
+            wire::ConfigurationUpdate::Builder builder) {
+  builder.setBaseVersion(update.base_version);
+  builder.setVersion(update.version);
+  builder.setDigest(update.digest);
+  auto services =
+      builder.initServices(static_cast<unsigned>(update.services.size()));
+  for (unsigned i = 0; i < services.size(); ++i) {
+    services[i].setName(update.services[i].name);
+    services[i].setHealthPath(update.services[i].health_path);
+    services[i].setMaximumConnections(update.services[i].maximum_connections);
+  }
+  auto limits = builder.initLimits();
+  limits.setMaximumHeaderBytes(update.limits.maximum_header_bytes);
+  limits.setMaximumBodyBytes(update.limits.maximum_body_bytes);
+  limits.setHeaderTimeoutUs(ToUs(update.limits.header_timeout));
+  limits.setIdleTimeoutUs(ToUs(update.limits.idle_timeout));
+  auto removed =
+      builder.initRemoved(static_cast<unsigned>(update.removed.size()));
+  for (unsigned i = 0; i < removed.size(); ++i) {
+    removed[i].setHost(update.removed[i].host);
+    removed[i].setPathPrefix(update.removed[i].path_prefix);
+  }
+  auto put = builder.initPut(static_cast<unsigned>(update.put.size()));
+  for (unsigned i = 0; i < put.size(); ++i) {
+    put[i].setHost(update.put[i].host);
+    EncodeRoute(*update.put[i].route, put[i]);
+  }
+}
+
+mesh::ConfigurationUpdate Decode(wire::ConfigurationUpdate::Reader reader) {
+  mesh::ConfigurationUpdate update{.base_version = reader.getBaseVersion(),
+                                   .version = reader.getVersion(),
+                                   .digest = reader.getDigest()};
+  for (const auto service : reader.getServices()) {
+    update.services.push_back(
+        {.name = ToString(service.getName()),
+         .health_path = ToString(service.getHealthPath()),
+         .maximum_connections = service.getMaximumConnections()});
+  }
+  const auto limits = reader.getLimits();
+  update.limits = {
+      .maximum_header_bytes = limits.getMaximumHeaderBytes(),
+      .maximum_body_bytes = limits.getMaximumBodyBytes(),
+      .header_timeout = FromUs(limits.getHeaderTimeoutUs()),
+      .idle_timeout = FromUs(limits.getIdleTimeoutUs())};
+  for (const auto removed : reader.getRemoved()) {
+    update.removed.push_back({.host = ToString(removed.getHost()),
+                              .path_prefix = ToString(removed.getPathPrefix())});
+  }
+  for (const auto put : reader.getPut()) {
+    update.put.push_back({.host = ToString(put.getHost()),
+                          .route = std::make_shared<const mesh::Route>(
+                              DecodeRoute(put))});
+  }
+  return update;
+}
+
 void Encode(const mesh::BackendLoad& load, wire::Load::Builder builder) {
   builder.setAccepts(load.accepts_requests);
   builder.setSlots(Saturate<std::uint16_t>(load.slots));
--- a/libraries/sidecar/link_codec.h
+++ b/libraries/sidecar/link_codec.h
@@ -9,10 +9,12 @@
 #include <vector>
 
 #include "core/time.h"
+#include "mesh/configuration_update.h"
 #include "mesh/outcome.h"
 #include "routing/quarantine.h"
 #include "sidecar/call.h"
 #include "sidecar/link.capnp.h"
+#include "sidecar/node_identity.h"
 
 namespace oleandertide::sidecar {
 
@@ -26,6 +28,13 @@
   std::vector<routing::CrashReport> crash_reports{};
 };
 
+void Encode(const NodeIdentity& node, wire::Hello::Builder builder);
+NodeIdentity Decode(wire::Hello::Reader reader);
+
+void Encode(const mesh::ConfigurationUpdate& update,
+            wire::ConfigurationUpdate::Builder builder);
+mesh::ConfigurationUpdate Decode(wire::ConfigurationUpdate::Reader reader);
+
 void Encode(const mesh::BackendLoad& load, wire::Load::Builder builder);
 mesh::BackendLoad Decode(wire::Load::Reader reader);
 
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -2,6 +2,7 @@
 
 #include <capnp/message.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 #include <variant>
@@ -11,11 +12,15 @@
 namespace oleandertide::sidecar {
 namespace {
 
-// How often the load is compared with what was last told.
+// How often the load is compared with what was last told, with few links.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+// With more links than this, proportionally less often: the cost of status
+// messages stays the same.
+constexpr std::size_t kLinksAtFullRate = 12;
+constexpr Duration kLongestCheckInterval = std::chrono::milliseconds(150);
 
 // The status is sent at least this often, so that a silent link is noticed.
-constexpr Duration kStatusInterval = std::chrono::milliseconds(250);
+constexpr Duration kStatusInterval = std::chrono::milliseconds(300);
 
 // A change of this many requests is told at the next check.
 constexpr int kMaterialChange = 3;
@@ -90,11 +95,7 @@
                          wire::Frame::Reader frame, std::string_view body) {
   switch (frame.which()) {
     case wire::Frame::HELLO: {
-      const auto hello = frame.getHello();
-      callbacks_.on_hello({.name = hello.getNode().cStr(),
-                           .data_centre = hello.getDataCentre().cStr(),
-                           .address = hello.getAddress().cStr(),
-                           .incarnation = hello.getIncarnation()});
+      callbacks_.on_hello(Decode(frame.getHello()));
       capnp::MallocMessageBuilder message;
       Encode(callbacks_.make_status(),
              message.initRoot<wire::Frame>().initStatus());
@@ -113,9 +114,12 @@
       return;
     }
     case wire::Frame::CONFIGURATION_REQUEST: {
+      const auto update =
+          callbacks_.make_update(frame.getConfigurationRequest());
+      if (!update) return;
       capnp::MallocMessageBuilder message;
-      message.initRoot<wire::Frame>().setConfiguration();
-      session->connection->Send(message, callbacks_.configuration_text());
+      Encode(*update, message.initRoot<wire::Frame>().initConfiguration());
+      session->connection->Send(message);
       return;
     }
     default:
@@ -153,7 +157,10 @@
 }
 
 void LinkServer::ScheduleBroadcast() {
-  broadcast_timer_.expires_after(kCheckInterval);
+  const Duration scaled =
+      kCheckInterval * static_cast<int>(sessions_.size()) / kLinksAtFullRate;
+  broadcast_timer_.expires_after(
+      std::clamp(scaled, kCheckInterval, kLongestCheckInterval));
   broadcast_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
     if (MonotonicClock::now() - announced_at_ >= kStatusInterval ||
@@ -164,6 +171,14 @@
   });
 }
 
+void LinkServer::Forward(const NodeIdentity& node) {
+  capnp::MallocMessageBuilder message;
+  Encode(node,
+         message.initRoot<wire::Frame>().initMembers().initMembers(1)[0]);
+  const auto sessions = sessions_;
+  for (const auto& session : sessions) session->connection->Send(message);
+}
+
 void LinkServer::Broadcast() {
   const NodeStatus status = callbacks_.make_status();
   announced_load_ = status.load;
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -16,22 +17,11 @@
 #include "sidecar/event_loop.h"
 #include "sidecar/framed_connection.h"
 #include "sidecar/link_codec.h"
+#include "sidecar/node_identity.h"
 #include "sidecar/receiver.h"
 
 namespace oleandertide::sidecar {
 
-// A node as other nodes reach it.
-struct NodeIdentity {
-  std::string name;
-  std::string data_centre;
-  // Where it accepts links.
-  std::string address;
-  // Distinguishes the lives of its process.
-  std::uint64_t incarnation = 0;
-
-  bool operator==(const NodeIdentity&) const = default;
-};
-
 // Passes calls to the receiver and answers back, and tells all that opened a
 // link the status of this node. A call ends with its link. Not thread-safe.
 class LinkServer {
@@ -41,8 +31,10 @@
     std::function<void(const NodeIdentity&)> on_hello;
     // Returns what to tell other nodes.
     std::function<NodeStatus()> make_status;
-    // Returns the configuration as the store holds it.
-    std::function<std::string_view()> configuration_text;
+    // Returns what a node with this version needs; nothing if this node holds
+    // no configuration.
+    std::function<std::optional<mesh::ConfigurationUpdate>(std::uint64_t)>
+        make_update;
   };
 
   // Listens on `address`.
@@ -55,6 +47,9 @@
   // Sends the status to all links now.
   void Broadcast();
 
+  // Tells all links of another node.
+  void Forward(const NodeIdentity& node);
+
  private:
   struct Session {
     std::shared_ptr<FramedConnection> connection;
