--- a/libraries/sidecar/member_directory.cc
+++ b/libraries/sidecar/member_directory.cc
@@ -19,21 +19,32 @@
 constexpr Duration kShortestPause = std::chrono::milliseconds(100);
 constexpr Duration kLongestPause = std::chrono::milliseconds(500);
 
+// All nodes of a system that starts have written their rows by then.
+constexpr Duration kSecondReadDelay = std::chrono::seconds(2);
+
 std::string EncodeMember(const NodeIdentity& node) {
-  return json{{"address", node.address}, {"data-centre", node.data_centre}}
+  return json{{"address", node.address},
+              {"data-centre", node.data_centre},
+              {"service", node.service},
+              {"link-mbps", node.link_mbps}}
       .dump();
 }
 
 std::optional<NodeIdentity> DecodeMember(const platform::Row& row) {
   const json value = json::parse(row.value, nullptr, false);
-  if (!value.is_object() || !value.contains("address") ||
-      !value["address"].is_string() || !value.contains("data-centre") ||
-      !value["data-centre"].is_string()) {
+  if (!value.is_object()) return std::nullopt;
+  for (const char* key : {"address", "data-centre", "service"}) {
+    if (!value.contains(key) || !value[key].is_string()) return std::nullopt;
+  }
+  if (!value.contains("link-mbps") ||
+      !value["link-mbps"].is_number_unsigned()) {
     return std::nullopt;
   }
   return NodeIdentity{.name = row.key,
                       .data_centre = value["data-centre"],
-                      .address = value["address"]};
+                      .address = value["address"],
+                      .service = value["service"],
+                      .link_mbps = value.value("link-mbps", 0U)};
 }
 
 // The first key after `key` in the store's order.
@@ -66,7 +77,7 @@
   if (!rows) {
     logging::Log(Level::kWarning, "members", "read failed",
                  {{"error", rows.error().message()}});
-    Retry();
+    StartAfter(random_.Between(kShortestPause, kLongestPause));
     return;
   }
   for (const platform::Row& row : rows.value().rows) {
@@ -87,7 +98,11 @@
     Read(KeyAfter(rows.value().rows.back().key));
     return;
   }
-  if (!is_own_row_seen_ || own_value_ != EncodeMember(self_)) Write();
+  if (!is_own_row_seen_ || own_value_ != EncodeMember(self_)) {
+    Write();
+  } else if (!std::exchange(is_second_read_done_, true)) {
+    StartAfter(kSecondReadDelay);
+  }
 }
 
 void MemberDirectory::Write() {
@@ -100,7 +115,7 @@
                  if (error) {
                    logging::Log(Level::kWarning, "members", "write failed",
                                 {{"error", error.message()}});
-                   Retry();
+                   StartAfter(random_.Between(kShortestPause, kLongestPause));
                    return;
                  }
                  // Those that wrote before this row are seen now; those that
@@ -109,8 +124,8 @@
                });
 }
 
-void MemberDirectory::Retry() {
-  timer_.expires_after(random_.Between(kShortestPause, kLongestPause));
+void MemberDirectory::StartAfter(Duration delay) {
+  timer_.expires_after(delay);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Start();
   });
--- a/libraries/sidecar/member_directory.h
+++ b/libraries/sidecar/member_directory.h
@@ -8,7 +8,7 @@
 
 #include "core/random.h"
 #include "sidecar/event_loop.h"
-#include "sidecar/link_server.h"
+#include "sidecar/node_identity.h"
 #include "sidecar/store_client.h"
 
 namespace oleandertide::sidecar {
@@ -16,8 +16,8 @@
 // Each node has a row with its address, written when it differs from what the
 // store holds: a restart writes nothing. A node reads the rows once, after its
 // own was written, and opens links; the others learn of it by these links. Of
-// two nodes that start together, at least one sees the other's row.
-// Not thread-safe.
+// two nodes that start together, at least one sees the other's row, and a second
+// read some time after the start shows both. Not thread-safe.
 class MemberDirectory {
  public:
   using OnMember = std::function<void(const NodeIdentity&)>;
@@ -32,7 +32,7 @@
   void Read(std::string first_key);
   void OnRows(const Result<platform::RowList>& rows);
   void Write();
-  void Retry();
+  void StartAfter(Duration delay);
 
   StoreClient& store_;
   RandomSource& random_;
@@ -43,6 +43,7 @@
   std::string own_value_;
   std::uint64_t own_version_ = 0;
   bool is_own_row_seen_ = false;
+  bool is_second_read_done_ = false;
 };
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -29,6 +29,9 @@
 constexpr Duration kVerifyInterval = std::chrono::milliseconds(300);
 constexpr Duration kVerifyLimit = std::chrono::milliseconds(500);
 
+// How often waiting requests are checked for those that are too late.
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(25);
+
 constexpr Duration kRelaxInterval = std::chrono::milliseconds(250);
 
 constexpr int kStatusMisdirected = 421;
@@ -49,7 +52,8 @@
       backend_(options.standing),
       fence_timer_(loop),
       relax_timer_(loop),
-      verify_timer_(loop) {
+      verify_timer_(loop),
+      expiry_timer_(loop) {
   ScheduleRelaxation();
 }
 
@@ -106,7 +110,11 @@
   calls_.emplace(id, Pending{.call = std::move(call),
                              .on_outcome = std::move(on_outcome),
                              .deadline = deadline});
-  if (verdict == mesh::AdmissionQueue::Verdict::kStart) Start(id);
+  if (verdict == mesh::AdmissionQueue::Verdict::kStart) {
+    Start(id);
+  } else {
+    ScheduleExpiry();
+  }
   return id;
 }
 
@@ -312,6 +320,20 @@
   });
 }
 
+void Receiver::ScheduleExpiry() {
+  if (is_expiry_scheduled_ || queue_.waiting() == 0) return;
+  is_expiry_scheduled_ = true;
+  expiry_timer_.expires_after(kExpiryInterval);
+  expiry_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    is_expiry_scheduled_ = false;
+    for (const CallId id : queue_.TakeExpired(MonotonicClock::now())) {
+      Reject(id, mesh::Reason::kDeadlinePassed);
+    }
+    ScheduleExpiry();
+  });
+}
+
 void Receiver::ScheduleRelaxation() {
   relax_timer_.expires_after(kRelaxInterval);
   relax_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -91,6 +91,7 @@
   void OnConnectionLost(routing::Fingerprint fingerprint);
   void ScheduleFence();
   void ScheduleRelaxation();
+  void ScheduleExpiry();
 
   EventLoop& loop_;
   const std::string backend_address_;
@@ -106,6 +107,8 @@
   Timer fence_timer_;
   Timer relax_timer_;
   Timer verify_timer_;
+  Timer expiry_timer_;
+  bool is_expiry_scheduled_ = false;
   bool is_stopping_ = false;
   bool is_verifying_ = false;
   // Requests whose connections were lost together, until it is known whether
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -17,6 +17,7 @@
 using config::DurationRule;
 using config::Field;
 using config::IntegerRule;
+using config::NumberRule;
 using config::PercentRule;
 using config::TextRule;
 using std::chrono::milliseconds;
@@ -32,6 +33,9 @@
        Assign<&Settings::node, &Settings::Node::data_centre>::To},
       {{"node", "service", TextRule{}, "service of the backend server"},
        Assign<&Settings::node, &Settings::Node::service>::To},
+      {{"node", "link-mbps", NumberRule{1, 1'000'000},
+        "bandwidth of the instance's link in Mbit/s", "1000"},
+       Assign<&Settings::node, &Settings::Node::link_mbps>::To},
       {{"node", "first-start", BooleanRule{},
         "whether the whole system starts for the first time", "false"},
        Assign<&Settings::node, &Settings::Node::is_first_start>::To},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -18,6 +18,7 @@
     std::string name;
     std::string data_centre;
     std::string service;
+    double link_mbps = 0;
     // Whether this is the first start of the whole system.
     bool is_first_start = false;
   };
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -33,6 +33,10 @@
 // How often a stopping node looks whether it may end.
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
+// A node that has just started learns of others by the store, and so do those
+// that start with it.
+constexpr Duration kJoinTime = std::chrono::seconds(3);
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
@@ -63,7 +67,10 @@
         identity_{.name = settings.node.name,
                   .data_centre = settings.node.data_centre,
                   .address = settings.listen.peers.ToString(),
-                  .incarnation = random_.Next()},
+                  .service = settings.node.service,
+                  .link_mbps = static_cast<std::uint32_t>(
+                      settings.node.link_mbps)},
+        started_at_(MonotonicClock::now()),
         receiver_(loop,
                   {.backend_server = std::move(backend_server),
                    .standing = {.verifies_first = !settings.node.is_first_start,
@@ -103,10 +110,13 @@
         LinkServer::Create(
             loop_, listen.peers, receiver_,
             {.on_hello =
-                 [this](const NodeIdentity& node) { links_.Learn(node); },
+                 [this](const NodeIdentity& node) { OnMemberTold(node); },
              .make_status = [this] { return MakeStatus(); },
-             .configuration_text =
-                 [this] { return std::string_view(holder_.text()); }}));
+             .make_update = [this](std::uint64_t version)
+                 -> std::optional<mesh::ConfigurationUpdate> {
+               if (!holder_.current()) return std::nullopt;
+               return holder_.MakeUpdateSince(version);
+             }}));
     link_server_ = std::move(link_server);
     receiver_.set_on_standing_changed([this] { link_server_->Broadcast(); });
     source_.set_links(links_);
@@ -163,6 +173,7 @@
     if (stopping_since_) return;
     stopping_since_ = MonotonicClock::now();
     clients_->set_closing(true);
+    ingress_.set_end(*stopping_since_ + settings_.drain.deadline);
     logging::Log(Level::kInfo, "node", "stopping",
                  {{"standing", mesh::ToString(receiver_.standing())}});
     CheckStop();
@@ -185,13 +196,27 @@
                       static_cast<double>(links_.connected().size()));
                 },
             .on_configuration =
-                [this](std::string_view text) { source_.Offer(text, "node"); }};
+                [this](const mesh::ConfigurationUpdate& update) {
+              source_.OnUpdate(update);
+            },
+        .on_member =
+            [this](const NodeIdentity& node) { OnMemberTold(node); }};
+  }
+
+  // Passes on what is new, so that a node that joins is known everywhere.
+  void OnMemberTold(const NodeIdentity& node) {
+    if (!links_.Learn(node)) return;
+    if (MonotonicClock::now() - started_at_ < kJoinTime) return;
+    link_server_->Forward(node);
   }
 
   void OnPeerStatus(const NodeIdentity& node, const NodeStatus& status) {
-    ingress_.placement().Update(node.name, status.service,
-                                node.data_centre == identity_.data_centre,
-                                status.load);
+    ingress_.placement().Update(
+        node.name, status.service,
+        {.is_in_own_data_centre = node.data_centre == identity_.data_centre,
+         .link_mbps = static_cast<double>(
+             std::min(node.link_mbps, identity_.link_mbps))},
+        status.load);
     if (!status.crash_reports.empty()) {
       quarantine_.Merge(MonotonicClock::now(), status.crash_reports);
     }
@@ -312,6 +337,7 @@
   SidecarSettings settings_;
   RandomSource random_;
   NodeIdentity identity_;
+  const MonotonicTime started_at_;
   NodeMetrics metrics_;
   routing::Quarantine quarantine_;
   mesh::ConfigurationHolder holder_;
