sidecar: Place by the wait on links and send large bodies in parts

Cause: calls of backend servers timed out behind downloads: an answer of 90 kB takes 144 ms on a link of 5 Mbit/s. A node now tells how long its link is busy, large bodies go out in parts between which small frames pass, and at the first start nodes read the store once.

--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -80,6 +80,7 @@
     constexpr double kBitsPerByte = 8;
     score += request.expected_bytes * kBitsPerByte /
              candidate.location.link_mbps;
+    score += Microseconds(load.link_wait);
   }
   if (!candidate.location.is_in_own_data_centre) {
     score +=
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -18,6 +18,9 @@
 // the version, so this is below the limit after which other nodes read as well.
 constexpr Duration kWait = std::chrono::milliseconds(800);
 
+// At the first start of the system, links are open by then.
+constexpr Duration kFirstStartPatience = std::chrono::milliseconds(3500);
+
 // Pause after a call that failed.
 constexpr Duration kShortestPause = std::chrono::milliseconds(100);
 constexpr Duration kLongestPause = std::chrono::milliseconds(400);
@@ -32,11 +35,16 @@
 }  // namespace
 
 ConfigurationSource::ConfigurationSource(const Parts& parts, NodeIdentity self,
+                                         bool is_first_start,
                                          std::function<void()> on_changed)
     : parts_(parts),
       self_(std::move(self)),
       on_changed_(std::move(on_changed)),
-      timer_(parts.loop) {}
+      timer_(parts.loop) {
+  if (is_first_start) {
+    patient_until_ = MonotonicClock::now() + kFirstStartPatience;
+  }
+}
 
 void ConfigurationSource::Start() { Tick(); }
 
@@ -61,8 +69,11 @@
     if (peer.data_centre != self_.data_centre) continue;
     peers.push_back({.node = peer.name, .link_mbps = peer.link_mbps});
   }
+  const bool is_patient = now < patient_until_;
+  // Without links, a patient node cannot know whether another one reads.
+  if (is_patient && peers.empty()) return;
   if (!mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
-                      peers, age)) {
+                      peers, is_patient ? Duration::zero() : age)) {
     return;
   }
   if (followed_) {
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -35,8 +35,10 @@
   };
 
   // `self` is this node; `on_changed` is called when a version comes in force.
+  // At the first start of the whole system the links to other nodes are waited
+  // for, so that not all nodes read the store.
   ConfigurationSource(const Parts& parts, NodeIdentity self,
-                      std::function<void()> on_changed);
+                      bool is_first_start, std::function<void()> on_changed);
 
   // Sets where newer versions of other nodes are asked for.
   // Precondition: `links` outlives this object; called before Start.
@@ -73,6 +75,8 @@
   bool is_reading_ = false;
   bool is_request_scheduled_ = false;
   MonotonicTime backoff_until_;
+  // Until then, a missing confirmation does not make this node read.
+  MonotonicTime patient_until_;
   // When a node was last asked, until it has answered.
   std::optional<MonotonicTime> requested_at_;
   // The last update did not fit; the whole configuration is asked for.
--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -45,6 +45,16 @@
   }
 }
 
+void AppendFrame(std::string& output, capnp::MessageBuilder& message,
+                 std::string_view body) {
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  AppendLength(output, bytes.size());
+  AppendLength(output, body.size());
+  output.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  output.append(body);
+}
+
 }  // namespace
 
 FramedConnection::FramedConnection(Tcp::socket socket)
@@ -62,14 +72,24 @@
 void FramedConnection::Send(capnp::MessageBuilder& message,
                             std::string_view body) {
   if (is_closed_) return;
-  const auto words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
-  AppendLength(pending_, bytes.size());
-  AppendLength(pending_, body.size());
-  pending_.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
-  pending_.append(body);
-  queued_bytes_ += kHeadBytes + bytes.size() + body.size();
-  if (pending_.size() > kMaximumPendingBytes) {
+  const std::size_t before = pending_.size();
+  AppendFrame(pending_, message, body);
+  queued_bytes_ += pending_.size() - before;
+  OnQueued();
+}
+
+void FramedConnection::SendBulk(capnp::MessageBuilder& message,
+                                std::string_view body) {
+  if (is_closed_) return;
+  std::string frame;
+  AppendFrame(frame, message, body);
+  bulk_bytes_ += frame.size();
+  bulk_.push_back(std::move(frame));
+  OnQueued();
+}
+
+void FramedConnection::OnQueued() {
+  if (pending_.size() + bulk_bytes_ > kMaximumPendingBytes) {
     Close();
     return;
   }
@@ -86,10 +106,17 @@
 }
 
 void FramedConnection::Flush() {
-  if (is_closed_ || is_writing_ || pending_.empty()) return;
+  if (is_closed_ || is_writing_) return;
+  if (pending_.empty() && bulk_.empty()) return;
   is_writing_ = true;
   std::swap(writing_, pending_);
   submitted_bytes_ += writing_.size();
+  if (!bulk_.empty()) {
+    bulk_bytes_ -= bulk_.front().size();
+    writing_ += bulk_.front();
+    bulk_.pop_front();
+  }
+  if (on_submitted_) on_submitted_(writing_.size());
   boost::asio::async_write(
       socket_, boost::asio::buffer(writing_),
       [self = shared_from_this()](const boost::system::error_code& error,
--- a/libraries/sidecar/framed_connection.h
+++ b/libraries/sidecar/framed_connection.h
@@ -7,10 +7,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/time.h"
@@ -36,6 +38,15 @@
   // Queues a frame. The message is written as it is now.
   void Send(capnp::MessageBuilder& message, std::string_view body = {});
 
+  // Queues a frame behind all others: large bodies do not hold up small frames.
+  // Frames that are sent by this function keep their order.
+  void SendBulk(capnp::MessageBuilder& message, std::string_view body);
+
+  // Sets what to call with the number of bytes that are handed to the system.
+  void set_on_submitted(std::function<void(std::size_t)> on_submitted) {
+    on_submitted_ = std::move(on_submitted);
+  }
+
   // Closes the connection; on_closed is called once, also on failures.
   void Close();
 
@@ -44,23 +55,27 @@
   // When bytes last arrived.
   MonotonicTime last_received() const { return last_received_; }
 
-  // Total of bytes that were queued, and of those that were handed to the
-  // system: the others have certainly not been sent.
+  // Total of bytes that were queued by Send, and of those that were handed to
+  // the system: the others have certainly not been sent.
   std::uint64_t queued_bytes() const { return queued_bytes_; }
   std::uint64_t submitted_bytes() const { return submitted_bytes_; }
 
  private:
   void Read();
   bool ParseFrames();
+  void OnQueued();
   void ScheduleFlush();
   void Flush();
 
   Tcp::socket socket_;
   OnFrame on_frame_;
   OnClosed on_closed_;
+  std::function<void(std::size_t)> on_submitted_;
   std::vector<char> input_;
   std::size_t input_size_ = 0;
   std::string pending_;
+  std::deque<std::string> bulk_;
+  std::size_t bulk_bytes_ = 0;
   std::string writing_;
   MonotonicTime last_received_;
   std::uint64_t queued_bytes_ = 0;
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -34,6 +34,8 @@
   slownessPermille @5 :UInt32;
   # Share of requests that the backend server refuses or fails, in thousandths.
   failurePermille @6 :UInt16;
+  # Time for which an answer waits on the instance's link.
+  linkWaitUs @7 :UInt32;
 }
 
 struct CrashReport {
@@ -78,6 +80,11 @@
   id @0 :UInt64;
 }
 
+# A part of a large body, sent before the answer that it belongs to.
+struct BodyPart {
+  id @0 :UInt64;
+}
+
 struct Answer {
   enum Outcome {
     completed @0;
@@ -153,5 +160,6 @@
     configuration @6 :ConfigurationUpdate;
     # Nodes that the sender has learnt of.
     members @7 :Members;
+    bodyPart @8 :BodyPart;
   }
 }
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(a279f3b106171c7e);
 CAPNP_DECLARE_SCHEMA(e70b6789b3437c1b);
 CAPNP_DECLARE_SCHEMA(cbd045ff6c38d5ec);
+CAPNP_DECLARE_SCHEMA(a3089b53537aaa9b);
 CAPNP_DECLARE_SCHEMA(eeff6b75d263b963);
 CAPNP_DECLARE_SCHEMA(f05ab7e8659d4434);
 enum class Outcome_f05ab7e8659d4434: uint16_t {
@@ -151,6 +152,21 @@
   };
 };
 
+struct BodyPart {
+  BodyPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3089b53537aaa9b, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Answer {
   Answer() = delete;
 
@@ -273,6 +289,7 @@
     CONFIGURATION_REQUEST,
     CONFIGURATION,
     MEMBERS,
+    BODY_PART,
   };
 
   struct _capnpPrivate {
@@ -513,6 +530,8 @@
 
   inline  ::uint16_t getFailurePermille() const;
 
+  inline  ::uint32_t getLinkWaitUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -562,6 +581,9 @@
   inline  ::uint16_t getFailurePermille();
   inline void setFailurePermille( ::uint16_t value);
 
+  inline  ::uint32_t getLinkWaitUs();
+  inline void setLinkWaitUs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1038,6 +1060,82 @@
 };
 #endif  // !CAPNP_LITE
 
+class BodyPart::Reader {
+public:
+  typedef BodyPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BodyPart::Builder {
+public:
+  typedef BodyPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BodyPart::Pipeline {
+public:
+  typedef BodyPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Answer::Reader {
 public:
   typedef Answer Reads;
@@ -1836,6 +1934,10 @@
   inline bool hasMembers() const;
   inline  ::oleandertide::sidecar::wire::Members::Reader getMembers() const;
 
+  inline bool isBodyPart() const;
+  inline bool hasBodyPart() const;
+  inline  ::oleandertide::sidecar::wire::BodyPart::Reader getBodyPart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1925,6 +2027,14 @@
   inline void adoptMembers(::capnp::Orphan< ::oleandertide::sidecar::wire::Members>&& value);
   inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Members> disownMembers();
 
+  inline bool isBodyPart();
+  inline bool hasBodyPart();
+  inline  ::oleandertide::sidecar::wire::BodyPart::Builder getBodyPart();
+  inline void setBodyPart( ::oleandertide::sidecar::wire::BodyPart::Reader value);
+  inline  ::oleandertide::sidecar::wire::BodyPart::Builder initBodyPart();
+  inline void adoptBodyPart(::capnp::Orphan< ::oleandertide::sidecar::wire::BodyPart>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::BodyPart> disownBodyPart();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2235,6 +2345,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Load::Reader::getLinkWaitUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getLinkWaitUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLinkWaitUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashReport::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2762,6 +2886,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t BodyPart::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BodyPart::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BodyPart::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3975,6 +4113,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isBodyPart() const {
+  return which() == Frame::BODY_PART;
+}
+inline bool Frame::Builder::isBodyPart() {
+  return which() == Frame::BODY_PART;
+}
+inline bool Frame::Reader::hasBodyPart() const {
+  if (which() != Frame::BODY_PART) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasBodyPart() {
+  if (which() != Frame::BODY_PART) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandertide::sidecar::wire::BodyPart::Reader Frame::Reader::getBodyPart() const {
+  KJ_IREQUIRE((which() == Frame::BODY_PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::BodyPart>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandertide::sidecar::wire::BodyPart::Builder Frame::Builder::getBodyPart() {
+  KJ_IREQUIRE((which() == Frame::BODY_PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::BodyPart>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setBodyPart( ::oleandertide::sidecar::wire::BodyPart::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::BODY_PART);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::BodyPart>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandertide::sidecar::wire::BodyPart::Builder Frame::Builder::initBodyPart() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::BODY_PART);
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::BodyPart>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptBodyPart(
+    ::capnp::Orphan< ::oleandertide::sidecar::wire::BodyPart>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::BODY_PART);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::BodyPart>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::BodyPart> Frame::Builder::disownBodyPart() {
+  KJ_IREQUIRE((which() == Frame::BODY_PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::BodyPart>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -186,6 +186,11 @@
     case wire::Frame::ANSWER:
       OnAnswer(peer, frame.getAnswer(), body);
       return;
+    case wire::Frame::BODY_PART: {
+      const CallId id = frame.getBodyPart().getId();
+      if (peer.calls.contains(id)) peer.parts[id].append(body);
+      return;
+    }
     case wire::Frame::CONFIGURATION:
       callbacks_.on_configuration(Decode(frame.getConfiguration()));
       return;
@@ -202,15 +207,22 @@
 void LinkClient::OnAnswer(Peer& peer, wire::Answer::Reader answer,
                           std::string_view body) {
   callbacks_.on_load(peer.identity.name, Decode(answer.getLoad()));
-  auto node = peer.calls.extract(answer.getId());
-  if (node.empty()) return;
-  node.mapped().on_outcome(Decode(answer, body));
+  auto call = peer.calls.extract(answer.getId());
+  auto parts = peer.parts.extract(answer.getId());
+  if (call.empty()) return;
+  if (parts.empty()) {
+    call.mapped().on_outcome(Decode(answer, body));
+    return;
+  }
+  parts.mapped().append(body);
+  call.mapped().on_outcome(Decode(answer, parts.mapped()));
 }
 
 void LinkClient::OnClosed(Peer& peer) {
   const std::uint64_t submitted = peer.connection->submitted_bytes();
   peer.connection = nullptr;
   auto calls = std::exchange(peer.calls, {});
+  peer.parts.clear();
   if (peer.is_selected) peer.is_failing = true;
   if (std::exchange(peer.is_open, false)) {
     logging::Log(Level::kWarning, "link", "lost",
@@ -248,6 +260,7 @@
   const auto found = peers_.find(node);
   if (found == peers_.end()) return;
   Peer& peer = *found->second;
+  peer.parts.erase(id);
   if (peer.calls.erase(id) == 0 || !peer.connection) return;
   capnp::MallocMessageBuilder message;
   message.initRoot<wire::Frame>().initCancel().setId(id);
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -74,6 +74,8 @@
     NodeIdentity identity;
     std::shared_ptr<FramedConnection> connection;
     std::unordered_map<CallId, PendingCall> calls;
+    // Parts of bodies whose answers have not arrived.
+    std::unordered_map<CallId, std::string> parts;
     std::unique_ptr<Timer> timer;
     Duration retry_interval{};
     bool is_selected = false;
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -189,6 +189,7 @@
       static_cast<std::int64_t>(load.slowness * kPermille)));
   builder.setFailurePermille(Saturate<std::uint16_t>(
       static_cast<std::int64_t>(load.failure_share * kPermille)));
+  builder.setLinkWaitUs(Saturate<std::uint32_t>(load.link_wait.count()));
 }
 
 mesh::BackendLoad Decode(wire::Load::Reader reader) {
@@ -198,7 +199,8 @@
           .waiting = reader.getWaiting(),
           .mean_run_time = std::chrono::microseconds(reader.getMeanRunUs()),
           .slowness = reader.getSlownessPermille() / kPermille,
-          .failure_share = reader.getFailurePermille() / kPermille};
+          .failure_share = reader.getFailurePermille() / kPermille,
+          .link_wait = std::chrono::microseconds(reader.getLinkWaitUs())};
 }
 
 void Encode(const NodeStatus& status, wire::Status::Builder builder) {
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -24,6 +24,11 @@
 
 // A change of this many requests is told at the next check.
 constexpr int kMaterialChange = 3;
+constexpr Duration kMaterialLinkWait = std::chrono::milliseconds(50);
+
+// Larger bodies are sent in parts of this size, between which small frames go
+// out: at 5 Mbit/s a part takes 26 ms.
+constexpr std::size_t kPartBytes = 16 * 1024;
 
 bool IsFull(const mesh::BackendLoad& load) {
   return load.running + load.waiting >= load.slots;
@@ -35,7 +40,8 @@
       after.running + after.waiting - before.running - before.waiting;
   return before.accepts_requests != after.accepts_requests ||
          before.slots != after.slots || IsFull(before) != IsFull(after) ||
-         std::abs(change) >= kMaterialChange;
+         std::abs(change) >= kMaterialChange ||
+         after.link_wait - before.link_wait >= kMaterialLinkWait;
 }
 
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
@@ -45,21 +51,24 @@
 Result<std::unique_ptr<LinkServer>> LinkServer::Create(EventLoop& loop,
                                                        const Address& address,
                                                        Receiver& receiver,
+                                                       double link_mbps,
                                                        Callbacks callbacks) {
   OLEANDERTIDE_TRY(acceptor, Listen(loop, address));
   std::unique_ptr<LinkServer> server(new LinkServer(
-      loop, std::move(acceptor), receiver, std::move(callbacks)));
+      loop, std::move(acceptor), receiver, link_mbps, std::move(callbacks)));
   server->Accept();
   server->ScheduleBroadcast();
   return server;
 }
 
 LinkServer::LinkServer(EventLoop& loop, Tcp::acceptor acceptor,
-                       Receiver& receiver, Callbacks callbacks)
+                       Receiver& receiver, double link_mbps,
+                       Callbacks callbacks)
     : acceptor_(std::move(acceptor)),
       broadcast_timer_(loop),
       accept_timer_(loop),
       receiver_(receiver),
+      backlog_(link_mbps),
       callbacks_(std::move(callbacks)) {}
 
 LinkServer::~LinkServer() {
@@ -80,6 +89,9 @@
     }
     auto session = std::make_shared<Session>();
     session->connection = std::make_shared<FramedConnection>(std::move(socket));
+    session->connection->set_on_submitted([this](std::size_t bytes) {
+      backlog_.Add(MonotonicClock::now(), bytes);
+    });
     sessions_.insert(session);
     // The connection holds its callbacks until it is closed.
     session->connection->Start(
@@ -136,13 +148,7 @@
   const CallId local = receiver_.Submit(
       Decode(call, body), [this, session, id](const mesh::Outcome& outcome) {
         session->calls.erase(id);
-        capnp::MallocMessageBuilder message;
-        Encode(id, outcome, receiver_.load(),
-               message.initRoot<wire::Frame>().initAnswer());
-        const auto* completed = std::get_if<mesh::Completed>(&outcome);
-        session->connection->Send(
-            message, completed != nullptr ? std::string_view(completed->body)
-                                          : std::string_view());
+        SendAnswer(*session->connection, id, outcome);
       });
   if (const auto found = session->calls.find(id);
       found != session->calls.end()) {
@@ -150,6 +156,34 @@
   }
 }
 
+mesh::BackendLoad LinkServer::MakeLoad() const {
+  mesh::BackendLoad load = receiver_.load();
+  load.link_wait = link_wait();
+  return load;
+}
+
+void LinkServer::SendAnswer(FramedConnection& connection, CallId id,
+                            const mesh::Outcome& outcome) {
+  const auto* completed = std::get_if<mesh::Completed>(&outcome);
+  std::string_view body;
+  if (completed != nullptr) body = completed->body;
+  const bool is_large = body.size() > kPartBytes;
+  while (body.size() > kPartBytes) {
+    capnp::MallocMessageBuilder part;
+    part.initRoot<wire::Frame>().initBodyPart().setId(id);
+    connection.SendBulk(part, body.substr(0, kPartBytes));
+    body.remove_prefix(kPartBytes);
+  }
+  capnp::MallocMessageBuilder message;
+  Encode(id, outcome, MakeLoad(),
+         message.initRoot<wire::Frame>().initAnswer());
+  if (is_large) {
+    connection.SendBulk(message, body);
+  } else {
+    connection.Send(message, body);
+  }
+}
+
 void LinkServer::OnClosed(const std::shared_ptr<Session>& session) {
   const auto calls = std::exchange(session->calls, {});
   for (const auto& [id, local] : calls) receiver_.Cancel(local);
@@ -164,7 +198,7 @@
   broadcast_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
     if (MonotonicClock::now() - announced_at_ >= kStatusInterval ||
-        IsMaterialChange(announced_load_, receiver_.load())) {
+        IsMaterialChange(announced_load_, MakeLoad())) {
       Broadcast();
     }
     ScheduleBroadcast();
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -13,6 +13,8 @@
 
 #include "core/address.h"
 #include "core/result.h"
+#include "core/time.h"
+#include "mesh/link_backlog.h"
 #include "sidecar/call.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/framed_connection.h"
@@ -37,16 +39,20 @@
         make_update;
   };
 
-  // Listens on `address`.
+  // Listens on `address`; `link_mbps` is the bandwidth of the instance's link.
   static Result<std::unique_ptr<LinkServer>> Create(EventLoop& loop,
                                                     const Address& address,
                                                     Receiver& receiver,
+                                                    double link_mbps,
                                                     Callbacks callbacks);
   ~LinkServer();
 
   // Sends the status to all links now.
   void Broadcast();
 
+  // Time for which an answer waits on the instance's link.
+  Duration link_wait() const { return backlog_.Wait(MonotonicClock::now()); }
+
   // Tells all links of another node.
   void Forward(const NodeIdentity& node);
 
@@ -58,7 +64,7 @@
   };
 
   LinkServer(EventLoop& loop, Tcp::acceptor acceptor, Receiver& receiver,
-             Callbacks callbacks);
+             double link_mbps, Callbacks callbacks);
   void Accept();
   void ScheduleBroadcast();
   void OnFrame(const std::shared_ptr<Session>& session,
@@ -66,11 +72,15 @@
   void OnCall(const std::shared_ptr<Session>& session, wire::Call::Reader call,
               std::string_view body);
   void OnClosed(const std::shared_ptr<Session>& session);
+  void SendAnswer(FramedConnection& connection, CallId id,
+                  const mesh::Outcome& outcome);
+  mesh::BackendLoad MakeLoad() const;
 
   Tcp::acceptor acceptor_;
   Timer broadcast_timer_;
   Timer accept_timer_;
   Receiver& receiver_;
+  mesh::LinkBacklog backlog_;
   Callbacks callbacks_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   mesh::BackendLoad announced_load_;
--- a/libraries/sidecar/member_directory.cc
+++ b/libraries/sidecar/member_directory.cc
@@ -20,7 +20,7 @@
 constexpr Duration kLongestPause = std::chrono::milliseconds(500);
 
 // All nodes of a system that starts have written their rows by then.
-constexpr Duration kSecondReadDelay = std::chrono::seconds(2);
+constexpr Duration kFirstStartDelay = std::chrono::milliseconds(1500);
 
 std::string EncodeMember(const NodeIdentity& node) {
   return json{{"address", node.address},
@@ -54,17 +54,23 @@
 
 MemberDirectory::MemberDirectory(EventLoop& loop, StoreClient& store,
                                  RandomSource& random, NodeIdentity self,
-                                 OnMember on_member)
+                                 bool is_first_start, OnMember on_member)
     : store_(store),
       random_(random),
       self_(std::move(self)),
       on_member_(std::move(on_member)),
+      is_first_start_(is_first_start),
       timer_(loop) {}
 
 void MemberDirectory::Start() {
   is_own_row_seen_ = false;
   own_value_.clear();
   own_version_ = 0;
+  if (std::exchange(is_first_start_, false)) {
+    waits_for_others_ = true;
+    Write();
+    return;
+  }
   Read({});
 }
 
@@ -100,8 +106,6 @@
   }
   if (!is_own_row_seen_ || own_value_ != EncodeMember(self_)) {
     Write();
-  } else if (!std::exchange(is_second_read_done_, true)) {
-    StartAfter(kSecondReadDelay);
   }
 }
 
@@ -120,7 +124,11 @@
                  }
                  // Those that wrote before this row are seen now; those that
                  // write later will see this row.
-                 Start();
+                 if (std::exchange(waits_for_others_, false)) {
+                   StartAfter(kFirstStartDelay);
+                 } else {
+                   Start();
+                 }
                });
 }
 
--- a/libraries/sidecar/member_directory.h
+++ b/libraries/sidecar/member_directory.h
@@ -14,16 +14,16 @@
 namespace oleandertide::sidecar {
 
 // Each node has a row with its address, written when it differs from what the
-// store holds: a restart writes nothing. A node reads the rows once, after its
-// own was written, and opens links; the others learn of it by these links. Of
-// two nodes that start together, at least one sees the other's row, and a second
-// read some time after the start shows both. Not thread-safe.
+// store holds: a restart writes nothing. A node reads the rows after its own was
+// written, and opens links; the others learn of it by these links. When the
+// whole system starts for the first time, a node writes its row, waits until
+// the others have done so and reads once. Not thread-safe.
 class MemberDirectory {
  public:
   using OnMember = std::function<void(const NodeIdentity&)>;
 
   MemberDirectory(EventLoop& loop, StoreClient& store, RandomSource& random,
-                  NodeIdentity self, OnMember on_member);
+                  NodeIdentity self, bool is_first_start, OnMember on_member);
 
   // Reads and writes until both have succeeded.
   void Start();
@@ -38,12 +38,13 @@
   RandomSource& random_;
   const NodeIdentity self_;
   OnMember on_member_;
+  bool is_first_start_;
   Timer timer_;
   // What the store holds of this node.
   std::string own_value_;
   std::uint64_t own_version_ = 0;
   bool is_own_row_seen_ = false;
-  bool is_second_read_done_ = false;
+  bool waits_for_others_ = false;
 };
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -98,8 +98,10 @@
                  .holder = holder_,
                  .metrics = metrics_,
                  .random = random_},
-                identity_, [this] { OnConfigurationChanged(); }),
+                identity_, settings.node.is_first_start,
+                [this] { OnConfigurationChanged(); }),
         members_(loop, store_, random_, identity_,
+                 settings.node.is_first_start,
                  [this](const NodeIdentity& node) { links_.Learn(node); }),
         stop_timer_(loop) {}
 
@@ -108,7 +110,7 @@
     OLEANDERTIDE_TRY(
         link_server,
         LinkServer::Create(
-            loop_, listen.peers, receiver_,
+            loop_, listen.peers, receiver_, settings_.node.link_mbps,
             {.on_hello =
                  [this](const NodeIdentity& node) { OnMemberTold(node); },
              .make_status = [this] { return MakeStatus(); },
@@ -226,8 +228,10 @@
 
   NodeStatus MakeStatus() {
     const MonotonicTime now = MonotonicClock::now();
+    mesh::BackendLoad load = receiver_.load();
+    load.link_wait = link_server_->link_wait();
     return {.service = std::string(receiver_.service()),
-            .load = receiver_.load(),
+            .load = load,
             .configuration_version = holder_.version(),
             .confirmation_age = holder_.confirmation_age(now),
             .crash_reports = quarantine_.TakeReports(now, kReportsInStatus)};
