--- a/libraries/mesh/attempt_policy.cc
+++ b/libraries/mesh/attempt_policy.cc
@@ -13,6 +13,12 @@
 // Nodes that are to run a request at once or refuse it.
 constexpr int kHopsWithoutWait = 2;
 
+// Run times of the wait that are kept for the run itself: most runs end within
+// one and a half times the mean.
+constexpr double kRunsReserved = 1.6;
+// Least time that a request may wait, as a share of the target latency.
+constexpr double kMinimumWaitShare = 0.1;
+
 // Reports are some tens of milliseconds old: so much more wait than expected is
 // still better than another node.
 constexpr Duration kWaitTolerance = std::chrono::milliseconds(15);
@@ -75,6 +81,17 @@
   return std::visit(Decide{history}, outcome);
 }
 
+Duration ChooseLongestWait(Duration target_latency, Duration elapsed,
+                           Duration expected_run) {
+  const auto scale = [](Duration duration, double factor) {
+    return Duration(static_cast<std::int64_t>(
+        static_cast<double>(duration.count()) * factor));
+  };
+  return std::max(
+      target_latency - elapsed - scale(expected_run, kRunsReserved),
+      scale(target_latency, kMinimumWaitShare));
+}
+
 Duration ChooseWaitAllowance(int hops, Duration expected_wait,
                              Duration wait_allowance) {
   if (hops >= kHopsWithoutWait) return wait_allowance;
--- a/libraries/mesh/configuration.h
+++ b/libraries/mesh/configuration.h
@@ -58,8 +58,8 @@
 };
 
 struct Service {
-  std::string name;
-  std::string health_path;
+  std::string name{};
+  std::string health_path{};
   // Connections that a backend server accepts from all callers together.
   std::size_t maximum_connections = 0;
 
--- a/libraries/mesh/configuration_holder.cc
+++ b/libraries/mesh/configuration_holder.cc
@@ -15,10 +15,9 @@
 
 ConfigurationUpdate ConfigurationHolder::MakeUpdateSince(
     std::uint64_t version) const {
-  const auto base =
-      std::ranges::find_if(kept_, [&](const auto& configuration) {
-        return configuration->version == version;
-      });
+  const auto base = std::ranges::find_if(kept_, [&](const auto& configuration) {
+    return configuration->version == version;
+  });
   return MakeUpdate(base == kept_.end() ? nullptr : base->get(), *current_);
 }
 
--- a/libraries/mesh/configuration_update.h
+++ b/libraries/mesh/configuration_update.h
@@ -40,7 +40,8 @@
 // Thread-safe.
 std::uint64_t Digest(const Configuration& configuration);
 
-// Returns what turns `base` into `target`; without base, the whole. Thread-safe.
+// Returns what turns `base` into `target`; without base, the whole.
+// Thread-safe.
 ConfigurationUpdate MakeUpdate(const Configuration* base,
                                const Configuration& target);
 
--- a/libraries/mesh/peer_selection.h
+++ b/libraries/mesh/peer_selection.h
@@ -29,7 +29,7 @@
   // well by a dozen choices; more would cost status messages that grow with the
   // square of the fleet.
   std::size_t own_data_centre = 10;
-  std::size_t other_data_centres = 5;
+  std::size_t other_data_centres = 6;
 };
 
 // Returns the names of the nodes to keep links to: for each service, those that
--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -78,8 +78,8 @@
   if (candidate.location.link_mbps > 0) {
     // A megabit per second is a bit per microsecond.
     constexpr double kBitsPerByte = 8;
-    score += request.expected_bytes * kBitsPerByte /
-             candidate.location.link_mbps;
+    score +=
+        request.expected_bytes * kBitsPerByte / candidate.location.link_mbps;
     score += Microseconds(load.link_wait);
   }
   if (!candidate.location.is_in_own_data_centre) {
--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -117,6 +117,9 @@
     Close();
     return;
   }
+  if (exchange_->is_limit_renewed) {
+    StartTimer(exchange_->limit, HttpFailure::kTimeout);
+  }
   Parse();
   Read();
 }
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -38,6 +38,9 @@
   bool is_head_request = false;
   // Time until the exchange is given up and the connection closed.
   Duration limit{};
+  // Whether the limit starts anew when bytes arrive: a large answer may take
+  // long on a narrow link.
+  bool is_limit_renewed = false;
   // Whether an answer belongs to this request; others are skipped and the
   // connection is not used again. Empty: every answer does.
   std::function<bool(const boost::beast::http::fields&)> is_answer;
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -31,12 +31,6 @@
 constexpr Duration kAwayRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(5);
 
-// Time that a request may wait beyond what its run leaves of the target
-// latency, as a share of the target latency.
-constexpr double kWaitShare = 0.0;
-// Least time that a request may wait, as a share of the target latency.
-constexpr double kMinimumWaitShare = 0.1;
-
 // Without deadline and route, as for denied requests.
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
@@ -191,13 +185,8 @@
   call.remaining = exchange->deadline - now;
   call.expected_run =
       Duration(static_cast<std::int64_t>(exchange->statistics->run_us.value()));
-  const auto share = [&](double part) {
-    return Duration(static_cast<std::int64_t>(
-        static_cast<double>(route.target_latency.count()) * part));
-  };
-  const Duration spare = route.target_latency + share(kWaitShare) -
-                         (now - exchange->arrived) - call.expected_run;
-  call.wait_allowance = std::max(spare, share(kMinimumWaitShare));
+  call.wait_allowance = mesh::ChooseLongestWait(
+      route.target_latency, now - exchange->arrived, call.expected_run);
   placement_.Update(node_, parts_.receiver.service(),
                     {.is_in_own_data_centre = true}, parts_.receiver.load());
   const mesh::Placement::Request request{
--- a/libraries/sidecar/member_directory.h
+++ b/libraries/sidecar/member_directory.h
@@ -14,8 +14,8 @@
 namespace oleandertide::sidecar {
 
 // Each node has a row with its address, written when it differs from what the
-// store holds: a restart writes nothing. A node reads the rows after its own was
-// written, and opens links; the others learn of it by these links. When the
+// store holds: a restart writes nothing. A node reads the rows after its own
+// was written, and opens links; the others learn of it by these links. When the
 // whole system starts for the first time, a node writes its row, waits until
 // the others have done so and reads once. Not thread-safe.
 class MemberDirectory {
--- a/libraries/sidecar/store_client.cc
+++ b/libraries/sidecar/store_client.cc
@@ -7,8 +7,8 @@
 namespace oleandertide::sidecar {
 namespace {
 
-// The store answers within milliseconds; a call that takes longer has met an
-// outage.
+// The store answers within milliseconds; a call without a byte for longer has
+// met an outage.
 constexpr Duration kCallLimit = std::chrono::seconds(1);
 constexpr Duration kConnectLimit = std::chrono::milliseconds(700);
 
@@ -81,6 +81,7 @@
   exchange.head += "\r\n";
   exchange.body = std::move(body);
   exchange.limit = limit;
+  exchange.is_limit_renewed = true;
   exchange.on_answer = [this, on_body](HttpResponse response) {
     const int status = static_cast<int>(response.result_int());
     if (status >= 200 && status < 300) {
--- /dev/null
+++ b/tests/mesh/attempt_policy_test.cc
@@ -0,0 +1,102 @@
+#include "mesh/attempt_policy.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "mesh/retry_allowance.h"
+
+namespace oleandertide::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+AttemptHistory History(RequestKind kind, int reached) {
+  return {.kind = kind,
+          .maximum_attempts = 2,
+          .reached = reached,
+          .hops = 1,
+          .remaining = milliseconds(500),
+          .expected_run = milliseconds(100)};
+}
+
+const Outcome kLost = Unknown{Reason::kConnectionLost};
+const Outcome kRefused = NotRun{Reason::kBackendServerRefused, true};
+const Outcome kFull = NotRun{Reason::kNoRoom, false};
+const Outcome kFailed = Completed{.status = 500};
+
+// Guards against a booking that runs twice.
+TEST_CASE("a request that may have run is repeated only if its kind allows") {
+  REQUIRE(DecideNextStep(History(RequestKind::kNonIdempotent, 1), kLost) ==
+          NextStep::kGiveUp);
+  REQUIRE(DecideNextStep(History(RequestKind::kNonIdempotent, 1), kFailed) ==
+          NextStep::kDeliver);
+  REQUIRE(DecideNextStep(History(RequestKind::kIdempotent, 1), kLost) ==
+          NextStep::kTryAnotherWithinBudget);
+  REQUIRE(DecideNextStep(History(RequestKind::kDownload, 1), kFailed) ==
+          NextStep::kTryAnotherWithinBudget);
+}
+
+// Guards against a request at more backend servers than its route allows.
+TEST_CASE("the attempts of a route are not exceeded") {
+  REQUIRE(DecideNextStep(History(RequestKind::kIdempotent, 2), kLost) ==
+          NextStep::kGiveUp);
+  REQUIRE(DecideNextStep(History(RequestKind::kIdempotent, 2), kRefused) ==
+          NextStep::kGiveUp);
+  REQUIRE(DecideNextStep(History(RequestKind::kIdempotent, 2), kFailed) ==
+          NextStep::kDeliver);
+}
+
+// Guards against refused requests that draw on the retry budget although no
+// backend server saw them.
+TEST_CASE("only what reached a backend server draws on the budget") {
+  REQUIRE(DecideNextStep(History(RequestKind::kNonIdempotent, 0), kFull) ==
+          NextStep::kTryAnother);
+  REQUIRE(DecideNextStep(History(RequestKind::kNonIdempotent, 1), kRefused) ==
+          NextStep::kTryAnotherWithinBudget);
+}
+
+// Guards against repeats that cannot end in time.
+TEST_CASE("without time for another run, the request is given up") {
+  AttemptHistory history = History(RequestKind::kIdempotent, 1);
+  history.remaining = milliseconds(40);
+  REQUIRE(DecideNextStep(history, kLost) == NextStep::kGiveUp);
+  REQUIRE(DecideNextStep(history, kFailed) == NextStep::kDeliver);
+}
+
+// Guards against a queue at a node that only seemed to be free.
+TEST_CASE("the first nodes run a request at once or refuse it") {
+  REQUIRE(ChooseWaitAllowance(0, milliseconds(0), milliseconds(200)) <
+          milliseconds(50));
+  REQUIRE(ChooseWaitAllowance(2, milliseconds(0), milliseconds(200)) ==
+          milliseconds(200));
+  REQUIRE(ChooseWaitAllowance(0, milliseconds(0), milliseconds(5)) ==
+          milliseconds(5));
+}
+
+// Guards against clients that return together.
+TEST_CASE("the time to come back is spread") {
+  const auto first = ChooseRetryAfter(milliseconds(50), milliseconds(100), 0);
+  const auto last = ChooseRetryAfter(milliseconds(50), milliseconds(100), 0.99);
+  REQUIRE(first >= milliseconds(50));
+  REQUIRE(last - first > milliseconds(90));
+}
+
+// Guards against nodes that together exceed the fleet's retry budget: 0.2
+// repeats for each request and 64 in 10 s, over 12 nodes.
+TEST_CASE("all nodes that repeat as they may stay within the fleet's budget") {
+  constexpr int kNodes = 12;
+  constexpr int kRequestsPerNode = 500;
+  int repeats = 0;
+  for (int node = 0; node < kNodes; ++node) {
+    RetryAllowance allowance({.ratio = 0.08, .saved = 3});
+    for (int i = 0; i < kRequestsPerNode; ++i) {
+      allowance.RecordRequest("booking");
+      while (allowance.TryTake("booking")) ++repeats;
+    }
+  }
+  REQUIRE(repeats > 0);
+  REQUIRE(repeats <= 0.2 * kNodes * kRequestsPerNode + 64);
+}
+
+}  // namespace
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/tests/mesh/configuration_test.cc
@@ -0,0 +1,147 @@
+#include "mesh/configuration.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "mesh/configuration_holder.h"
+#include "mesh/configuration_update.h"
+#include "mesh/service_choice.h"
+
+namespace oleandertide::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::shared_ptr<const Route> MakeRoute(std::string prefix,
+                                       std::string service = "rooms") {
+  return std::make_shared<const Route>(
+      Route{.name = "r" + prefix,
+            .path_prefix = std::move(prefix),
+            .kind = RequestKind::kIdempotent,
+            .timeout = seconds(1),
+            .target_latency = milliseconds(300),
+            .services = {{std::move(service), 1}}});
+}
+
+Configuration MakeConfiguration(std::uint64_t version,
+                                std::initializer_list<std::string> prefixes) {
+  Configuration configuration;
+  configuration.version = version;
+  configuration.services = {{.name = "rooms", .health_path = "/health"}};
+  for (const std::string& prefix : prefixes) {
+    configuration.hosts["a.example"][prefix] = MakeRoute(prefix);
+  }
+  return configuration;
+}
+
+// Guards against a request that runs at the service of a shorter prefix.
+TEST_CASE("the longest prefix of the host's routes is chosen") {
+  const Configuration configuration =
+      MakeConfiguration(1, {"/", "/rooms/", "/rooms/free/"});
+  const auto find = [&](std::string_view host, std::string_view target) {
+    const Route* route = configuration.FindRoute(host, target);
+    return route == nullptr ? std::string() : route->path_prefix;
+  };
+  REQUIRE(find("a.example", "/rooms/free/7") == "/rooms/free/");
+  REQUIRE(find("a.example", "/rooms/free") == "/rooms/");
+  REQUIRE(find("a.example", "/roomsfree") == "/");
+  REQUIRE(find("a.example", "/rooms?path=/rooms/free/") == "/");
+  REQUIRE(find("A.Example:8080", "/rooms/x") == "/rooms/");
+  REQUIRE(find("b.example", "/rooms/x").empty());
+}
+
+// Guards against a proxy that goes back to an older configuration.
+TEST_CASE("the version in force never goes back") {
+  rc::prop("for any order of offers, the version is the greatest so far", [] {
+    ConfigurationHolder holder;
+    std::uint64_t greatest = 0;
+    const auto versions = *rc::gen::container<std::vector<std::uint64_t>>(
+        rc::gen::inRange<std::uint64_t>(1, 50));
+    for (const std::uint64_t version : versions) {
+      const bool is_newer = version > greatest;
+      RC_ASSERT(holder.Offer(MakeConfiguration(version, {"/"})) == is_newer);
+      greatest = std::max(greatest, version);
+      RC_ASSERT(holder.version() == greatest);
+    }
+  });
+}
+
+// Guards against a node that counts as fresh by another version's confirmation.
+TEST_CASE("only the version in force is confirmed") {
+  ConfigurationHolder holder;
+  const MonotonicTime now{seconds(100)};
+  REQUIRE(holder.confirmation_age(now) == Duration::max());
+  holder.Offer(MakeConfiguration(2, {"/"}));
+  holder.Confirm(1, now, Duration::zero());
+  REQUIRE(holder.confirmation_age(now) == Duration::max());
+  holder.Confirm(2, now, milliseconds(300));
+  REQUIRE(holder.confirmation_age(now) == milliseconds(300));
+  // An older confirmation does not take back a newer one.
+  holder.Confirm(2, now, milliseconds(900));
+  REQUIRE(holder.confirmation_age(now) == milliseconds(300));
+}
+
+Configuration MakeRandomConfiguration(std::uint64_t version) {
+  Configuration configuration;
+  configuration.version = version;
+  configuration.services = {{.name = "rooms"}, {.name = "booking"}};
+  const int routes = *rc::gen::inRange(0, 12);
+  for (int i = 0; i < routes; ++i) {
+    const std::string host = *rc::gen::element<std::string>("a", "b", "c");
+    const std::string prefix =
+        "/" + std::to_string(*rc::gen::inRange(0, 8)) + "/";
+    configuration.hosts[host][prefix] =
+        MakeRoute(prefix, *rc::gen::element<std::string>("rooms", "booking"));
+  }
+  return configuration;
+}
+
+// Guards against a configuration that is applied in part.
+TEST_CASE("an update gives the sender's configuration or an error") {
+  rc::prop("an update of its base gives the target", [] {
+    const Configuration base = MakeRandomConfiguration(3);
+    const Configuration target = MakeRandomConfiguration(5);
+    const auto updated = ApplyUpdate(&base, MakeUpdate(&base, target));
+    RC_ASSERT(updated.has_value());
+    RC_ASSERT(Digest(updated.value()) == Digest(target));
+    RC_ASSERT(updated.value().version == 5U);
+    const auto whole = ApplyUpdate(nullptr, MakeUpdate(nullptr, target));
+    RC_ASSERT(whole.has_value());
+    RC_ASSERT(Digest(whole.value()) == Digest(target));
+  });
+  const Configuration base = MakeConfiguration(3, {"/", "/a/"});
+  const Configuration target = MakeConfiguration(5, {"/", "/b/"});
+  const ConfigurationUpdate update = MakeUpdate(&base, target);
+  REQUIRE(update.put.size() == 1);
+  REQUIRE(update.removed.size() == 1);
+  Configuration other = MakeConfiguration(4, {"/"});
+  REQUIRE(ApplyUpdate(&other, update).error() ==
+          make_error_code(Error::kConflict));
+  // The right version with other content.
+  other.version = 3;
+  other.hosts["z"]["/"] = MakeRoute("/");
+  REQUIRE(ApplyUpdate(&other, update).error() ==
+          make_error_code(Error::kDataDamaged));
+}
+
+// Guards against parts of a route that get more or less than their weight.
+TEST_CASE("services get their weight's share within a hundred requests") {
+  Route route = *MakeRoute("/");
+  route.services = {{"rooms", 90}, {"booking", 10}};
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    RandomSource random(seed);
+    ServiceChoice choice;
+    std::map<std::string, int> shares;
+    for (int i = 0; i < 100; ++i) ++shares[choice.Choose(route, random)];
+    REQUIRE(std::abs(shares["booking"] - 10) <= 2);
+  }
+}
+
+}  // namespace
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/tests/mesh/local_backend_test.cc
@@ -0,0 +1,153 @@
+#include "mesh/local_backend.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace oleandertide::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Effect = LocalBackend::Effect;
+
+constexpr MonotonicTime kStart{seconds(100)};
+
+Announcement Heartbeat(std::uint64_t sequence, bool is_draining = false) {
+  return {.id = "i-1",
+          .service = "booking",
+          .address = "10.0.0.1:80",
+          .is_draining = is_draining,
+          .slots = 12,
+          .started_at_ms = 1000,
+          .sequence = sequence};
+}
+
+LocalBackend MakeBackend(bool verifies_first = false) {
+  return LocalBackend(
+      {.verifies_first = verifies_first, .drain_fence = milliseconds(1500)});
+}
+
+// Guards against a late "ready" that takes back an acknowledged departure.
+TEST_CASE("a late heartbeat does not take back a departure") {
+  LocalBackend backend = MakeBackend();
+  REQUIRE(backend.Apply(Heartbeat(3), kStart) == Effect::kReplaced);
+  REQUIRE(backend.Apply(Heartbeat(5, true), kStart) == Effect::kChanged);
+  REQUIRE(backend.Apply(Heartbeat(4), kStart) == Effect::kStale);
+  REQUIRE(backend.Apply(Heartbeat(6), kStart) == Effect::kRefreshed);
+  REQUIRE_FALSE(backend.is_accepting());
+}
+
+// Guards against requests that reach a backend server long after its departure
+// was acknowledged.
+TEST_CASE("waiting requests are handed over until the drain fence only") {
+  LocalBackend backend = MakeBackend();
+  backend.Apply(Heartbeat(1), kStart);
+  backend.Apply(Heartbeat(2, true), kStart);
+  REQUIRE(backend.is_dispatch_allowed(kStart + milliseconds(1499)));
+  REQUIRE_FALSE(backend.is_dispatch_allowed(kStart + milliseconds(1500)));
+  // A repeated notice does not move the fence.
+  backend.Apply(Heartbeat(3, true), kStart + milliseconds(1400));
+  REQUIRE_FALSE(backend.is_dispatch_allowed(kStart + milliseconds(1500)));
+}
+
+// Guards against a backend server that is used after its DELETE because a
+// heartbeat was still on the way.
+TEST_CASE("a departed backend server is not revived by its own heartbeats") {
+  LocalBackend backend = MakeBackend();
+  backend.Apply(Heartbeat(1), kStart);
+  REQUIRE(backend.ApplyDeparture({.id = "i-1", .started_at_ms = 1000},
+                                 kStart) == Effect::kChanged);
+  REQUIRE(backend.Apply(Heartbeat(9), kStart) == Effect::kStale);
+  REQUIRE_FALSE(backend.is_accepting());
+}
+
+// Guards against a new incarnation that is ignored because its counts start
+// anew, and against the old one's last messages.
+TEST_CASE("a later incarnation with the same id takes the place") {
+  LocalBackend backend = MakeBackend();
+  backend.Apply(Heartbeat(50), kStart);
+  backend.ApplyDeparture({.id = "i-1", .started_at_ms = 1000}, kStart);
+  Announcement reborn = Heartbeat(1);
+  reborn.started_at_ms = 2000;
+  REQUIRE(backend.Apply(reborn, kStart) == Effect::kReplaced);
+  REQUIRE(backend.is_accepting());
+  REQUIRE(backend.ApplyDeparture({.id = "i-1", .started_at_ms = 1000},
+                                 kStart) == Effect::kStale);
+  REQUIRE(backend.Apply(Heartbeat(60), kStart) == Effect::kStale);
+  REQUIRE(backend.is_accepting());
+}
+
+// Guards against a restarted node that uses a backend server whose departure it
+// had acknowledged before.
+TEST_CASE("a restarted node verifies the backend server before use") {
+  LocalBackend backend = MakeBackend(true);
+  backend.Apply(Heartbeat(1), kStart);
+  REQUIRE(backend.standing() == BackendStanding::kUnverified);
+  REQUIRE_FALSE(backend.is_accepting());
+  backend.RecordVerification("i-2", true);
+  REQUIRE_FALSE(backend.is_accepting());
+  backend.RecordVerification("i-1", false);
+  REQUIRE_FALSE(backend.is_accepting());
+  backend.RecordVerification("i-1", true);
+  REQUIRE(backend.is_accepting());
+}
+
+// Guards against a crashed backend server that is never used again.
+TEST_CASE("a heartbeat revives a backend server that was down") {
+  LocalBackend backend = MakeBackend();
+  backend.Apply(Heartbeat(1), kStart);
+  backend.RecordDown();
+  REQUIRE_FALSE(backend.is_dispatch_allowed(kStart));
+  REQUIRE(backend.Apply(Heartbeat(2), kStart) == Effect::kChanged);
+  REQUIRE(backend.is_accepting());
+}
+
+// Guards against an order of messages that lets requests through after a
+// departure of the same incarnation was acknowledged.
+TEST_CASE("no order of messages opens a fence again") {
+  rc::prop("after an acknowledged departure, the incarnation stays away", [] {
+    LocalBackend backend = MakeBackend(*rc::gen::arbitrary<bool>());
+    MonotonicTime now = kStart;
+    std::set<std::pair<std::string, std::int64_t>> left;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 900));
+      Announcement heartbeat =
+          Heartbeat(*rc::gen::inRange<std::uint64_t>(1, 20),
+                    *rc::gen::inRange(0, 4) == 0);
+      heartbeat.id = *rc::gen::element<std::string>("i-1", "i-2");
+      heartbeat.started_at_ms = *rc::gen::inRange(1, 4) * 1000;
+      const int action = *rc::gen::inRange(0, 6);
+      if (action == 0) {
+        const Effect effect = backend.ApplyDeparture(
+            {.id = heartbeat.id, .started_at_ms = heartbeat.started_at_ms},
+            now);
+        if (effect != Effect::kStale) {
+          const Announcement& current = backend.announcement();
+          left.emplace(current.id, current.started_at_ms);
+        }
+      } else if (action == 1) {
+        backend.RecordDown();
+      } else if (action == 2) {
+        backend.RecordVerification(heartbeat.id, true);
+      } else {
+        const Effect effect = backend.Apply(heartbeat, now);
+        if (effect != Effect::kStale && heartbeat.is_draining) {
+          left.emplace(heartbeat.id, heartbeat.started_at_ms);
+        }
+      }
+      if (backend.is_accepting()) {
+        const Announcement& current = backend.announcement();
+        RC_ASSERT(!left.contains({current.id, current.started_at_ms}));
+      }
+    }
+  });
+}
+
+}  // namespace
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/tests/mesh/placement_test.cc
@@ -0,0 +1,127 @@
+#include "mesh/placement.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <variant>
+
+namespace oleandertide::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+BackendLoad Load(int running, int waiting = 0, double slowness = 1) {
+  return {.accepts_requests = true,
+          .slots = 12,
+          .running = running,
+          .waiting = waiting,
+          .mean_run_time = milliseconds(100),
+          .slowness = slowness};
+}
+
+Placement::Request Request(double bytes = 400) {
+  return {.service = "rooms",
+          .expected_run = milliseconds(100),
+          .expected_bytes = bytes,
+          .wait_allowance = milliseconds(200),
+          .target_latency = milliseconds(300)};
+}
+
+// Counts where `count` requests go if every one finds the same reports.
+std::map<std::string, int> Spread(
+    Placement& placement, int count, const Placement::Request& request,
+    const std::map<std::string, BackendLoad>& loads) {
+  RandomSource random(11);
+  std::map<std::string, int> spread;
+  for (int i = 0; i < count; ++i) {
+    const auto decision = placement.Choose(request, {}, random);
+    ++spread[std::get<Placement::Choice>(decision).node];
+    for (const auto& [node, load] : loads) placement.UpdateLoad(node, load);
+  }
+  return spread;
+}
+
+constexpr Placement::Location kOwn{.is_in_own_data_centre = true,
+                                   .link_mbps = 1000};
+constexpr Placement::Location kOther{.is_in_own_data_centre = false,
+                                     .link_mbps = 1000};
+
+// Guards against requests that cross data centres although there is room.
+TEST_CASE("the own data centre goes first while it has room") {
+  Placement placement;
+  placement.Update("own", "rooms", kOwn, Load(2));
+  placement.Update("other", "rooms", kOther, Load(2));
+  // Large answers are dear between data centres.
+  auto spread = Spread(placement, 100, Request(90'000),
+                       {{"own", Load(2)}, {"other", Load(2)}});
+  REQUIRE(spread["own"] == 100);
+  // Without room, the other one serves.
+  spread = Spread(placement, 100, Request(),
+                  {{"own", Load(12, 10)}, {"other", Load(2)}});
+  REQUIRE(spread["other"] == 100);
+}
+
+// Guards against a slow backend server that gets its full share.
+TEST_CASE("slow and failing backend servers are left") {
+  Placement placement;
+  BackendLoad failing = Load(2);
+  failing.failure_share = 0.5;
+  placement.Update("good", "rooms", kOwn, Load(6));
+  placement.Update("slow", "rooms", kOwn, Load(2, 0, 5));
+  placement.Update("failing", "rooms", kOwn, failing);
+  auto spread = Spread(
+      placement, 200, Request(),
+      {{"good", Load(6)}, {"slow", Load(2, 0, 5)}, {"failing", failing}});
+  REQUIRE(spread["good"] == 200);
+}
+
+// Guards against ingresses that all send to the one node that their old
+// reports show as free.
+TEST_CASE("requests sent since a report count as load") {
+  Placement placement;
+  placement.Update("a", "rooms", kOwn, Load(11));
+  placement.Update("b", "rooms", kOwn, Load(11));
+  RandomSource random(3);
+  std::map<std::string, int> spread;
+  for (int i = 0; i < 10; ++i) {
+    ++spread[std::get<Placement::Choice>(
+                 placement.Choose(Request(), {}, random))
+                 .node];
+  }
+  REQUIRE(spread["a"] >= 4);
+  REQUIRE(spread["b"] >= 4);
+}
+
+// Guards against small answers that wait behind downloads on a narrow link.
+TEST_CASE("a node with a busy link is left") {
+  Placement placement;
+  BackendLoad busy = Load(2);
+  busy.link_wait = milliseconds(150);
+  placement.Update("busy", "rooms", kOwn, busy);
+  placement.Update("quiet", "rooms", kOwn, Load(5));
+  auto spread =
+      Spread(placement, 50, Request(), {{"busy", busy}, {"quiet", Load(5)}});
+  REQUIRE(spread["quiet"] == 50);
+}
+
+// Guards against a refusal without a hint, and against "no room" for a service
+// that nobody runs.
+TEST_CASE("no room and no backend server are told apart") {
+  Placement placement;
+  RandomSource random(5);
+  REQUIRE(std::holds_alternative<Placement::NoBackendServer>(
+      placement.Choose(Request(), {}, random)));
+  placement.Update("a", "rooms", kOwn, Load(12, 60));
+  const auto decision = placement.Choose(Request(), {}, random);
+  const auto* no_room = std::get_if<Placement::NoRoom>(&decision);
+  REQUIRE(no_room != nullptr);
+  REQUIRE(no_room->until_room > milliseconds(100));
+  REQUIRE(no_room->until_room < milliseconds(600));
+  const std::vector<std::string> tried = {"a"};
+  REQUIRE(std::holds_alternative<Placement::NoBackendServer>(
+      placement.Choose(Request(), tried, random)));
+}
+
+}  // namespace
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/tests/mesh/topology_test.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "mesh/link_backlog.h"
+#include "mesh/peer_selection.h"
+#include "mesh/reader_election.h"
+
+namespace oleandertide::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<PeerCandidate> MakeFleet(int nodes) {
+  std::vector<PeerCandidate> fleet;
+  for (int i = 0; i < nodes; ++i) {
+    fleet.push_back({.name = "node-" + std::to_string(i),
+                     .data_centre = "dc-" + std::to_string(i % 3),
+                     .service = i % 5 < 3 ? "booking" : "rooms",
+                     .link_mbps = i % 11 == 0 ? 100U : 5U});
+  }
+  return fleet;
+}
+
+// Guards against links, and so status messages, that grow with the square of
+// the fleet, and against nodes that nobody sends requests to.
+TEST_CASE("links of a node are bounded and spread over the fleet") {
+  const auto fleet = MakeFleet(300);
+  std::map<std::string, int> chosen;
+  for (const PeerCandidate& node : fleet) {
+    const auto peers =
+        SelectPeers(node.name, node.data_centre, fleet, PeerLimits{});
+    REQUIRE(peers.size() <= 31);
+    REQUIRE(std::ranges::find(peers, node.name) == peers.end());
+    for (const std::string& peer : peers) ++chosen[peer];
+  }
+  for (const PeerCandidate& node : fleet) REQUIRE(chosen[node.name] >= 5);
+}
+
+// Guards against small sites that do not use all their backend servers.
+TEST_CASE("on a small site all nodes are linked") {
+  const auto fleet = MakeFleet(12);
+  REQUIRE(SelectPeers("node-0", "dc-0", fleet, PeerLimits{}).size() == 11);
+}
+
+// Guards against a data centre whose chosen nodes are all dead.
+TEST_CASE("failing nodes are replaced by others and tried again") {
+  auto fleet = MakeFleet(120);
+  const auto before = SelectPeers("node-0", "dc-0", fleet, PeerLimits{});
+  for (PeerCandidate& node : fleet) {
+    node.is_failing = std::ranges::find(before, node.name) != before.end();
+  }
+  const auto after = SelectPeers("node-0", "dc-0", fleet, PeerLimits{});
+  for (const std::string& node : before) {
+    // The reader alone is not tried while it fails.
+    const bool is_kept = std::ranges::find(after, node) != after.end();
+    const bool is_reader = node == "node-33" || node == "node-66" ||
+                           node == "node-99" || node == "node-0";
+    REQUIRE((is_kept || is_reader));
+  }
+  const auto working = std::ranges::count_if(after, [&](const auto& name) {
+    return std::ranges::find(before, name) == before.end();
+  });
+  REQUIRE(working >= 20);
+}
+
+// Guards against a fleet that all reads the store, or of which nobody does.
+TEST_CASE("one node of a data centre reads the store") {
+  std::vector<ReaderCandidate> nodes;
+  for (int i = 0; i < 20; ++i) {
+    nodes.push_back({"node-" + std::to_string(i), i == 7 ? 100U : 5U});
+  }
+  int readers = 0;
+  for (const ReaderCandidate& self : nodes) {
+    std::vector<ReaderCandidate> peers;
+    for (const ReaderCandidate& other : nodes) {
+      if (other.node != self.node) peers.push_back(other);
+    }
+    if (IsReader(self, peers, milliseconds(0))) {
+      ++readers;
+      // The widest link goes first.
+      REQUIRE(self.node == "node-7");
+    }
+    // Without news of the reader, every node looks for itself.
+    REQUIRE(IsReader(self, peers, kConfirmationLimit + milliseconds(1)));
+  }
+  REQUIRE(readers == 1);
+}
+
+// Guards against a link that seems free while a download fills it.
+TEST_CASE("a link's wait follows the bytes and the bandwidth") {
+  LinkBacklog backlog(5);
+  const MonotonicTime now{seconds(100)};
+  REQUIRE(backlog.Wait(now) == Duration::zero());
+  backlog.Add(now, 90'000);
+  REQUIRE(backlog.Wait(now) == milliseconds(144));
+  REQUIRE(backlog.Wait(now + milliseconds(100)) == milliseconds(44));
+  REQUIRE(backlog.Wait(now + milliseconds(200)) == Duration::zero());
+}
+
+}  // namespace
+}  // namespace oleandertide::mesh
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,157 @@
+#include <boost/beast/http/fields.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "platform/announcement_codec.h"
+#include "platform/configuration_codec.h"
+#include "platform/http_codec.h"
+#include "platform/store_codec.h"
+
+namespace oleandertide::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string Document(const std::string& route) {
+  return R"({"version":"r12","services":[{"name":"rooms","health_path":"/health",
+    "max_connections":130,"protocol":"h1","tls":false}],"limits":
+    {"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,
+    "idle_timeout_ms":15000},"virtual_hosts":[{"host":"A.example","paths":[)" +
+         route + "]}]}";
+}
+
+const std::string kRoute =
+    R"({"name":"r-1","path_prefix":"/x/","kind":"download","timeout_ms":800,
+    "target_latency_ms":300,"priority":2,"service":"rooms","retry_attempts":2})";
+
+TEST_CASE("a configuration is decoded into the project's terms") {
+  const auto decoded = DecodeConfiguration(Document(kRoute));
+  REQUIRE(decoded.has_value());
+  const mesh::Configuration& configuration = decoded.value();
+  REQUIRE(configuration.version == 12);
+  REQUIRE(configuration.limits.maximum_body_bytes == 1000);
+  const mesh::Route* route = configuration.FindRoute("a.example", "/x/1");
+  REQUIRE(route != nullptr);
+  REQUIRE(route->kind == mesh::RequestKind::kDownload);
+  REQUIRE(route->timeout == milliseconds(800));
+  REQUIRE(route->maximum_attempts == 2);
+  REQUIRE(route->services == std::vector<mesh::WeightedService>{{"rooms", 1}});
+}
+
+// Guards against a configuration that is applied in part, and against a route
+// to a service that does not exist.
+TEST_CASE("a wrong route makes the whole configuration an error") {
+  const auto replace = [](std::string text, const std::string& from,
+                          const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+  };
+  REQUIRE_FALSE(DecodeConfiguration(
+      Document(kRoute + "," + replace(kRoute, "rooms", "gone"))));
+  REQUIRE_FALSE(
+      DecodeConfiguration(Document(replace(kRoute, "download", "odd"))));
+  REQUIRE_FALSE(DecodeConfiguration(Document(replace(kRoute, "/x/", "/x"))));
+  REQUIRE_FALSE(DecodeConfiguration(Document(kRoute + "," + kRoute)));
+  REQUIRE_FALSE(DecodeConfiguration(
+      Document(replace(kRoute, "\"timeout_ms\":800", "\"timeout_ms\":\"8\""))));
+  const std::string document = Document(kRoute);
+  REQUIRE_FALSE(DecodeConfiguration(document.substr(0, document.size() / 2)));
+  REQUIRE_FALSE(DecodeConfiguration(replace(document, "r12", "12")));
+}
+
+TEST_CASE("weighted services are decoded with their weights") {
+  const auto decoded = DecodeConfiguration(Document(
+      R"({"name":"r-1","path_prefix":"/x/","kind":"idempotent","timeout_ms":800,
+      "target_latency_ms":300,"priority":2,"weighted_clusters":
+      [{"service":"rooms","weight":90},{"service":"rooms","weight":10}],
+      "retry_attempts":2})"));
+  REQUIRE(decoded.has_value());
+  const mesh::Route* route = decoded.value().FindRoute("a.example", "/x/");
+  REQUIRE(route->services.size() == 2);
+  REQUIRE(route->services[0].weight == 90);
+}
+
+const std::string kHeartbeat =
+    R"({"service":"rooms","address":"10.0.0.9:8080","zone":"z","version":"v1",
+    "slots":12,"state":"ready","cold_remaining_ms":500,"seq":4,
+    "born":1700000000123})";
+
+// Guards against messages of other writers that name a backend server to use.
+TEST_CASE("a heartbeat with missing or wrong fields is an error") {
+  const auto decoded = DecodeAnnouncement("i-1", kHeartbeat);
+  REQUIRE(decoded.has_value());
+  REQUIRE(decoded.value().sequence == 4);
+  REQUIRE(decoded.value().started_at_ms == 1700000000123);
+  REQUIRE(decoded.value().cold_remaining == milliseconds(500));
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"maybe\""},
+           {"\"slots\":12", "\"slots\":\"12\""},
+           {"\"slots\":12", "\"slots\":0"},
+           {"\"service\":\"rooms\",", ""},
+           {"\"seq\":4,", ""},
+           {"1700000000123", "\"today\""},
+           {"}", ""}}) {
+    std::string text = kHeartbeat;
+    text.replace(text.find(from), from.size(), to);
+    INFO(text);
+    REQUIRE_FALSE(DecodeAnnouncement("i-1", text));
+  }
+}
+
+// Guards against headers of one connection, or of the system, that pass
+// through.
+TEST_CASE("headers of a connection and of the system are not forwarded") {
+  boost::beast::http::fields fields;
+  fields.insert("Host", "a.example");
+  fields.insert("Oleandertide-Request-Id", "abc");
+  fields.insert("Oleandertide-Deadline-Ms", "800");
+  fields.insert("Oleandertide-Caller-Service", "forged");
+  fields.insert("oleandertide-expect-instance", "forged");
+  fields.insert("Connection", "keep-alive, X-Hop");
+  fields.insert("X-Hop", "1");
+  fields.insert("X-Other", "2");
+  fields.insert("Content-Length", "5");
+  const ClientRequestHead head = DecodeClientRequest(fields);
+  REQUIRE(head.request_id == "abc");
+  REQUIRE(head.remaining == milliseconds(800));
+  REQUIRE(head.headers ==
+          "Host: a.example\r\nOleandertide-Request-Id: abc\r\nX-Other: 2\r\n");
+}
+
+// Guards against a deadline that is longer than what is left.
+TEST_CASE("a request to a backend server carries what is left") {
+  const std::string head =
+      EncodeBackendRequest({.method = "GET",
+                            .target = "/x/1",
+                            .headers = "Host: a\r\n",
+                            .caller_service = "rooms",
+                            .expected_instance = "i-1",
+                            .remaining = std::chrono::microseconds(799'900)});
+  REQUIRE(head ==
+          "GET /x/1 HTTP/1.1\r\nHost: a\r\nOleandertide-Deadline-Ms: 799\r\n"
+          "Oleandertide-Expect-Instance: i-1\r\n"
+          "Oleandertide-Caller-Service: rooms\r\n\r\n");
+}
+
+TEST_CASE("rows are decoded and writes carry their condition") {
+  const auto rows = DecodeRows(
+      R"({"rows":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","ver":4},
+      {"table":"t","part":"","key":"b","ver":5,"deleted":true}],
+      "has_more":false,"ver":9,"now_ms":1})");
+  REQUIRE(rows.has_value());
+  REQUIRE(rows.value().rows[0].value == "node-1");
+  REQUIRE(rows.value().rows[1].is_deleted);
+  REQUIRE(rows.value().store_version == 9);
+  REQUIRE_FALSE(DecodeRows(R"({"rows":[{"key":"a","value":"!","ver":1}]})"));
+  const std::string value = "node-1";
+  REQUIRE(
+      EncodeTransaction(
+          {.table = "t", .key = "a", .expected_version = 4, .value = &value}) ==
+      R"({"expected":[{"key":"a","part":"","table":"t","ver":4}],)"
+      R"("remove":[],"writes":[{"key":"a","part":"","table":"t",)"
+      R"("value":"bm9kZS0x"}]})");
+}
+
+}  // namespace
+}  // namespace oleandertide::platform
--- /dev/null
+++ b/tests/sidecar/fake_store.cc
@@ -0,0 +1,175 @@
+#include "sidecar/fake_store.h"
+
+#include <absl/strings/escaping.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "sidecar/mesh_fixture.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using nlohmann::json;
+
+// Values of a query by name.
+std::map<std::string, std::string> ParseQuery(const std::string& target) {
+  std::map<std::string, std::string> values;
+  std::size_t at = target.find('?');
+  while (at != std::string::npos) {
+    const std::size_t next = target.find('&', at + 1);
+    const std::string pair = target.substr(at + 1, next - at - 1);
+    const std::size_t equals = pair.find('=');
+    values[pair.substr(0, equals)] = pair.substr(equals + 1);
+    at = next;
+  }
+  return values;
+}
+
+HttpAnswer JsonAnswer(int status, const json& value) {
+  return {.status = status,
+          .headers = "Content-Type: application/json\r\n",
+          .body = value.dump()};
+}
+
+}  // namespace
+
+FakeStore::FakeStore(EventLoop& loop)
+    : loop_(loop), address_(UnusedAddress(loop)) {
+  auto server = HttpServer::Create(
+      loop, address_,
+      [this](const std::shared_ptr<HttpRequest>& request, HttpReply reply) {
+        Handle(*request, std::move(reply));
+      });
+  REQUIRE(server.has_value());
+  server_ = std::move(server).value();
+}
+
+void FakeStore::Put(const std::string& table, const std::string& key,
+                    const std::string& value) {
+  tables_[table][key] = {value, ++version_};
+  WakeWaiters();
+}
+
+void FakeStore::Handle(const HttpRequest& request, HttpReply reply) {
+  ++calls_;
+  if (failure_ != 0) {
+    reply.Send({.status = failure_});
+    return;
+  }
+  const std::string target(request.target());
+  auto query = ParseQuery(target);
+  if (target.starts_with("/oleandertide/rows-get?")) {
+    HandleGet(query["table"], query["from"], std::move(reply));
+  } else if (target.starts_with("/oleandertide/rows-feed?")) {
+    HandleFeed(query["table"], std::stoull(query["after"]),
+               std::stoll(query["wait_ms"]), std::move(reply));
+  } else if (target == "/oleandertide/rows-tx") {
+    HandleTransaction(request.body(), std::move(reply));
+  } else {
+    reply.Send({.status = 404});
+  }
+}
+
+void FakeStore::HandleGet(const std::string& table, const std::string& from,
+                          HttpReply reply) {
+  json rows = json::array();
+  for (const auto& [key, row] : tables_[table]) {
+    if (key < from) continue;
+    rows.push_back({{"table", table},
+                    {"part", ""},
+                    {"key", key},
+                    {"value", absl::Base64Escape(row.value)},
+                    {"ver", row.version}});
+  }
+  reply.Send(JsonAnswer(200, {{"rows", rows},
+                              {"has_more", false},
+                              {"ver", version_},
+                              {"now_ms", 1}}));
+}
+
+bool FakeStore::HasChanges(const std::string& table,
+                           std::uint64_t after) const {
+  const auto rows = tables_.find(table);
+  return rows != tables_.end() &&
+         std::ranges::any_of(rows->second, [&](const auto& entry) {
+           return entry.second.version > after;
+         });
+}
+
+std::string FakeStore::Changes(const std::string& table,
+                               std::uint64_t after) const {
+  json rows = json::array();
+  if (const auto found = tables_.find(table); found != tables_.end()) {
+    for (const auto& [key, row] : found->second) {
+      if (row.version <= after) continue;
+      rows.push_back({{"table", table},
+                      {"part", ""},
+                      {"key", key},
+                      {"value", absl::Base64Escape(row.value)},
+                      {"ver", row.version}});
+    }
+  }
+  return json{{"rows", rows}, {"ver", version_}, {"now_ms", 1}}.dump();
+}
+
+void FakeStore::HandleFeed(const std::string& table, std::uint64_t after,
+                           std::int64_t wait_ms, HttpReply reply) {
+  if (after < forgotten_) {
+    reply.Send({.status = 410});
+    return;
+  }
+  auto waiter = std::make_shared<Waiter>(Waiter{
+      table, after, std::move(reply), std::make_shared<Timer>(loop_)});
+  waiters_.push_back(waiter);
+  waiter->timer->expires_after(std::chrono::milliseconds(wait_ms));
+  waiter->timer->async_wait(
+      [this, waiter](const boost::system::error_code& error) {
+        if (error || std::erase(waiters_, waiter) == 0) return;
+        waiter->reply.Send(
+            {.body = Changes(waiter->table, waiter->after)});
+      });
+  WakeWaiters();
+}
+
+void FakeStore::WakeWaiters() {
+  const auto waiters = waiters_;
+  for (const auto& waiter : waiters) {
+    if (!HasChanges(waiter->table, waiter->after)) continue;
+    std::erase(waiters_, waiter);
+    waiter->timer->cancel();
+    if (failure_ != 0) {
+      waiter->reply.Send({.status = failure_});
+    } else {
+      waiter->reply.Send({.body = Changes(waiter->table, waiter->after)});
+    }
+  }
+}
+
+void FakeStore::HandleTransaction(const std::string& body, HttpReply reply) {
+  ++writes_;
+  const json call = json::parse(body);
+  for (const json& row : call.at("expected")) {
+    const auto& table = tables_[row.at("table")];
+    const auto found = table.find(row.at("key"));
+    const std::uint64_t version =
+        found == table.end() ? 0 : found->second.version;
+    if (version != row.at("ver")) {
+      reply.Send(JsonAnswer(412, {{"rows", json::array()}, {"ver", version_}}));
+      return;
+    }
+  }
+  ++version_;
+  for (const json& row : call.at("writes")) {
+    std::string value;
+    absl::Base64Unescape(row.at("value").get<std::string>(), &value);
+    tables_[row.at("table")][row.at("key")] = {value, version_};
+  }
+  WakeWaiters();
+  if (loses_answers_) return;
+  reply.Send(JsonAnswer(200, {{"ver", version_}, {"now_ms", 1}}));
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/tests/sidecar/fake_store.h
@@ -0,0 +1,79 @@
+// The users' metadata store, in memory.
+
+#ifndef OLEANDERTIDE_TESTS_SIDECAR_FAKE_STORE_H_
+#define OLEANDERTIDE_TESTS_SIDECAR_FAKE_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/address.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/http_server.h"
+
+namespace oleandertide::sidecar {
+
+// Keeps rows of tables and their history, lets calls wait for changes and
+// misbehaves on request. Not thread-safe.
+class FakeStore {
+ public:
+  explicit FakeStore(EventLoop& loop);
+
+  const Address& address() const { return address_; }
+
+  // Writes a row as the operator does.
+  void Put(const std::string& table, const std::string& key,
+           const std::string& value);
+
+  // Answers every call with this status from now on; 0 ends that.
+  void set_failure(int status) { failure_ = status; }
+  // Performs writes and does not answer them.
+  void set_loses_answers(bool loses) { loses_answers_ = loses; }
+  // Forgets all changes up to now.
+  void ForgetHistory() { forgotten_ = version_; }
+
+  int calls() const { return calls_; }
+  int writes() const { return writes_; }
+
+ private:
+  struct Row {
+    std::string value;
+    std::uint64_t version;
+  };
+  struct Waiter {
+    std::string table;
+    std::uint64_t after;
+    HttpReply reply;
+    std::shared_ptr<Timer> timer;
+  };
+
+  void Handle(const HttpRequest& request, HttpReply reply);
+  void HandleGet(const std::string& table, const std::string& from,
+                 HttpReply reply);
+  void HandleFeed(const std::string& table, std::uint64_t after,
+                  std::int64_t wait_ms, HttpReply reply);
+  void HandleTransaction(const std::string& body, HttpReply reply);
+  std::string Changes(const std::string& table, std::uint64_t after) const;
+  bool HasChanges(const std::string& table, std::uint64_t after) const;
+  void WakeWaiters();
+
+  EventLoop& loop_;
+  Address address_;
+  std::unique_ptr<HttpServer> server_;
+  std::map<std::string, std::map<std::string, Row>> tables_;
+  std::vector<std::shared_ptr<Waiter>> waiters_;
+  std::uint64_t version_ = 1;
+  std::uint64_t forgotten_ = 0;
+  int failure_ = 0;
+  bool loses_answers_ = false;
+  int calls_ = 0;
+  int writes_ = 0;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_TESTS_SIDECAR_FAKE_STORE_H_
--- /dev/null
+++ b/tests/sidecar/mesh_fixture.h
@@ -0,0 +1,107 @@
+// Nodes, their backend servers and a store on one event loop.
+
+#ifndef OLEANDERTIDE_TESTS_SIDECAR_MESH_FIXTURE_H_
+#define OLEANDERTIDE_TESTS_SIDECAR_MESH_FIXTURE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/address.h"
+#include "core/time.h"
+#include "sidecar/event_loop.h"
+#include "sidecar/fake_store.h"
+#include "sidecar/http_connection.h"
+#include "sidecar/raw_server.h"
+#include "sidecar/sidecar.h"
+
+namespace oleandertide::sidecar {
+
+// Returns an address of this machine where nothing listens.
+Address UnusedAddress(EventLoop& loop);
+
+// A configuration with the routes /idem/ and /once/ of service `booking` and
+// /room/ of service `rooms`, as the operator writes it.
+std::string ConfigurationText(int version, std::string_view further_route = {});
+
+// How a client's request ended.
+struct ClientAnswer {
+  // 0 if the connection ended without answer.
+  int status = 0;
+  std::string body;
+  std::string stamp;
+  std::string retry_after;
+};
+
+// One node with its backend server.
+struct Instance {
+  SidecarSettings settings;
+  std::unique_ptr<RawServer> backend;
+  std::unique_ptr<Sidecar> node;
+  std::string backend_id;
+  std::uint64_t sequence = 0;
+};
+
+class MeshFixture {
+ public:
+  MeshFixture();
+  ~MeshFixture();
+
+  // Starts a backend server of `service` with its node. The script answers its
+  // requests; health checks are answered with 200.
+  Instance& AddInstance(const std::string& service, RawServer::Script script,
+                        const std::string& data_centre = "dc-1");
+
+  // Ends the process of a node without notice.
+  void KillNode(Instance& instance) { instance.node.reset(); }
+  // Starts it again, as a node of a system that runs.
+  void StartNode(Instance& instance);
+
+  // The backend server announces itself; waits for the acknowledgement.
+  int Announce(Instance& instance, std::string_view state = "ready");
+  int AnnounceText(Instance& instance, const std::string& body);
+  int Depart(Instance& instance);
+
+  // Sends a request to the node of an instance and waits for its end.
+  ClientAnswer Send(Instance& instance, const std::string& method,
+                    const std::string& target, const std::string& body = {},
+                    int deadline_ms = 1000);
+  // Starts a request; the answer appears at the pointer.
+  std::shared_ptr<std::optional<ClientAnswer>> Begin(
+      Instance& instance, const std::string& method, const std::string& target,
+      const std::string& body = {}, int deadline_ms = 1000);
+  // Sends bytes as they are and returns all that comes back until the node
+  // closes the connection or `limit` passes.
+  std::string SendRaw(const Address& address, const std::string& bytes,
+                      Duration limit = std::chrono::seconds(2));
+  int CheckReadiness(Instance& instance);
+
+  // Runs the loop until the condition holds; fails the test if it does not
+  // within `limit`.
+  void RunUntil(const std::function<bool()>& condition,
+                Duration limit = std::chrono::seconds(5));
+  void RunFor(Duration duration);
+
+  // Waits until requests from `from` to service of `target` are answered 200.
+  void AwaitService(Instance& from, const std::string& target);
+
+  EventLoop& loop() { return loop_; }
+  FakeStore& store() { return *store_; }
+
+ private:
+  ClientAnswer Call(const Address& address, const std::string& head,
+                    const std::string& body);
+
+  EventLoop loop_;
+  std::unique_ptr<FakeStore> store_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  std::vector<std::shared_ptr<HttpConnection>> clients_;
+  int next_request_ = 1;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_TESTS_SIDECAR_MESH_FIXTURE_H_
--- /dev/null
+++ b/tests/sidecar/node_test.cc
@@ -0,0 +1,242 @@
+// Configuration, departures, crashes and stops of nodes.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "sidecar/mesh_fixture.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+RawReply Ok(const RawRequest& request) {
+  return {.bytes = StampedAnswer("body of " + request.target())};
+}
+
+RawReply Slow(const RawRequest& request) {
+  RawReply reply = Ok(request);
+  if (request.target().ends_with("slow")) reply.delay = milliseconds(600);
+  return reply;
+}
+
+struct Pair : MeshFixture {
+  explicit Pair(RawServer::Script script = Ok,
+                const std::string& other_data_centre = "dc-1")
+      : first(AddInstance("rooms", Ok)),
+        second(AddInstance("booking", std::move(script), other_data_centre)) {
+    REQUIRE(Announce(first) == 200);
+    REQUIRE(Announce(second) == 200);
+    AwaitService(first, "/idem/0");
+  }
+
+  Instance& first;
+  Instance& second;
+};
+
+// Guards against nodes that act on an old configuration: only one node of a
+// data centre reads the store.
+TEST_CASE("a new configuration is in force at all nodes within a second") {
+  Pair mesh;
+  REQUIRE(mesh.Send(mesh.first, "GET", "/added/1").status == 404);
+  mesh.store().Put("op", "config", ConfigurationText(2, "added"));
+  const MonotonicTime start = MonotonicClock::now();
+  mesh.AwaitService(mesh.first, "/added/1");
+  mesh.AwaitService(mesh.second, "/added/1");
+  REQUIRE(MonotonicClock::now() - start < seconds(1));
+  // An older one does not come back.
+  mesh.store().Put("op", "config", ConfigurationText(1));
+  mesh.RunFor(milliseconds(500));
+  REQUIRE(mesh.Send(mesh.first, "GET", "/added/1").status == 200);
+}
+
+// Guards against nodes that miss changes since the store forgot them.
+TEST_CASE("a forgotten history does not stop the configuration") {
+  Pair mesh;
+  mesh.store().Put("op", "config", ConfigurationText(3));
+  mesh.store().ForgetHistory();
+  mesh.store().Put("op", "config", ConfigurationText(4, "added"));
+  mesh.AwaitService(mesh.first, "/added/1");
+}
+
+// Guards against 404 for routes that exist: a node without configuration does
+// not know.
+TEST_CASE("a node without configuration refuses as not run") {
+  MeshFixture mesh;
+  Instance& instance = mesh.AddInstance("booking", Ok);
+  mesh.KillNode(instance);
+  mesh.store().set_failure(503);
+  auto node = Sidecar::Create(mesh.loop(), instance.settings);
+  REQUIRE(node.has_value());
+  instance.node = std::move(node).value();
+  const ClientAnswer answer = mesh.Send(instance, "GET", "/idem/1");
+  REQUIRE(answer.status == 503);
+  REQUIRE(std::stod(answer.retry_after) > 0);
+  REQUIRE(mesh.CheckReadiness(instance) == 503);
+  mesh.store().set_failure(0);
+  mesh.RunUntil([&] { return mesh.CheckReadiness(instance) == 200; },
+                seconds(2));
+}
+
+// Guards against a restarted node that is of no use while the store is away.
+TEST_CASE("a restarted node gets the configuration from other nodes") {
+  Pair mesh;
+  mesh.store().set_failure(503);
+  mesh.KillNode(mesh.first);
+  mesh.RunFor(milliseconds(100));
+  mesh.StartNode(mesh.first);
+  mesh.AwaitService(mesh.first, "/idem/1");
+}
+
+// Guards against a store outage that callers notice.
+TEST_CASE("an outage of the store does not stop requests") {
+  Pair mesh;
+  mesh.store().set_failure(429);
+  mesh.RunFor(milliseconds(1500));
+  REQUIRE(mesh.Send(mesh.first, "GET", "/idem/1").status == 200);
+  REQUIRE(mesh.Send(mesh.first, "POST", "/once/1").status == 200);
+}
+
+// Guards against a member row that is written again and again because the
+// answers to the writes are lost.
+TEST_CASE("a write whose answer is lost is not repeated blindly") {
+  MeshFixture mesh;
+  mesh.store().set_loses_answers(true);
+  Instance& first = mesh.AddInstance("rooms", Ok);
+  Instance& second = mesh.AddInstance("booking", Ok);
+  REQUIRE(mesh.Announce(first) == 200);
+  REQUIRE(mesh.Announce(second) == 200);
+  mesh.RunFor(milliseconds(2500));
+  mesh.AwaitService(first, "/idem/0");
+  REQUIRE(mesh.store().writes() == 2);
+}
+
+// Guards against a backend server that gets work after its departure was
+// acknowledged, and against cut requests.
+TEST_CASE("a leaving backend server finishes its work and gets no more") {
+  Pair mesh(Slow);
+  const auto running = mesh.Begin(mesh.first, "GET", "/idem/slow");
+  mesh.RunUntil(
+      [&] { return mesh.second.backend->requests().size() >= 2; });
+  REQUIRE(mesh.Announce(mesh.second, "draining") == 200);
+  mesh.RunFor(milliseconds(100));
+  const auto seen = mesh.second.backend->requests().size();
+  REQUIRE(mesh.Send(mesh.first, "GET", "/idem/2").status == 503);
+  REQUIRE(mesh.Send(mesh.second, "GET", "/idem/3").status == 503);
+  mesh.RunUntil([&] { return running->has_value(); });
+  REQUIRE((*running)->status == 200);
+  REQUIRE(mesh.second.backend->requests().size() == seen);
+}
+
+// Guards against a restarted node that uses a backend server which has left.
+TEST_CASE("a restarted node does not use a backend server that drains") {
+  Pair mesh;
+  REQUIRE(mesh.Announce(mesh.second, "draining") == 200);
+  mesh.KillNode(mesh.second);
+  mesh.StartNode(mesh.second);
+  REQUIRE(mesh.Announce(mesh.second, "draining") == 200);
+  mesh.RunFor(milliseconds(500));
+  const auto seen = mesh.second.backend->requests().size();
+  REQUIRE(mesh.Send(mesh.second, "GET", "/idem/1").status == 503);
+  REQUIRE(mesh.second.backend->requests().size() == seen);
+}
+
+// Guards against malformed messages that change what a node believes.
+TEST_CASE("a malformed or foreign heartbeat changes nothing") {
+  Pair mesh;
+  REQUIRE(mesh.AnnounceText(mesh.second, "\x01\x02") == 400);
+  REQUIRE(mesh.AnnounceText(mesh.second, R"({"state":"draining"})") == 400);
+  REQUIRE(mesh.AnnounceText(
+              mesh.second,
+              R"({"service":"unheard-of","address":")" +
+                  mesh.second.settings.backend.address.ToString() +
+                  R"(","slots":2,"state":"draining","seq":99,"born":1000})") ==
+          400);
+  REQUIRE(mesh.Send(mesh.first, "GET", "/idem/1").status == 200);
+}
+
+// Guards against requests that hang at a crashed backend server, and against
+// one that is not used again.
+TEST_CASE("a crashed backend server is left and used again when it is back") {
+  Pair mesh;
+  mesh.second.backend->Crash();
+  mesh.RunFor(milliseconds(50));
+  const ClientAnswer answer = mesh.Send(mesh.first, "POST", "/once/1");
+  REQUIRE(answer.status == 503);
+}
+
+// Guards against requests that are cut by a planned stop.
+TEST_CASE("a stopping node finishes what it has read") {
+  Pair mesh(Slow);
+  const auto running = mesh.Begin(mesh.second, "GET", "/idem/slow");
+  const auto remote = mesh.Begin(mesh.first, "GET", "/idem/slow");
+  mesh.RunUntil(
+      [&] { return mesh.second.backend->requests().size() >= 3; });
+  mesh.second.node->Stop();
+  REQUIRE(mesh.CheckReadiness(mesh.second) == 503);
+  // Clients may send until they have noticed.
+  REQUIRE(mesh.Send(mesh.second, "GET", "/room/1").status == 200);
+  mesh.RunUntil([&] { return running->has_value() && remote->has_value(); });
+  REQUIRE((*running)->status == 200);
+  REQUIRE((*remote)->status == 200);
+}
+
+// Guards against requests that hang when a node loses power: its links go
+// silent or are reset.
+TEST_CASE("a dead node is left within its links' time limit") {
+  Pair mesh(Slow);
+  Instance& third = mesh.AddInstance("booking", Ok);
+  REQUIRE(mesh.Announce(third) == 200);
+  mesh.RunFor(milliseconds(700));
+  mesh.KillNode(mesh.second);
+  mesh.RunFor(milliseconds(100));
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(mesh.Send(mesh.first, "POST", "/once/1").status == 200);
+  }
+}
+
+// Guards against a request that crashes one backend server after another.
+TEST_CASE("a request that crashes backend servers is refused") {
+  const auto poison = [](const RawRequest& request) {
+    RawReply reply = Ok(request);
+    if (request.body == "deadly") reply.delay = seconds(2);
+    return reply;
+  };
+  Pair mesh(poison);
+  std::vector<Instance*> others;
+  others.push_back(&mesh.second);
+  for (int i = 0; i < 3; ++i) {
+    others.push_back(&mesh.AddInstance("booking", poison));
+    REQUIRE(mesh.Announce(*others.back()) == 200);
+  }
+  mesh.RunFor(milliseconds(700));
+  int crashes = 0;
+  int refused = 0;
+  for (int i = 0; i < 12; ++i) {
+    const auto answer =
+        mesh.Begin(mesh.first, "POST", "/once/poison", "deadly");
+    mesh.RunUntil([&] {
+      for (Instance* instance : others) {
+        if (instance->backend->requests().empty()) continue;
+        const RawRequest& last = instance->backend->requests().back();
+        if (last.body == "deadly") {
+          instance->backend->Crash();
+          ++crashes;
+          std::erase(others, instance);
+          break;
+        }
+      }
+      return answer->has_value();
+    });
+    if ((*answer)->status == 503) ++refused;
+    mesh.RunFor(milliseconds(400));
+  }
+  REQUIRE(crashes <= 3);
+  REQUIRE(refused >= 9);
+}
+
+}  // namespace
+}  // namespace oleandertide::sidecar
