sidecar: Date confirmations of the configuration by the store's clock

Cause: nodes told each other the age of the store's last confirmation, without the time on the way. Ruled out: the time limit of store reads, and empty answers whose version skips a change; the latter is a fault of its own and mended, with a test that failed first.

--- a/libraries/mesh/configuration_holder.cc
+++ b/libraries/mesh/configuration_holder.cc
@@ -21,11 +21,13 @@
   return MakeUpdate(base == kept_.end() ? nullptr : base->get(), *current_);
 }
 
-void ConfigurationHolder::Confirm(std::uint64_t version, MonotonicTime now,
+void ConfigurationHolder::Confirm(std::uint64_t version,
+                                  std::uint64_t store_time, MonotonicTime now,
                                   Duration age) {
   if (version != this->version() || !current_) return;
-  const MonotonicTime at = now - age;
-  confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, at) : at;
+  if (store_time <= confirmed_store_time_) return;
+  confirmed_store_time_ = store_time;
+  confirmed_at_ = now - age;
 }
 
 Duration ConfigurationHolder::confirmation_age(MonotonicTime now) const {
--- a/libraries/mesh/configuration_holder.h
+++ b/libraries/mesh/configuration_holder.h
@@ -25,8 +25,15 @@
   // Puts a configuration in force if it is newer; returns whether it was.
   bool Offer(Configuration configuration);
 
-  // The store, `age` ago, had no newer version than `version`.
-  void Confirm(std::uint64_t version, MonotonicTime now, Duration age);
+  // The store, `age` ago and at `store_time` by its own clock, had no newer
+  // version than `version`. Only a later time by the store's clock renews the
+  // confirmation: ages do not count the way between nodes, so nodes that pass
+  // an old confirmation to and fro would keep it fresh.
+  void Confirm(std::uint64_t version, std::uint64_t store_time,
+               MonotonicTime now, Duration age);
+
+  // Time by the store's clock of the last confirmation; 0 without any.
+  std::uint64_t confirmed_store_time() const { return confirmed_store_time_; }
 
   // Returns what a node that has `version` needs; the whole configuration if
   // that version is not kept. Precondition: current() is not nullptr.
@@ -48,6 +55,7 @@
   // Oldest first, the current one at the end.
   std::deque<std::shared_ptr<const Configuration>> kept_;
   std::optional<MonotonicTime> confirmed_at_;
+  std::uint64_t confirmed_store_time_ = 0;
 };
 
 }  // namespace oleandertide::mesh
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -1,5 +1,6 @@
 #include "sidecar/configuration_source.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "logging/log.h"
@@ -87,7 +88,10 @@
   is_reading_ = true;
   parts_.store.ReadRows(
       platform::kOperatorTable, platform::kConfigurationKey,
-      [this](const Result<platform::RowList>& rows) { OnRows(rows); });
+      [this](const Result<platform::RowList>& rows) {
+        if (rows) followed_ = rows.value().store_version;
+        OnRows(rows);
+      });
 }
 
 void ConfigurationSource::Follow() {
@@ -110,23 +114,25 @@
     return;
   }
   for (const platform::Row& row : rows.value().rows) {
+    // Only a row that was seen moves the point from which changes are followed.
+    // The store's version in an empty answer would skip what it did not tell.
+    followed_ = std::max(followed_.value_or(0), row.version);
     if (row.key != platform::kConfigurationKey || row.is_deleted) continue;
     OnText(row.value);
   }
-  followed_ = rows.value().store_version;
-  parts_.holder.Confirm(parts_.holder.version(), now, Duration::zero());
+  parts_.holder.Confirm(parts_.holder.version(), rows.value().store_time_ms, now,
+                        Duration::zero());
   // The next call starts at once, so that no change goes unnoticed.
   Tick();
 }
 
 void ConfigurationSource::OnPeerStatus(const NodeIdentity& peer,
-                                       std::uint64_t version,
-                                       Duration confirmation_age) {
+                                       const NodeStatus& status) {
   const MonotonicTime now = MonotonicClock::now();
+  const std::uint64_t version = status.configuration_version;
   if (version == parts_.holder.version()) {
-    if (confirmation_age != Duration::max()) {
-      parts_.holder.Confirm(version, now, confirmation_age);
-    }
+    parts_.holder.Confirm(version, status.confirmed_store_time, now,
+                          status.confirmation_age);
     return;
   }
   if (version < parts_.holder.version()) return;
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -48,8 +48,7 @@
   void Start();
 
   // Another node told its version and how fresh it is.
-  void OnPeerStatus(const NodeIdentity& peer, std::uint64_t version,
-                    Duration confirmation_age);
+  void OnPeerStatus(const NodeIdentity& peer, const NodeStatus& status);
 
   // Takes in what another node sent.
   void OnUpdate(const mesh::ConfigurationUpdate& update);
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -53,6 +53,8 @@
   # Time since the store confirmed that no newer version existed.
   confirmationAgeMs @3 :UInt32;
   crashReports @4 :List(CrashReport);
+  # The same by the store's clock; 0 if it never did.
+  confirmedStoreTimeMs @5 :UInt64;
 }
 
 struct Call {
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -115,7 +115,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a279f3b106171c7e, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a279f3b106171c7e, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -736,6 +736,8 @@
   inline bool hasCrashReports() const;
   inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashReports() const;
 
+  inline  ::uint64_t getConfirmedStoreTimeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -791,6 +793,9 @@
   inline void adoptCrashReports(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashReports();
 
+  inline  ::uint64_t getConfirmedStoreTimeMs();
+  inline void setConfirmedStoreTimeMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2570,6 +2575,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Status::Reader::getConfirmedStoreTimeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Status::Builder::getConfirmedStoreTimeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setConfirmedStoreTimeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Call::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -210,6 +210,7 @@
   builder.setConfirmationAgeMs(status.confirmation_age == Duration::max()
                                    ? kMaximumAgeMs
                                    : ToMs(status.confirmation_age));
+  builder.setConfirmedStoreTimeMs(status.confirmed_store_time);
   if (status.crash_reports.empty()) return;
   auto reports = builder.initCrashReports(
       static_cast<unsigned>(status.crash_reports.size()));
@@ -230,7 +231,8 @@
       .confirmation_age =
           reader.getConfirmationAgeMs() == kMaximumAgeMs
               ? Duration::max()
-              : std::chrono::milliseconds(reader.getConfirmationAgeMs())};
+              : std::chrono::milliseconds(reader.getConfirmationAgeMs()),
+      .confirmed_store_time = reader.getConfirmedStoreTimeMs()};
   for (const auto report : reader.getCrashReports()) {
     status.crash_reports.push_back(
         {.fingerprint = report.getFingerprint(),
--- a/libraries/sidecar/link_codec.h
+++ b/libraries/sidecar/link_codec.h
@@ -25,6 +25,8 @@
   std::uint64_t configuration_version = 0;
   // The maximum if the store never confirmed the version.
   Duration confirmation_age = Duration::max();
+  // The same moment by the store's clock in milliseconds; 0 if there was none.
+  std::uint64_t confirmed_store_time = 0;
   std::vector<routing::CrashReport> crash_reports{};
 };
 
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -222,8 +222,7 @@
     if (!status.crash_reports.empty()) {
       quarantine_.Merge(MonotonicClock::now(), status.crash_reports);
     }
-    source_.OnPeerStatus(node, status.configuration_version,
-                         status.confirmation_age);
+    source_.OnPeerStatus(node, status);
   }
 
   NodeStatus MakeStatus() {
@@ -234,6 +233,7 @@
             .load = load,
             .configuration_version = holder_.version(),
             .confirmation_age = holder_.confirmation_age(now),
+            .confirmed_store_time = holder_.confirmed_store_time(),
             .crash_reports = quarantine_.TakeReports(now, kReportsInStatus)};
   }
 
--- a/tests/mesh/configuration_test.cc
+++ b/tests/mesh/configuration_test.cc
@@ -78,15 +78,38 @@
   const MonotonicTime now{seconds(100)};
   REQUIRE(holder.confirmation_age(now) == Duration::max());
   holder.Offer(MakeConfiguration(2, {"/"}));
-  holder.Confirm(1, now, Duration::zero());
+  holder.Confirm(1, 50, now, Duration::zero());
   REQUIRE(holder.confirmation_age(now) == Duration::max());
-  holder.Confirm(2, now, milliseconds(300));
+  holder.Confirm(2, 50, now, milliseconds(300));
   REQUIRE(holder.confirmation_age(now) == milliseconds(300));
   // An older confirmation does not take back a newer one.
-  holder.Confirm(2, now, milliseconds(900));
+  holder.Confirm(2, 49, now, milliseconds(900));
   REQUIRE(holder.confirmation_age(now) == milliseconds(300));
 }
 
+// Guards against nodes that keep each other's confirmation fresh while none of
+// them reaches the store: on a busy link a status is 100 ms old when it comes.
+TEST_CASE("a confirmation that is passed to and fro grows old") {
+  ConfigurationHolder first;
+  ConfigurationHolder second;
+  first.Offer(MakeConfiguration(2, {"/"}));
+  second.Offer(MakeConfiguration(2, {"/"}));
+  MonotonicTime now{seconds(100)};
+  first.Confirm(2, 50, now, Duration::zero());
+  const auto tell = [&](const ConfigurationHolder& from,
+                        ConfigurationHolder& to) {
+    const Duration age = from.confirmation_age(now);
+    now += milliseconds(100);
+    to.Confirm(2, from.confirmed_store_time(), now, age);
+  };
+  for (int i = 0; i < 20; ++i) {
+    tell(first, second);
+    tell(second, first);
+  }
+  REQUIRE(first.confirmation_age(now) >= milliseconds(3800));
+  REQUIRE(second.confirmation_age(now) >= milliseconds(3800));
+}
+
 Configuration MakeRandomConfiguration(std::uint64_t version) {
   Configuration configuration;
   configuration.version = version;
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -28,6 +28,10 @@
   return values;
 }
 
+std::int64_t NowMs() {
+  return ToMilliseconds(MonotonicClock::now().time_since_epoch());
+}
+
 HttpAnswer JsonAnswer(int status, const json& value) {
   return {.status = status,
           .headers = "Content-Type: application/json\r\n",
@@ -87,12 +91,13 @@
   reply.Send(JsonAnswer(200, {{"rows", rows},
                               {"has_more", false},
                               {"ver", version_},
-                              {"now_ms", 1}}));
+                              {"now_ms", NowMs()}}));
 }
 
 bool FakeStore::HasChanges(const std::string& table,
                            std::uint64_t after) const {
   const auto rows = tables_.find(table);
+  if (hides_changes_) return false;
   return rows != tables_.end() &&
          std::ranges::any_of(rows->second, [&](const auto& entry) {
            return entry.second.version > after;
@@ -102,7 +107,8 @@
 std::string FakeStore::Changes(const std::string& table,
                                std::uint64_t after) const {
   json rows = json::array();
-  if (const auto found = tables_.find(table); found != tables_.end()) {
+  const auto found = tables_.find(table);
+  if (found != tables_.end() && !hides_changes_) {
     for (const auto& [key, row] : found->second) {
       if (row.version <= after) continue;
       rows.push_back({{"table", table},
@@ -112,7 +118,7 @@
                       {"ver", row.version}});
     }
   }
-  return json{{"rows", rows}, {"ver", version_}, {"now_ms", 1}}.dump();
+  return json{{"rows", rows}, {"ver", version_}, {"now_ms", NowMs()}}.dump();
 }
 
 void FakeStore::HandleFeed(const std::string& table, std::uint64_t after,
@@ -169,7 +175,7 @@
   }
   WakeWaiters();
   if (loses_answers_) return;
-  reply.Send(JsonAnswer(200, {{"ver", version_}, {"now_ms", 1}}));
+  reply.Send(JsonAnswer(200, {{"ver", version_}, {"now_ms", NowMs()}}));
 }
 
 }  // namespace oleandertide::sidecar
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -33,6 +33,8 @@
   void set_failure(int status) { failure_ = status; }
   // Performs writes and does not answer them.
   void set_loses_answers(bool loses) { loses_answers_ = loses; }
+  // Answers calls that wait for changes as if there were none.
+  void set_hides_changes(bool hides) { hides_changes_ = hides; }
   // Forgets all changes up to now.
   void ForgetHistory() { forgotten_ = version_; }
 
@@ -70,6 +72,7 @@
   std::uint64_t forgotten_ = 0;
   int failure_ = 0;
   bool loses_answers_ = false;
+  bool hides_changes_ = false;
   int calls_ = 0;
   int writes_ = 0;
 };
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -213,6 +213,8 @@
                                const std::string& body, int deadline_ms) {
   const auto answer = Begin(instance, method, target, body, deadline_ms);
   RunUntil([&] { return answer->has_value(); });
+  clients_.back()->Close();
+  clients_.pop_back();
   return **answer;
 }
 
@@ -247,7 +249,11 @@
 }
 
 void MeshFixture::AwaitService(Instance& from, const std::string& target) {
-  RunUntil([&] { return Send(from, "GET", target).status == 200; });
+  RunUntil([&] {
+    if (Send(from, "GET", target).status == 200) return true;
+    RunFor(milliseconds(5));
+    return false;
+  });
 }
 
 }  // namespace oleandertide::sidecar
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -62,6 +62,20 @@
   mesh.AwaitService(mesh.first, "/added/1");
 }
 
+// Guards against a node that skips a change because the store said nothing of
+// it: the version in an empty answer is not that of what was seen.
+TEST_CASE("a change that the store did not tell of is found later") {
+  Pair mesh;
+  mesh.store().set_hides_changes(true);
+  mesh.store().Put("op", "config", ConfigurationText(3, "added"));
+  mesh.RunFor(milliseconds(1800));
+  mesh.store().set_hides_changes(false);
+  mesh.store().ForgetHistory();
+  const MonotonicTime start = MonotonicClock::now();
+  mesh.AwaitService(mesh.first, "/added/1");
+  REQUIRE(MonotonicClock::now() - start < seconds(2));
+}
+
 // Guards against 404 for routes that exist: a node without configuration does
 // not know.
 TEST_CASE("a node without configuration refuses as not run") {
