--- a/libraries/mesh/attempt_policy.cc
+++ b/libraries/mesh/attempt_policy.cc
@@ -87,9 +87,8 @@
     return Duration(static_cast<std::int64_t>(
         static_cast<double>(duration.count()) * factor));
   };
-  return std::max(
-      target_latency - elapsed - scale(expected_run, kRunsReserved),
-      scale(target_latency, kMinimumWaitShare));
+  return std::max(target_latency - elapsed - scale(expected_run, kRunsReserved),
+                  scale(target_latency, kMinimumWaitShare));
 }
 
 Duration ChooseWaitAllowance(int hops, Duration expected_wait,
--- a/libraries/mesh/attempt_policy.h
+++ b/libraries/mesh/attempt_policy.h
@@ -46,8 +46,8 @@
 
 // Longest time that a request may wait for a slot, `elapsed` after its arrival.
 // A queue that is as long as the target latency allows makes every answer late
-// under overload, since run times differ; a shorter one keeps the slots as busy.
-// Thread-safe.
+// under overload, since run times differ; a shorter one keeps the slots as
+// busy. Thread-safe.
 Duration ChooseLongestWait(Duration target_latency, Duration elapsed,
                            Duration expected_run);
 
--- a/libraries/mesh/link_backlog.cc
+++ b/libraries/mesh/link_backlog.cc
@@ -13,7 +13,7 @@
 }
 
 Duration LinkBacklog::Wait(MonotonicTime now) const {
-  return std::max(Duration::zero(), Duration(free_at_ - now));
+  return std::max(Duration::zero(), free_at_ - now);
 }
 
 }  // namespace oleandertide::mesh
--- a/libraries/mesh/peer_selection.cc
+++ b/libraries/mesh/peer_selection.cc
@@ -55,8 +55,8 @@
   }
   const auto reader = std::ranges::min_element(
       readers, [](const PeerCandidate* first, const PeerCandidate* second) {
-        return CompareReaders({first->name, first->link_mbps},
-                              {second->name, second->link_mbps}) < 0;
+        return std::is_lt(CompareReaders({first->name, first->link_mbps},
+                                         {second->name, second->link_mbps}));
       });
   if (reader != readers.end()) selected.insert((*reader)->name);
   return {selected.begin(), selected.end()};
--- a/libraries/mesh/reader_election.cc
+++ b/libraries/mesh/reader_election.cc
@@ -12,7 +12,7 @@
     return second.link_mbps <=> first.link_mbps;
   }
   const auto by_hash = Hash64(first.node) <=> Hash64(second.node);
-  return by_hash != 0 ? by_hash : first.node <=> second.node;
+  return std::is_neq(by_hash) ? by_hash : first.node <=> second.node;
 }
 
 bool IsReader(const ReaderCandidate& self,
@@ -20,7 +20,7 @@
               Duration confirmation_age) {
   if (confirmation_age > kConfirmationLimit) return true;
   return std::ranges::all_of(peers, [&](const ReaderCandidate& peer) {
-    return CompareReaders(self, peer) < 0;
+    return std::is_lt(CompareReaders(self, peer));
   });
 }
 
--- a/libraries/sidecar/backend_client.cc
+++ b/libraries/sidecar/backend_client.cc
@@ -29,7 +29,7 @@
 BackendClient::Connection BackendClient::TakeIdle(Duration idle_limit) {
   const MonotonicTime now = MonotonicClock::now();
   while (!idle_.empty()) {
-    const Connection connection = idle_.back();
+    Connection connection = idle_.back();
     const Duration idle = now - connection->idle_since();
     const Duration keep_alive =
         connection->keep_alive().value_or(kDefaultKeepAlive) - kKeepAliveMargin;
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -73,8 +73,8 @@
   const bool is_patient = now < patient_until_;
   // Without links, a patient node cannot know whether another one reads.
   if (is_patient && peers.empty()) return;
-  if (!mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
-                      peers, is_patient ? Duration::zero() : age)) {
+  if (!mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps}, peers,
+                      is_patient ? Duration::zero() : age)) {
     return;
   }
   if (followed_) {
@@ -86,12 +86,11 @@
 
 void ConfigurationSource::ReadAll() {
   is_reading_ = true;
-  parts_.store.ReadRows(
-      platform::kOperatorTable, platform::kConfigurationKey,
-      [this](const Result<platform::RowList>& rows) {
-        if (rows) followed_ = rows.value().store_version;
-        OnRows(rows);
-      });
+  parts_.store.ReadRows(platform::kOperatorTable, platform::kConfigurationKey,
+                        [this](const Result<platform::RowList>& rows) {
+                          if (rows) followed_ = rows.value().store_version;
+                          OnRows(rows);
+                        });
 }
 
 void ConfigurationSource::Follow() {
@@ -120,8 +119,8 @@
     if (row.key != platform::kConfigurationKey || row.is_deleted) continue;
     OnText(row.value);
   }
-  parts_.holder.Confirm(parts_.holder.version(), rows.value().store_time_ms, now,
-                        Duration::zero());
+  parts_.holder.Confirm(parts_.holder.version(), rows.value().store_time_ms,
+                        now, Duration::zero());
   // The next call starts at once, so that no change goes unnoticed.
   Tick();
 }
@@ -161,8 +160,7 @@
 void ConfigurationSource::OnUpdate(const mesh::ConfigurationUpdate& update) {
   requested_at_.reset();
   if (update.version <= parts_.holder.version()) return;
-  auto configuration =
-      mesh::ApplyUpdate(parts_.holder.current().get(), update);
+  auto configuration = mesh::ApplyUpdate(parts_.holder.current().get(), update);
   needs_whole_ = !configuration;
   if (!configuration) {
     logging::Log(Level::kWarning, "configuration", "update does not fit",
--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -18,16 +18,16 @@
 namespace {
 
 constexpr std::size_t kHeadBytes = 8;
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
 
 // Larger than any configuration, request or answer that clients may send.
-constexpr std::size_t kMaximumFrameBytes = 80 * 1024 * 1024;
+constexpr std::size_t kMaximumFrameBytes = std::size_t{80} << 20U;
 
 // Buffers above this are given back when they have been emptied.
-constexpr std::size_t kKeptBufferBytes = 64 * 1024;
+constexpr std::size_t kKeptBufferBytes = std::size_t{64} << 10U;
 
 // A node that does not read for long is cut off before memory runs short.
-constexpr std::size_t kMaximumPendingBytes = 32 * 1024 * 1024;
+constexpr std::size_t kMaximumPendingBytes = std::size_t{32} << 20U;
 
 // Time until a connection without answer from the other kernel fails.
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -13,10 +13,10 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
 
 // Answers of backend servers and the store are smaller than this.
-constexpr std::size_t kMaximumAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t kMaximumAnswerBytes = std::size_t{64} << 20U;
 
 // Time until a silent connection fails; the kernel counts in whole seconds.
 constexpr Duration kSilenceLimit = std::chrono::seconds(1);
--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -19,11 +19,11 @@
 namespace detail {
 
 // Bytes that are read at once.
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
 
 // Bytes of further requests that are kept while one is being answered. Reading
 // stops there; a client that leaves is then noticed when its answer is sent.
-constexpr std::size_t kMaximumPipelinedBytes = 256 * 1024;
+constexpr std::size_t kMaximumPipelinedBytes = std::size_t{256} << 10U;
 
 // Connections are checked for idleness this often.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -24,8 +24,8 @@
 
 // What a client may send, and how long it may take.
 struct HttpLimits {
-  std::size_t maximum_header_bytes = 16 * 1024;
-  std::size_t maximum_body_bytes = 64 * 1024 * 1024;
+  std::size_t maximum_header_bytes = std::size_t{16} << 10U;
+  std::size_t maximum_body_bytes = std::size_t{64} << 20U;
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
 };
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -162,19 +162,19 @@
          .maximum_connections = service.getMaximumConnections()});
   }
   const auto limits = reader.getLimits();
-  update.limits = {
-      .maximum_header_bytes = limits.getMaximumHeaderBytes(),
-      .maximum_body_bytes = limits.getMaximumBodyBytes(),
-      .header_timeout = FromUs(limits.getHeaderTimeoutUs()),
-      .idle_timeout = FromUs(limits.getIdleTimeoutUs())};
+  update.limits = {.maximum_header_bytes = limits.getMaximumHeaderBytes(),
+                   .maximum_body_bytes = limits.getMaximumBodyBytes(),
+                   .header_timeout = FromUs(limits.getHeaderTimeoutUs()),
+                   .idle_timeout = FromUs(limits.getIdleTimeoutUs())};
   for (const auto removed : reader.getRemoved()) {
-    update.removed.push_back({.host = ToString(removed.getHost()),
-                              .path_prefix = ToString(removed.getPathPrefix())});
+    update.removed.push_back(
+        {.host = ToString(removed.getHost()),
+         .path_prefix = ToString(removed.getPathPrefix())});
   }
   for (const auto put : reader.getPut()) {
-    update.put.push_back({.host = ToString(put.getHost()),
-                          .route = std::make_shared<const mesh::Route>(
-                              DecodeRoute(put))});
+    update.put.push_back(
+        {.host = ToString(put.getHost()),
+         .route = std::make_shared<const mesh::Route>(DecodeRoute(put))});
   }
   return update;
 }
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -28,7 +28,7 @@
 
 // Larger bodies are sent in parts of this size, between which small frames go
 // out: at 5 Mbit/s a part takes 26 ms.
-constexpr std::size_t kPartBytes = 16 * 1024;
+constexpr std::size_t kPartBytes = std::size_t{16} << 10U;
 
 bool IsFull(const mesh::BackendLoad& load) {
   return load.running + load.waiting >= load.slots;
@@ -175,8 +175,7 @@
     body.remove_prefix(kPartBytes);
   }
   capnp::MallocMessageBuilder message;
-  Encode(id, outcome, MakeLoad(),
-         message.initRoot<wire::Frame>().initAnswer());
+  Encode(id, outcome, MakeLoad(), message.initRoot<wire::Frame>().initAnswer());
   if (is_large) {
     connection.SendBulk(message, body);
   } else {
@@ -207,8 +206,7 @@
 
 void LinkServer::Forward(const NodeIdentity& node) {
   capnp::MallocMessageBuilder message;
-  Encode(node,
-         message.initRoot<wire::Frame>().initMembers().initMembers(1)[0]);
+  Encode(node, message.initRoot<wire::Frame>().initMembers().initMembers(1)[0]);
   const auto sessions = sessions_;
   for (const auto& session : sessions) session->connection->Send(message);
 }
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -84,7 +84,6 @@
   Callbacks callbacks_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   mesh::BackendLoad announced_load_;
-  std::uint64_t announced_version_ = 0;
   MonotonicTime announced_at_;
 };
 
--- a/libraries/sidecar/member_directory.cc
+++ b/libraries/sidecar/member_directory.cc
@@ -74,7 +74,7 @@
   Read({});
 }
 
-void MemberDirectory::Read(std::string first_key) {
+void MemberDirectory::Read(std::string_view first_key) {
   store_.ReadRows(kTable, first_key,
                   [this](const auto& rows) { OnRows(rows); });
 }
--- a/libraries/sidecar/member_directory.h
+++ b/libraries/sidecar/member_directory.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "core/random.h"
 #include "sidecar/event_loop.h"
@@ -29,7 +30,7 @@
   void Start();
 
  private:
-  void Read(std::string first_key);
+  void Read(std::string_view first_key);
   void OnRows(const Result<platform::RowList>& rows);
   void Write();
   void StartAfter(Duration delay);
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -7,6 +7,7 @@
 
 std::vector<std::string_view> ReasonNames() {
   std::vector<std::string_view> names;
+  names.reserve(mesh::kReasonCount);
   for (int i = 0; i < mesh::kReasonCount; ++i) {
     names.push_back(mesh::ToString(static_cast<mesh::Reason>(i)));
   }
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -292,12 +292,14 @@
 
 void Receiver::OnStandingChanged(std::string_view cause) {
   const auto standing = backend_.standing();
+  std::string_view id;
+  if (standing != mesh::BackendStanding::kUnknown) {
+    id = backend_.announcement().id;
+  }
   logging::Log(Level::kInfo, "backend", "standing changed",
                {{"standing", mesh::ToString(standing)},
                 {"cause", cause},
-                {"id", standing == mesh::BackendStanding::kUnknown
-                           ? std::string_view()
-                           : std::string_view(backend_.announcement().id)},
+                {"id", id},
                 {"running", queue_.running()},
                 {"waiting", queue_.waiting()}});
   if (standing == mesh::BackendStanding::kDraining) ScheduleFence();
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -64,12 +64,12 @@
       : loop_(loop),
         settings_(settings),
         random_(MakeSeed()),
-        identity_{.name = settings.node.name,
-                  .data_centre = settings.node.data_centre,
-                  .address = settings.listen.peers.ToString(),
-                  .service = settings.node.service,
-                  .link_mbps = static_cast<std::uint32_t>(
-                      settings.node.link_mbps)},
+        identity_{
+            .name = settings.node.name,
+            .data_centre = settings.node.data_centre,
+            .address = settings.listen.peers.ToString(),
+            .service = settings.node.service,
+            .link_mbps = static_cast<std::uint32_t>(settings.node.link_mbps)},
         started_at_(MonotonicClock::now()),
         receiver_(loop,
                   {.backend_server = std::move(backend_server),
@@ -100,8 +100,7 @@
                  .random = random_},
                 identity_, settings.node.is_first_start,
                 [this] { OnConfigurationChanged(); }),
-        members_(loop, store_, random_, identity_,
-                 settings.node.is_first_start,
+        members_(loop, store_, random_, identity_, settings.node.is_first_start,
                  [this](const NodeIdentity& node) { links_.Learn(node); }),
         stop_timer_(loop) {}
 
@@ -183,26 +182,26 @@
 
  private:
   LinkClient::Callbacks MakeLinkCallbacks() {
-    return {.on_status =
-                [this](const NodeIdentity& node, const NodeStatus& status) {
-                  OnPeerStatus(node, status);
-                },
-            .on_load =
-                [this](const std::string& node, const mesh::BackendLoad& load) {
-                  ingress_.placement().UpdateLoad(node, load);
-                },
-            .on_lost =
-                [this](const std::string& node) {
-                  ingress_.placement().Remove(node);
-                  metrics_.links.set_value(
-                      static_cast<double>(links_.connected().size()));
-                },
-            .on_configuration =
-                [this](const mesh::ConfigurationUpdate& update) {
+    return {
+        .on_status =
+            [this](const NodeIdentity& node, const NodeStatus& status) {
+              OnPeerStatus(node, status);
+            },
+        .on_load =
+            [this](const std::string& node, const mesh::BackendLoad& load) {
+              ingress_.placement().UpdateLoad(node, load);
+            },
+        .on_lost =
+            [this](const std::string& node) {
+              ingress_.placement().Remove(node);
+              metrics_.links.set_value(
+                  static_cast<double>(links_.connected().size()));
+            },
+        .on_configuration =
+            [this](const mesh::ConfigurationUpdate& update) {
               source_.OnUpdate(update);
             },
-        .on_member =
-            [this](const NodeIdentity& node) { OnMemberTold(node); }};
+        .on_member = [this](const NodeIdentity& node) { OnMemberTold(node); }};
   }
 
   // Passes on what is new, so that a node that joins is known everywhere.
--- a/libraries/sidecar/store_client.cc
+++ b/libraries/sidecar/store_client.cc
@@ -68,8 +68,8 @@
 }
 
 HttpExchange StoreClient::MakeExchange(
-    std::string head, std::string body, Duration limit,
-    std::function<void(Result<std::string>)> on_body) {
+    std::string_view head, std::string body, Duration limit,
+    const std::function<void(Result<std::string>)>& on_body) {
   metrics_.store_calls.Add();
   HttpExchange exchange;
   exchange.head = fmt::format("{} HTTP/1.1\r\nHost: {}\r\n", head, host_);
--- a/libraries/sidecar/store_client.h
+++ b/libraries/sidecar/store_client.h
@@ -47,8 +47,9 @@
   void Write(const platform::ConditionalWrite& write, OnWritten on_written);
 
  private:
-  HttpExchange MakeExchange(std::string head, std::string body, Duration limit,
-                            std::function<void(Result<std::string>)> on_body);
+  HttpExchange MakeExchange(
+      std::string_view head, std::string body, Duration limit,
+      const std::function<void(Result<std::string>)>& on_body);
   std::shared_ptr<HttpConnection> Open() const;
   void Enqueue(HttpExchange exchange);
   void StartNext();
--- a/tests/mesh/configuration_test.cc
+++ b/tests/mesh/configuration_test.cc
@@ -18,11 +18,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-std::shared_ptr<const Route> MakeRoute(std::string prefix,
+std::shared_ptr<const Route> MakeRoute(const std::string& prefix,
                                        std::string service = "rooms") {
   return std::make_shared<const Route>(
       Route{.name = "r" + prefix,
-            .path_prefix = std::move(prefix),
+            .path_prefix = prefix,
             .kind = RequestKind::kIdempotent,
             .timeout = seconds(1),
             .target_latency = milliseconds(300),
--- a/tests/mesh/local_backend_test.cc
+++ b/tests/mesh/local_backend_test.cc
@@ -121,7 +121,7 @@
           Heartbeat(*rc::gen::inRange<std::uint64_t>(1, 20),
                     *rc::gen::inRange(0, 4) == 0);
       heartbeat.id = *rc::gen::element<std::string>("i-1", "i-2");
-      heartbeat.started_at_ms = *rc::gen::inRange(1, 4) * 1000;
+      heartbeat.started_at_ms = *rc::gen::inRange<std::int64_t>(1, 4) * 1000;
       const int action = *rc::gen::inRange(0, 6);
       if (action == 0) {
         const Effect effect = backend.ApplyDeparture(
--- a/tests/mesh/topology_test.cc
+++ b/tests/mesh/topology_test.cc
@@ -17,6 +17,7 @@
 
 std::vector<PeerCandidate> MakeFleet(int nodes) {
   std::vector<PeerCandidate> fleet;
+  fleet.reserve(nodes);
   for (int i = 0; i < nodes; ++i) {
     fleet.push_back({.name = "node-" + std::to_string(i),
                      .data_centre = "dc-" + std::to_string(i % 3),
@@ -74,6 +75,7 @@
 // Guards against a fleet that all reads the store, or of which nobody does.
 TEST_CASE("one node of a data centre reads the store") {
   std::vector<ReaderCandidate> nodes;
+  nodes.reserve(20);
   for (int i = 0; i < 20; ++i) {
     nodes.push_back({"node-" + std::to_string(i), i == 7 ? 100U : 5U});
   }
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -127,15 +127,14 @@
     reply.Send({.status = 410});
     return;
   }
-  auto waiter = std::make_shared<Waiter>(Waiter{
-      table, after, std::move(reply), std::make_shared<Timer>(loop_)});
+  auto waiter = std::make_shared<Waiter>(
+      Waiter{table, after, std::move(reply), std::make_shared<Timer>(loop_)});
   waiters_.push_back(waiter);
   waiter->timer->expires_after(std::chrono::milliseconds(wait_ms));
   waiter->timer->async_wait(
       [this, waiter](const boost::system::error_code& error) {
         if (error || std::erase(waiters_, waiter) == 0) return;
-        waiter->reply.Send(
-            {.body = Changes(waiter->table, waiter->after)});
+        waiter->reply.Send({.body = Changes(waiter->table, waiter->after)});
       });
   WakeWaiters();
 }
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -155,13 +155,12 @@
 
 int MeshFixture::Announce(Instance& instance, std::string_view state) {
   return AnnounceText(
-      instance,
-      fmt::format(R"({{"service":"{}","address":"{}","zone":"z",)"
-                  R"("version":"v1","slots":2,"state":"{}",)"
-                  R"("cold_remaining_ms":0,"seq":{},"born":1000}})",
-                  instance.settings.node.service,
-                  instance.settings.backend.address.ToString(), state,
-                  ++instance.sequence));
+      instance, fmt::format(R"({{"service":"{}","address":"{}","zone":"z",)"
+                            R"("version":"v1","slots":2,"state":"{}",)"
+                            R"("cold_remaining_ms":0,"seq":{},"born":1000}})",
+                            instance.settings.node.service,
+                            instance.settings.backend.address.ToString(), state,
+                            ++instance.sequence));
 }
 
 int MeshFixture::Depart(Instance& instance) {
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -133,8 +133,7 @@
 TEST_CASE("a leaving backend server finishes its work and gets no more") {
   Pair mesh(Slow);
   const auto running = mesh.Begin(mesh.first, "GET", "/idem/slow");
-  mesh.RunUntil(
-      [&] { return mesh.second.backend->requests().size() >= 2; });
+  mesh.RunUntil([&] { return mesh.second.backend->requests().size() >= 2; });
   REQUIRE(mesh.Announce(mesh.second, "draining") == 200);
   mesh.RunFor(milliseconds(100));
   const auto seen = mesh.second.backend->requests().size();
@@ -187,8 +186,7 @@
   Pair mesh(Slow);
   const auto running = mesh.Begin(mesh.second, "GET", "/idem/slow");
   const auto remote = mesh.Begin(mesh.first, "GET", "/idem/slow");
-  mesh.RunUntil(
-      [&] { return mesh.second.backend->requests().size() >= 3; });
+  mesh.RunUntil([&] { return mesh.second.backend->requests().size() >= 3; });
   mesh.second.node->Stop();
   REQUIRE(mesh.CheckReadiness(mesh.second) == 503);
   // Clients may send until they have noticed.
--- a/tests/sidecar/raw_server.cc
+++ b/tests/sidecar/raw_server.cc
@@ -45,7 +45,8 @@
 
 RawServer::RawServer(EventLoop& loop, Script script)
     : loop_(loop),
-      acceptor_(loop, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+      acceptor_(loop,
+                Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
       script_(std::move(script)) {
   Accept();
 }
--- a/tests/sidecar/request_test.cc
+++ b/tests/sidecar/request_test.cc
@@ -123,8 +123,9 @@
 // Guards against answers that look complete and are not.
 TEST_CASE("a cut, unsigned or encoded answer is not passed on as a success") {
   const std::string bytes = GENERATE(
-      std::string("HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
-                  "Oleandertide-Server-Stamp: s\r\nContent-Length: 9\r\n\r\nab"),
+      std::string(
+          "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+          "Oleandertide-Server-Stamp: s\r\nContent-Length: 9\r\n\r\nab"),
       std::string("HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
                   "Content-Length: 2\r\n\r\nab"),
       std::string("HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
@@ -146,10 +147,10 @@
 TEST_CASE("an answer without length is complete at the connection's end") {
   TwoNodes mesh([](const RawRequest& request) {
     if (request.target() != "/idem/unframed") return Ok(request);
-    return RawReply{
-        .bytes = "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
-                 "Oleandertide-Server-Stamp: s\r\n\r\nwhole",
-        .closes = true};
+    return RawReply{.bytes =
+                        "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+                        "Oleandertide-Server-Stamp: s\r\n\r\nwhole",
+                    .closes = true};
   });
   mesh.AwaitService(mesh.first, "/idem/0");
   const ClientAnswer answer = mesh.Send(mesh.first, "GET", "/idem/unframed");
@@ -163,8 +164,9 @@
   TwoNodes mesh([](const RawRequest& request) {
     if (request.target() != "/once/shed") return Ok(request);
     return RawReply{
-        .bytes = "HTTP/1.1 503 Full\r\nOleandertide-Request-Id: {id}\r\n"
-                 "Oleandertide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+        .bytes =
+            "HTTP/1.1 503 Full\r\nOleandertide-Request-Id: {id}\r\n"
+            "Oleandertide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
   });
   mesh.AwaitService(mesh.first, "/idem/0");
   ClientAnswer answer = mesh.Send(mesh.first, "POST", "/once/shed");
