--- a/benchmarks/once/leased_owner_scheme.cc
+++ b/benchmarks/once/leased_owner_scheme.cc
@@ -36,8 +36,7 @@
       [this, partition, key, owner,
        asked](const Result<store::TransactionOutcome>& outcome) {
         if (!outcome.has_value()) return ReadLease(partition, key);
-        const auto* committed =
-            std::get_if<store::Committed>(&outcome.value());
+        const auto* committed = std::get_if<store::Committed>(&outcome.value());
         if (committed == nullptr) return ReadLease(partition, key);
         partitions_[partition].lease_version = committed->versions.at(key);
         owner->lease_until = asked + kLeaseTime;
@@ -48,12 +47,13 @@
 // candidate at a time in this model, so the row is always the owner's.
 void LeasedOwnerScheme::ReadLease(std::size_t partition,
                                   const std::string& key) {
-  platform_.Read(
-      key, [this, partition](const Result<store::ReadOutcome>& outcome) {
-        if (!outcome.has_value()) return;
-        const auto* row = std::get_if<store::Row>(&outcome.value());
-        if (row != nullptr) partitions_[partition].lease_version = row->version;
-      });
+  platform_.Read(key,
+                 [this, partition](const Result<store::ReadOutcome>& outcome) {
+                   if (!outcome.has_value()) return;
+                   const auto* row = std::get_if<store::Row>(&outcome.value());
+                   if (row != nullptr)
+                     partitions_[partition].lease_version = row->version;
+                 });
 }
 
 void LeasedOwnerScheme::Claim(std::size_t, ClaimRequest request, MonotonicTime,
--- a/benchmarks/once/per_request_scheme.cc
+++ b/benchmarks/once/per_request_scheme.cc
@@ -63,20 +63,19 @@
 }
 
 void PerRequestScheme::ReadClaim(const PendingPtr& pending) {
-  platform_.Read(
-      ClaimRowKey(kEnvironment, pending->request.key),
-      [this, pending](const Result<store::ReadOutcome>& outcome) {
-        if (outcome.has_error()) {
-          return Later(pending, &PerRequestScheme::ReadClaim);
-        }
-        pending->version = store::kAbsent;
-        pending->row.reset();
-        if (auto* row = std::get_if<store::Row>(&outcome.value())) {
-          pending->version = row->version;
-          pending->row = DecodeClaimRecord(row->value).value();
-        }
-        TryClaim(pending);
-      });
+  platform_.Read(ClaimRowKey(kEnvironment, pending->request.key),
+                 [this, pending](const Result<store::ReadOutcome>& outcome) {
+                   if (outcome.has_error()) {
+                     return Later(pending, &PerRequestScheme::ReadClaim);
+                   }
+                   pending->version = store::kAbsent;
+                   pending->row.reset();
+                   if (auto* row = std::get_if<store::Row>(&outcome.value())) {
+                     pending->version = row->version;
+                     pending->row = DecodeClaimRecord(row->value).value();
+                   }
+                   TryClaim(pending);
+                 });
 }
 
 void PerRequestScheme::Later(
--- a/benchmarks/once/virtual_platform.h
+++ b/benchmarks/once/virtual_platform.h
@@ -40,8 +40,7 @@
   explicit VirtualPlatform(testing::EventQueue& events);
 
   void Transact(std::vector<store::Condition> conditions,
-                std::vector<store::Write> writes,
-                TransactionCallback callback);
+                std::vector<store::Write> writes, TransactionCallback callback);
   void Read(std::string key, ReadCallback callback);
 
   void set_is_down(bool is_down) { is_down_ = is_down; }
--- a/libraries/config/value.h
+++ b/libraries/config/value.h
@@ -102,9 +102,9 @@
 };
 
 using Rule =
-    std::variant<DurationRule, IntegerRule, NumberRule, PercentRule, SizeRule, BooleanRule,
-                 ChoiceRule, NameRule, TextRule, PathRule, MethodsRule,
-                 AddressRule, AddressListRule, NameListRule>;
+    std::variant<DurationRule, IntegerRule, NumberRule, PercentRule, SizeRule,
+                 BooleanRule, ChoiceRule, NameRule, TextRule, PathRule,
+                 MethodsRule, AddressRule, AddressListRule, NameListRule>;
 
 // What is wrong with a text and what is allowed.
 struct ValueFault {
--- a/libraries/jobs/job_scheduler.cc
+++ b/libraries/jobs/job_scheduler.cc
@@ -14,8 +14,7 @@
   std::uint64_t sequence = 0;
 };
 
-Result<EnvironmentRow> ParseEnvironmentRow(
-    const store::ReadOutcome& outcome) {
+Result<EnvironmentRow> ParseEnvironmentRow(const store::ReadOutcome& outcome) {
   const store::Row* row = std::get_if<store::Row>(&outcome);
   if (row == nullptr) return EnvironmentRow{};
   OLEANDERTIDE_TRY(sequence, DecodeEnvironmentSequence(row->value));
@@ -165,8 +164,7 @@
   return std::exchange(effects_, {});
 }
 
-void JobScheduler::HandleRow(JobState& state,
-                             const store::ReadOutcome& job_row,
+void JobScheduler::HandleRow(JobState& state, const store::ReadOutcome& job_row,
                              RowVersion environment_version,
                              std::uint64_t environment_sequence,
                              SchedulerTime now) {
--- a/libraries/once/claim_writer.cc
+++ b/libraries/once/claim_writer.cc
@@ -607,8 +607,7 @@
 void ClaimWriter::FillBatch(std::deque<QueuedRow>& rows, Queue queue,
                             CommitClaims& commit) {
   std::size_t bytes = 0;
-  for (const store::Write& write : commit.writes)
-    bytes += write.value.size();
+  for (const store::Write& write : commit.writes) bytes += write.value.size();
   while (!rows.empty() && commit.writes.size() < options_.maximum_batch_rows &&
          bytes < options_.maximum_batch_bytes) {
     KeyState* state = Find(rows.front().row_key);
--- a/libraries/once/claim_writer.h
+++ b/libraries/once/claim_writer.h
@@ -145,8 +145,8 @@
   // Passes the outcome of CommitClaims. Errors other than kUnavailable and
   // kRateLimited mean that the transaction may still take effect.
   ClaimWriterEffects HandleTransaction(
-      OperationId operation,
-      const Result<store::TransactionOutcome>& outcome, Moment now);
+      OperationId operation, const Result<store::TransactionOutcome>& outcome,
+      Moment now);
 
   // Applies deadlines and intervals. Call at next_wake_time() or later.
   ClaimWriterEffects Advance(Moment now);
--- a/programs/node/control.h
+++ b/programs/node/control.h
@@ -23,8 +23,8 @@
 #include "node/document_cache.h"
 #include "peers/gossip.h"
 #include "peers/peer_client.h"
-#include "store/store.h"
 #include "routing/quarantine.h"
+#include "store/store.h"
 
 namespace oleandertide::node {
 
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -98,9 +98,9 @@
 Result<void> Node::StartPeers() {
   store::HttpStoreOptions store_options;
   store_options.request_timeout = settings_.platform.request_timeout;
-  OLEANDERTIDE_TRY(
-      store, store::HttpStore::Make(settings_.platform.address.ToString(),
-                                       store_options));
+  OLEANDERTIDE_TRY(store,
+                   store::HttpStore::Make(settings_.platform.address.ToString(),
+                                          store_options));
   store_ = std::move(store);
   loop_ = std::make_unique<peers::EventLoop>();
   peer_client_ = std::make_unique<peers::PeerClient>(
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -27,9 +27,9 @@
 #include "peers/handlers.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
-#include "store/http_store.h"
 #include "routing/drain.h"
 #include "routing/quarantine.h"
+#include "store/http_store.h"
 
 namespace oleandertide::node {
 
--- a/tests/acceptance/acceptance_property_test.cc
+++ b/tests/acceptance/acceptance_property_test.cc
@@ -55,7 +55,7 @@
 }
 
 Result<store::TransactionOutcome> WriteNextRecord(store::Store& store,
-                                                     TestOperator& person) {
+                                                  TestOperator& person) {
   const auto trial = person.acceptance().Status(kTrial);
   if (!trial.has_value()) return trial.error();
   const auto read = store.ReadRow(EnvironmentKey(kProduction), {});
--- a/tests/acceptance/acceptance_test.cc
+++ b/tests/acceptance/acceptance_test.cc
@@ -80,9 +80,9 @@
   SECTION("by promoting the stale trial") {
     const auto trial = store.ReadRow(EnvironmentKey(kTrial), {}).value();
     const store::Condition condition{EnvironmentKey(kTrial),
-                                        std::get<store::Row>(trial).version};
+                                     std::get<store::Row>(trial).version};
     const store::Write write{EnvironmentKey(kTrial),
-                                FormatEnvironmentRecord(stale)};
+                             FormatEnvironmentRecord(stale)};
     REQUIRE(store.Transact({&condition, 1}, {&write, 1}).has_value());
     const auto outcome = bo.Promote();
     const auto& conflict = Expect<Conflict>(outcome);
--- a/tests/jobs/job_scheduler_test.cc
+++ b/tests/jobs/job_scheduler_test.cc
@@ -20,9 +20,8 @@
 }
 
 void SetSequence(testing::FakeTable& table, std::uint64_t sequence) {
-  const store::Write write{
-      EnvironmentRowKey(kEnvironment),
-      R"({"sequence":)" + std::to_string(sequence) + "}"};
+  const store::Write write{EnvironmentRowKey(kEnvironment),
+                           R"({"sequence":)" + std::to_string(sequence) + "}"};
   REQUIRE(table.Transact({}, {&write, 1}).has_value());
 }
 
--- a/tests/jobs/job_world.cc
+++ b/tests/jobs/job_world.cc
@@ -82,9 +82,8 @@
   if (Chance(60)) jobs.push_back(EveryMinute("run", MissedPolicy::kRunLatest));
   configurations_.push_back(std::move(jobs));
   const std::uint64_t sequence = configurations_.size();
-  const store::Write write{
-      EnvironmentRowKey(kEnvironment),
-      R"({"sequence":)" + std::to_string(sequence) + "}"};
+  const store::Write write{EnvironmentRowKey(kEnvironment),
+                           R"({"sequence":)" + std::to_string(sequence) + "}"};
   static_cast<void>(table_.Transact({}, {&write, 1}));
   for (Node& node : nodes_) {
     Deliver(node, random_.Between(milliseconds(0), seconds(6)),
@@ -161,18 +160,18 @@
 }
 
 void JobWorld::Read(Node& node, const ReadJobRows& read) {
-  events_.After(milliseconds(random_.Below(50)), [this, &node, life = node.life,
-                                                  read] {
-    if (node.life != life) return;
-    Result<store::ReadOutcome> job = table_.ReadRow(read.job_row_key, {});
-    if (is_down_ || Chance(10)) job = Error::kUnavailable;
-    const auto environment = table_.ReadRow(read.environment_row_key, {});
-    Deliver(node, milliseconds(random_.Below(50)),
-            [this, &node, read, job, environment] {
-              Take(node, node.scheduler->HandleRows(read.job, job, environment,
-                                                    TimeOf(node)));
-            });
-  });
+  events_.After(
+      milliseconds(random_.Below(50)), [this, &node, life = node.life, read] {
+        if (node.life != life) return;
+        Result<store::ReadOutcome> job = table_.ReadRow(read.job_row_key, {});
+        if (is_down_ || Chance(10)) job = Error::kUnavailable;
+        const auto environment = table_.ReadRow(read.environment_row_key, {});
+        Deliver(node, milliseconds(random_.Below(50)),
+                [this, &node, read, job, environment] {
+                  Take(node, node.scheduler->HandleRows(
+                                 read.job, job, environment, TimeOf(node)));
+                });
+      });
 }
 
 void JobWorld::Claim(Node& node, const ClaimDueTime& claim) {
--- a/tests/once/claim_world.cc
+++ b/tests/once/claim_world.cc
@@ -154,8 +154,7 @@
 void ClaimWorld::Read(std::size_t slot, const ReadClaimRow& read) {
   const std::uint64_t life = writers_[slot].life;
   events_.After(Delay(0, 3), [this, slot, life, read] {
-    Result<store::ReadOutcome> outcome =
-        table_.ReadRow(read.key, std::nullopt);
+    Result<store::ReadOutcome> outcome = table_.ReadRow(read.key, std::nullopt);
     if (is_down_) outcome = Error::kUnavailable;
     if (Fault(3)) outcome = Error::kTimeout;
     if (Fault(3)) outcome = Error::kRateLimited;
