sidecar: Let callbacks of a link not own its session

Cause: the session holds its connection and the connection's callbacks held the session, so sessions that were open at the end of the process were never freed.

--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -93,12 +93,16 @@
       backlog_.Add(MonotonicClock::now(), bytes);
     });
     sessions_.insert(session);
-    // The connection holds its callbacks until it is closed.
+    // The session holds the connection, so the callbacks must not hold the
+    // session.
+    const std::weak_ptr<Session> weak = session;
     session->connection->Start(
-        [this, session](wire::Frame::Reader frame, std::string_view body) {
-          OnFrame(session, frame, body);
+        [this, weak](wire::Frame::Reader frame, std::string_view body) {
+          if (const auto open = weak.lock()) OnFrame(open, frame, body);
         },
-        [this, session] { OnClosed(session); });
+        [this, weak] {
+          if (const auto closed = weak.lock()) OnClosed(closed);
+        });
     Accept();
   });
 }
