--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -31,7 +31,6 @@
 constexpr Duration kAwayRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(5);
 
-// Without deadline and route, as for denied requests.
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusBadGateway = 502;
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -17,8 +17,8 @@
 
 // How long a connection may have been idle before a request is sent on it.
 constexpr Duration kIdleLimit = std::chrono::seconds(8);
-// The same for a request that must not run twice: the shortest time after which
-// the users' backend servers were seen to forget a connection is longer.
+// The same for a request that must not run twice: if its connection turns out
+// to be closed, it is not known whether the request was read.
 constexpr Duration kIdleLimitUnrepeatable = std::chrono::milliseconds(500);
 
 // Connections that a crash breaks end together; they are gathered for this long
