tests: Give each process of sidecar tests its own loopback address

Cause: the fixture took a free port of 127.0.0.1, closed it and let the node listen on it later; meanwhile the system gave the port to an outgoing connection of another test. Shown by 12 copies of the test side by side: 2 of 12 failed, both with a node that could not listen (mesh_fixture.cc, node.has_value). Ruled out: time limits of the cases, since no case failed at one.

Each process now uses its own address of 127.0.0.0/8 and counts its ports.

--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -40,8 +40,7 @@
 
 }  // namespace
 
-FakeStore::FakeStore(EventLoop& loop)
-    : loop_(loop), address_(UnusedAddress(loop)) {
+FakeStore::FakeStore(EventLoop& loop) : loop_(loop), address_(UnusedAddress()) {
   auto server = HttpServer::Create(
       loop, address_,
       [this](const std::shared_ptr<HttpRequest>& request, HttpReply reply) {
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -1,11 +1,13 @@
 #include "sidecar/mesh_fixture.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <utility>
 
 namespace oleandertide::sidecar {
@@ -21,10 +23,19 @@
 
 }  // namespace
 
-Address UnusedAddress(EventLoop& loop) {
-  const Tcp::acceptor acceptor(
-      loop, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return {.ip = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+Address UnusedAddress() {
+  // An address of 127.0.0.0/8 for each process: ports of 127.0.0.1 are given to
+  // outgoing connections of all processes, so one that was free a moment ago
+  // need not be free any more.
+  constexpr std::uint16_t kFirstPort = 10'000;
+  constexpr std::uint32_t kLoopbackNetwork = 127U << 24U;
+  constexpr std::uint32_t kHostMask = (1U << 24U) - 1;
+  static const std::string ip =
+      boost::asio::ip::address_v4(
+          kLoopbackNetwork | (static_cast<std::uint32_t>(getpid()) & kHostMask))
+          .to_string();
+  static std::uint16_t next_port = kFirstPort;
+  return {.ip = ip, .port = next_port++};
 }
 
 std::string ConfigurationText(int version, std::string_view further_route) {
@@ -81,11 +92,11 @@
                             .service = service,
                             .link_mbps = 1000,
                             .is_first_start = false};
-  instance.settings.listen = {.clients = UnusedAddress(loop_),
-                              .peers = UnusedAddress(loop_),
-                              .readiness = UnusedAddress(loop_),
-                              .announcements = UnusedAddress(loop_),
-                              .metrics = UnusedAddress(loop_)};
+  instance.settings.listen = {.clients = UnusedAddress(),
+                              .peers = UnusedAddress(),
+                              .readiness = UnusedAddress(),
+                              .announcements = UnusedAddress(),
+                              .metrics = UnusedAddress()};
   const auto endpoint = instance.backend->endpoint();
   instance.settings.backend.address = {.ip = "127.0.0.1",
                                        .port = endpoint.port()};
--- a/tests/sidecar/mesh_fixture.h
+++ b/tests/sidecar/mesh_fixture.h
@@ -20,8 +20,9 @@
 
 namespace oleandertide::sidecar {
 
-// Returns an address of this machine where nothing listens.
-Address UnusedAddress(EventLoop& loop);
+// Returns an address of this machine that no other call, also of another
+// process, returns.
+Address UnusedAddress();
 
 // A configuration with the routes /idem/ and /once/ of service `booking` and
 // /room/ of service `rooms`, as the operator writes it.
