sidecar: Pace large answers on links and count promised ones

Cause: on links of 5 Mbit/s the downloads of all ingresses went to the same node, since reports said nothing of answers that were promised but not yet sent, and were sent side by side through the system's buffers, in front of the small answers of other calls. Ruled out: processor time (the same without charging it), the way to clients.

Now one part of 10 ms is handed to the system at a time, the answer with the fewest bytes left first; the load includes the bytes of answers to calls in progress, placement adds its own since the report, and small answers are charged two parts at most. Ties at the start are broken at random.

--- /dev/null
+++ b/libraries/mesh/bulk_schedule.cc
@@ -0,0 +1,69 @@
+#include "mesh/bulk_schedule.h"
+
+#include <algorithm>
+
+namespace oleandertide::mesh {
+namespace {
+
+// Time that a part takes on the link: a small answer waits about as long. It is
+// short beside the shortest run times of the sites, some 40 ms.
+constexpr Duration kPartTime = std::chrono::milliseconds(10);
+
+// Smaller parts would cost more processor time than they save waiting, larger
+// ones memory.
+constexpr std::size_t kLeastPartBytes = std::size_t{4} << 10U;
+constexpr std::size_t kMostPartBytes = std::size_t{64} << 10U;
+
+// A part is handed over so long before the link is free, since timers fire a
+// little late and an idle link is lost time.
+constexpr Duration kLead = std::chrono::milliseconds(5);
+
+}  // namespace
+
+void BulkSchedule::Add(Ticket ticket, std::size_t bytes) {
+  left_.emplace(ticket, bytes);
+  bytes_ += bytes;
+}
+
+void BulkSchedule::Remove(Ticket ticket) {
+  const auto found = left_.find(ticket);
+  if (found == left_.end()) return;
+  bytes_ -= found->second;
+  left_.erase(found);
+}
+
+void BulkSchedule::RecordSent(Ticket ticket, std::size_t bytes) {
+  const auto found = left_.find(ticket);
+  found->second -= bytes;
+  bytes_ -= bytes;
+  if (found->second == 0) left_.erase(found);
+}
+
+std::optional<BulkSchedule::Ticket> BulkSchedule::Next(
+    const std::function<bool(Ticket)>& can_send) const {
+  std::optional<Ticket> next;
+  std::size_t fewest = 0;
+  for (const auto& [ticket, left] : left_) {
+    if (next && left >= fewest) continue;
+    if (!can_send(ticket)) continue;
+    next = ticket;
+    fewest = left;
+  }
+  return next;
+}
+
+std::size_t ChoosePartBytes(double mbps) {
+  // A megabit per second is a bit per microsecond.
+  constexpr double kBitsPerByte = 8;
+  const double bytes =
+      mbps * static_cast<double>(kPartTime.count()) / kBitsPerByte;
+  return static_cast<std::size_t>(
+      std::clamp(bytes, static_cast<double>(kLeastPartBytes),
+                 static_cast<double>(kMostPartBytes)));
+}
+
+Duration ChoosePartDelay(Duration link_wait) {
+  return std::max(Duration::zero(), link_wait - kLead);
+}
+
+}  // namespace oleandertide::mesh
--- a/libraries/mesh/link_backlog.h
+++ b/libraries/mesh/link_backlog.h
@@ -21,12 +21,17 @@
   // Precondition: mbps > 0.
   explicit LinkBacklog(double mbps) : mbps_(mbps) {}
 
-  // Records that `bytes` were handed to the system.
+  // Records that `bytes` are on their way to the system.
   void Add(MonotonicTime now, std::size_t bytes);
 
   // Returns the time until the link has sent what it was given.
   Duration Wait(MonotonicTime now) const;
 
+  // Returns the time that the idle link takes for `bytes`.
+  Duration TransferTime(std::size_t bytes) const;
+
+  double mbps() const { return mbps_; }
+
  private:
   double mbps_;
   // When the link will have sent everything.
--- a/libraries/mesh/outcome.h
+++ b/libraries/mesh/outcome.h
@@ -85,7 +85,7 @@
   double slowness = 1;
   // Share of requests that are refused or failed without need.
   double failure_share = 0;
-  // Time for which an answer waits on the instance's link.
+  // Time that the instance's link needs for the answers that it has promised.
   Duration link_wait{};
 
   bool operator==(const BackendLoad&) const = default;
--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -15,6 +15,14 @@
 
 // Share of the mean run time by which scores are blurred.
 constexpr double kBlur = 0.15;
+// Run times are not known at first; without any blur all ingresses would choose
+// the same node.
+constexpr double kLeastBlurUs = 20'000;
+
+// Answers up to this size overtake large ones on a link and wait for about two
+// parts of those (see bulk_schedule.h).
+constexpr double kSmallAnswerBytes = 4096;
+constexpr double kSmallAnswerWaitUs = 20'000;
 
 // Backend servers slow down when they are nearly full, and reports are old: the
 // charge for a full one, as a share of the mean run time.
@@ -42,6 +50,7 @@
   candidate.location = location;
   candidate.load = load;
   candidate.unreported = 0;
+  candidate.unreported_bytes = 0;
 }
 
 void Placement::UpdateLoad(std::string_view node, const BackendLoad& load) {
@@ -49,6 +58,7 @@
   if (found == candidates_.end()) return;
   found->second.load = load;
   found->second.unreported = 0;
+  found->second.unreported_bytes = 0;
 }
 
 void Placement::Remove(std::string_view node) {
@@ -78,9 +88,13 @@
   if (candidate.location.link_mbps > 0) {
     // A megabit per second is a bit per microsecond.
     constexpr double kBitsPerByte = 8;
-    score +=
-        request.expected_bytes * kBitsPerByte / candidate.location.link_mbps;
-    score += Microseconds(load.link_wait);
+    const double transfer =
+        (request.expected_bytes + candidate.unreported_bytes) * kBitsPerByte /
+        candidate.location.link_mbps;
+    const double link_wait = transfer + Microseconds(load.link_wait);
+    score += request.expected_bytes > kSmallAnswerBytes
+                 ? link_wait
+                 : std::min(link_wait, kSmallAnswerWaitUs);
   }
   if (!candidate.location.is_in_own_data_centre) {
     score +=
@@ -107,7 +121,8 @@
     if (wait > request.wait_allowance) continue;
     const double score =
         Score(candidate, request, wait) +
-        random.Unit() * kBlur * Microseconds(candidate.load.mean_run_time);
+        random.Unit() * kBlur *
+            std::max(Microseconds(candidate.load.mean_run_time), kLeastBlurUs);
     if (best != nullptr && score >= best_score) continue;
     best = &candidate;
     best_node = &node;
@@ -116,6 +131,7 @@
   if (best != nullptr) {
     const Duration wait = EstimateWait(*best);
     ++best->unreported;
+    best->unreported_bytes += request.expected_bytes;
     return Choice{*best_node, wait};
   }
   if (!is_any_accepting) return NoBackendServer{};
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -82,6 +82,8 @@
     BackendLoad load;
     // Requests sent since the report.
     int unreported = 0;
+    // Bytes of the answers to these that take the candidate's link.
+    double unreported_bytes = 0;
   };
 
   static Duration EstimateWait(const Candidate& candidate);
--- a/libraries/sidecar/call.h
+++ b/libraries/sidecar/call.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDERTIDE_SIDECAR_CALL_H_
 #define OLEANDERTIDE_SIDECAR_CALL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -30,6 +31,8 @@
   Duration wait_allowance{};
   // Mean run time of the route; zero if unknown.
   Duration expected_run{};
+  // Mean size of the route's answers in bytes; zero if unknown.
+  std::size_t expected_bytes = 0;
   routing::Fingerprint fingerprint = 0;
   int priority = 0;
   // Whether the request may run more than once.
--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -74,22 +74,10 @@
   if (is_closed_) return;
   const std::size_t before = pending_.size();
   AppendFrame(pending_, message, body);
-  queued_bytes_ += pending_.size() - before;
-  OnQueued();
-}
-
-void FramedConnection::SendBulk(capnp::MessageBuilder& message,
-                                std::string_view body) {
-  if (is_closed_) return;
-  std::string frame;
-  AppendFrame(frame, message, body);
-  bulk_bytes_ += frame.size();
-  bulk_.push_back(std::move(frame));
-  OnQueued();
-}
-
-void FramedConnection::OnQueued() {
-  if (pending_.size() + bulk_bytes_ > kMaximumPendingBytes) {
+  const std::size_t added = pending_.size() - before;
+  queued_bytes_ += added;
+  if (on_queued_) on_queued_(added);
+  if (pending_.size() > kMaximumPendingBytes) {
     Close();
     return;
   }
@@ -107,16 +95,10 @@
 
 void FramedConnection::Flush() {
   if (is_closed_ || is_writing_) return;
-  if (pending_.empty() && bulk_.empty()) return;
+  if (pending_.empty()) return;
   is_writing_ = true;
   std::swap(writing_, pending_);
   submitted_bytes_ += writing_.size();
-  if (!bulk_.empty()) {
-    bulk_bytes_ -= bulk_.front().size();
-    writing_ += bulk_.front();
-    bulk_.pop_front();
-  }
-  if (on_submitted_) on_submitted_(writing_.size());
   boost::asio::async_write(
       socket_, boost::asio::buffer(writing_),
       [self = shared_from_this()](const boost::system::error_code& error,
--- a/libraries/sidecar/framed_connection.h
+++ b/libraries/sidecar/framed_connection.h
@@ -7,7 +7,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,13 +37,9 @@
   // Queues a frame. The message is written as it is now.
   void Send(capnp::MessageBuilder& message, std::string_view body = {});
 
-  // Queues a frame behind all others: large bodies do not hold up small frames.
-  // Frames that are sent by this function keep their order.
-  void SendBulk(capnp::MessageBuilder& message, std::string_view body);
-
-  // Sets what to call with the number of bytes that are handed to the system.
-  void set_on_submitted(std::function<void(std::size_t)> on_submitted) {
-    on_submitted_ = std::move(on_submitted);
+  // Sets what to call with the number of bytes that each Send queues.
+  void set_on_queued(std::function<void(std::size_t)> on_queued) {
+    on_queued_ = std::move(on_queued);
   }
 
   // Closes the connection; on_closed is called once, also on failures.
@@ -60,22 +55,22 @@
   std::uint64_t queued_bytes() const { return queued_bytes_; }
   std::uint64_t submitted_bytes() const { return submitted_bytes_; }
 
+  // Bytes that the system has not taken yet.
+  std::size_t unsent_bytes() const { return pending_.size() + writing_.size(); }
+
  private:
   void Read();
   bool ParseFrames();
-  void OnQueued();
   void ScheduleFlush();
   void Flush();
 
   Tcp::socket socket_;
   OnFrame on_frame_;
   OnClosed on_closed_;
-  std::function<void(std::size_t)> on_submitted_;
+  std::function<void(std::size_t)> on_queued_;
   std::vector<char> input_;
   std::size_t input_size_ = 0;
   std::string pending_;
-  std::deque<std::string> bulk_;
-  std::size_t bulk_bytes_ = 0;
   std::string writing_;
   MonotonicTime last_received_;
   std::uint64_t queued_bytes_ = 0;
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -184,6 +184,8 @@
   call.remaining = exchange->deadline - now;
   call.expected_run =
       Duration(static_cast<std::int64_t>(exchange->statistics->run_us.value()));
+  call.expected_bytes =
+      static_cast<std::size_t>(exchange->statistics->answer_bytes.value());
   call.wait_allowance = mesh::ChooseLongestWait(
       route.target_latency, now - exchange->arrived, call.expected_run);
   placement_.Update(node_, parts_.receiver.service(),
@@ -191,7 +193,7 @@
   const mesh::Placement::Request request{
       .service = call.service,
       .expected_run = call.expected_run,
-      .expected_bytes = exchange->statistics->answer_bytes.value(),
+      .expected_bytes = static_cast<double>(call.expected_bytes),
       .wait_allowance = call.wait_allowance,
       .target_latency = route.target_latency};
   const auto decision =
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -34,7 +34,7 @@
   slownessPermille @5 :UInt32;
   # Share of requests that the backend server refuses or fails, in thousandths.
   failurePermille @6 :UInt16;
-  # Time for which an answer waits on the instance's link.
+  # Time that the instance's link needs for the answers that it has promised.
   linkWaitUs @7 :UInt32;
 }
 
@@ -76,6 +76,8 @@
   fingerprint @10 :UInt64;
   priority @11 :UInt8;
   isRepeatable @12 :Bool;
+  # Mean size of the route's answers, 0 if unknown.
+  expectedBytes @13 :UInt32;
 }
 
 struct Cancel {
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e70b6789b3437c1b, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(e70b6789b3437c1b, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -872,6 +872,8 @@
 
   inline bool getIsRepeatable() const;
 
+  inline  ::uint32_t getExpectedBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -963,6 +965,9 @@
   inline bool getIsRepeatable();
   inline void setIsRepeatable(bool value);
 
+  inline  ::uint32_t getExpectedBytes();
+  inline void setExpectedBytes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2891,6 +2896,20 @@
       ::capnp::bounded<168>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Call::Reader::getExpectedBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Call::Builder::getExpectedBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setExpectedBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Cancel::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -34,10 +34,11 @@
 }  // namespace
 
 LinkClient::LinkClient(EventLoop& loop, NodeIdentity self, RandomSource& random,
-                       Callbacks callbacks)
+                       mesh::LinkBacklog& backlog, Callbacks callbacks)
     : loop_(loop),
       self_(std::move(self)),
       random_(random),
+      backlog_(backlog),
       callbacks_(std::move(callbacks)),
       silence_timer_(loop),
       selection_timer_(loop) {
@@ -149,6 +150,9 @@
 
 void LinkClient::OnConnected(Peer& peer, Tcp::socket socket) {
   peer.connection = std::make_shared<FramedConnection>(std::move(socket));
+  peer.connection->set_on_queued([this](std::size_t bytes) {
+    backlog_.Add(MonotonicClock::now(), bytes);
+  });
   peer.connection->Start(
       [this, &peer](wire::Frame::Reader frame, std::string_view body) {
         OnFrame(peer, frame, body);
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -14,6 +14,7 @@
 
 #include "core/random.h"
 #include "core/time.h"
+#include "mesh/link_backlog.h"
 #include "sidecar/call.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/framed_connection.h"
@@ -39,8 +40,9 @@
     std::function<void(const NodeIdentity&)> on_member;
   };
 
+  // `backlog` is that of the instance's link and outlives the client.
   LinkClient(EventLoop& loop, NodeIdentity self, RandomSource& random,
-             Callbacks callbacks);
+             mesh::LinkBacklog& backlog, Callbacks callbacks);
   ~LinkClient();
 
   // Takes in a node, or new facts of a known one; returns whether there were
@@ -97,6 +99,7 @@
   EventLoop& loop_;
   const NodeIdentity self_;
   RandomSource& random_;
+  mesh::LinkBacklog& backlog_;
   Callbacks callbacks_;
   // Never erased: pointers to entries stay valid.
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -254,6 +254,7 @@
   builder.setRemainingMs(ToMs(call.remaining));
   builder.setWaitAllowanceMs(ToMs(call.wait_allowance));
   builder.setExpectedRunUs(Saturate<std::uint32_t>(call.expected_run.count()));
+  builder.setExpectedBytes(Saturate<std::uint32_t>(call.expected_bytes));
   builder.setFingerprint(call.fingerprint);
   builder.setPriority(Saturate<std::uint8_t>(call.priority));
   builder.setIsRepeatable(call.is_repeatable);
@@ -271,6 +272,7 @@
       .remaining = std::chrono::milliseconds(reader.getRemainingMs()),
       .wait_allowance = std::chrono::milliseconds(reader.getWaitAllowanceMs()),
       .expected_run = std::chrono::microseconds(reader.getExpectedRunUs()),
+      .expected_bytes = reader.getExpectedBytes(),
       .fingerprint = reader.getFingerprint(),
       .priority = reader.getPriority(),
       .is_repeatable = reader.getIsRepeatable()};
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -24,11 +24,14 @@
 
 // A change of this many requests is told at the next check.
 constexpr int kMaterialChange = 3;
-constexpr Duration kMaterialLinkWait = std::chrono::milliseconds(50);
+// About one download of 90 kB at 5 Mbit/s.
+constexpr Duration kMaterialLinkWait = std::chrono::milliseconds(100);
 
-// Larger bodies are sent in parts of this size, between which small frames go
-// out: at 5 Mbit/s a part takes 26 ms.
-constexpr std::size_t kPartBytes = std::size_t{16} << 10U;
+// A node that is slow to read gets no further part while more than this waits
+// for it, and others go first.
+constexpr std::size_t kMostUnsentBytes = std::size_t{64} << 10U;
+// Time after which such nodes are looked at again.
+constexpr Duration kUnsentCheckInterval = std::chrono::milliseconds(10);
 
 bool IsFull(const mesh::BackendLoad& load) {
   return load.running + load.waiting >= load.slots;
@@ -48,27 +51,26 @@
 
 }  // namespace
 
-Result<std::unique_ptr<LinkServer>> LinkServer::Create(EventLoop& loop,
-                                                       const Address& address,
-                                                       Receiver& receiver,
-                                                       double link_mbps,
-                                                       Callbacks callbacks) {
+Result<std::unique_ptr<LinkServer>> LinkServer::Create(
+    EventLoop& loop, const Address& address, Receiver& receiver,
+    mesh::LinkBacklog& backlog, Callbacks callbacks) {
   OLEANDERTIDE_TRY(acceptor, Listen(loop, address));
   std::unique_ptr<LinkServer> server(new LinkServer(
-      loop, std::move(acceptor), receiver, link_mbps, std::move(callbacks)));
+      loop, std::move(acceptor), receiver, backlog, std::move(callbacks)));
   server->Accept();
   server->ScheduleBroadcast();
   return server;
 }
 
 LinkServer::LinkServer(EventLoop& loop, Tcp::acceptor acceptor,
-                       Receiver& receiver, double link_mbps,
+                       Receiver& receiver, mesh::LinkBacklog& backlog,
                        Callbacks callbacks)
     : acceptor_(std::move(acceptor)),
       broadcast_timer_(loop),
       accept_timer_(loop),
       receiver_(receiver),
-      backlog_(link_mbps),
+      backlog_(backlog),
+      part_timer_(loop),
       callbacks_(std::move(callbacks)) {}
 
 LinkServer::~LinkServer() {
@@ -89,7 +91,7 @@
     }
     auto session = std::make_shared<Session>();
     session->connection = std::make_shared<FramedConnection>(std::move(socket));
-    session->connection->set_on_submitted([this](std::size_t bytes) {
+    session->connection->set_on_queued([this](std::size_t bytes) {
       backlog_.Add(MonotonicClock::now(), bytes);
     });
     sessions_.insert(session);
@@ -123,9 +125,12 @@
       return;
     case wire::Frame::CANCEL: {
       const auto found = session->calls.find(frame.getCancel().getId());
-      if (found == session->calls.end()) return;
-      const CallId local = found->second;
-      session->calls.erase(found);
+      if (found == session->calls.end()) {
+        DropAnswer(session, frame.getCancel().getId());
+        return;
+      }
+      const CallId local = found->second.local;
+      ForgetCall(*session, found->first);
       receiver_.Cancel(local);
       return;
     }
@@ -145,51 +150,125 @@
 }
 
 void LinkServer::OnCall(const std::shared_ptr<Session>& session,
-                        wire::Call::Reader call, std::string_view body) {
-  const CallId id = call.getId();
+                        wire::Call::Reader reader, std::string_view body) {
+  const CallId id = reader.getId();
+  Call call = Decode(reader, body);
   // Entered first, since the outcome may come before Submit returns.
-  session->calls[id] = 0;
+  session->calls[id] = {.expected_bytes = call.expected_bytes};
+  promised_bytes_ += call.expected_bytes;
   const CallId local = receiver_.Submit(
-      Decode(call, body), [this, session, id](const mesh::Outcome& outcome) {
-        session->calls.erase(id);
-        SendAnswer(*session->connection, id, outcome);
+      std::move(call), [this, session, id](mesh::Outcome outcome) {
+        ForgetCall(*session, id);
+        SendAnswer(session, id, std::move(outcome));
       });
   if (const auto found = session->calls.find(id);
       found != session->calls.end()) {
-    found->second = local;
+    found->second.local = local;
   }
 }
 
+void LinkServer::ForgetCall(Session& session, CallId id) {
+  const auto found = session.calls.find(id);
+  if (found == session.calls.end()) return;
+  promised_bytes_ -= found->second.expected_bytes;
+  session.calls.erase(found);
+}
+
+Duration LinkServer::link_wait() const {
+  return backlog_.Wait(MonotonicClock::now()) +
+         backlog_.TransferTime(schedule_.bytes() + promised_bytes_);
+}
+
 mesh::BackendLoad LinkServer::MakeLoad() const {
   mesh::BackendLoad load = receiver_.load();
   load.link_wait = link_wait();
   return load;
 }
 
-void LinkServer::SendAnswer(FramedConnection& connection, CallId id,
-                            const mesh::Outcome& outcome) {
+void LinkServer::SendAnswer(const std::shared_ptr<Session>& session, CallId id,
+                            mesh::Outcome outcome) {
   const auto* completed = std::get_if<mesh::Completed>(&outcome);
-  std::string_view body;
-  if (completed != nullptr) body = completed->body;
-  const bool is_large = body.size() > kPartBytes;
-  while (body.size() > kPartBytes) {
-    capnp::MallocMessageBuilder part;
-    part.initRoot<wire::Frame>().initBodyPart().setId(id);
-    connection.SendBulk(part, body.substr(0, kPartBytes));
-    body.remove_prefix(kPartBytes);
+  if (completed != nullptr &&
+      completed->body.size() > mesh::ChoosePartBytes(backlog_.mbps())) {
+    const auto ticket = next_ticket_++;
+    schedule_.Add(ticket, completed->body.size());
+    bulk_.emplace(ticket, BulkAnswer{session, id, std::move(outcome)});
+    SendParts();
+    return;
   }
   capnp::MallocMessageBuilder message;
   Encode(id, outcome, MakeLoad(), message.initRoot<wire::Frame>().initAnswer());
-  if (is_large) {
-    connection.SendBulk(message, body);
+  session->connection->Send(message, completed != nullptr
+                                         ? std::string_view(completed->body)
+                                         : std::string_view());
+}
+
+void LinkServer::DropAnswer(const std::shared_ptr<Session>& session,
+                            CallId id) {
+  const auto found = std::ranges::find_if(bulk_, [&](const auto& entry) {
+    return entry.second.id == id && entry.second.session.lock() == session;
+  });
+  if (found == bulk_.end()) return;
+  schedule_.Remove(found->first);
+  bulk_.erase(found);
+}
+
+void LinkServer::SendParts() {
+  if (is_part_due_) return;
+  Duration delay{};
+  while (delay == Duration::zero() && !schedule_.is_empty()) {
+    const auto ticket = schedule_.Next([this](auto candidate) {
+      const auto session = bulk_.at(candidate).session.lock();
+      return !session || session->connection->is_closed() ||
+             session->connection->unsent_bytes() < kMostUnsentBytes;
+    });
+    if (ticket) SendPart(*ticket);
+    delay = ticket ? mesh::ChoosePartDelay(backlog_.Wait(MonotonicClock::now()))
+                   : kUnsentCheckInterval;
+  }
+  if (schedule_.is_empty()) return;
+  is_part_due_ = true;
+  part_timer_.expires_after(delay);
+  part_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    is_part_due_ = false;
+    SendParts();
+  });
+}
+
+void LinkServer::SendPart(mesh::BulkSchedule::Ticket ticket) {
+  BulkAnswer& answer = bulk_.at(ticket);
+  const auto session = answer.session.lock();
+  if (!session || session->connection->is_closed()) {
+    schedule_.Remove(ticket);
+    bulk_.erase(ticket);
+    return;
+  }
+  const std::string_view left =
+      std::string_view(std::get<mesh::Completed>(answer.outcome).body)
+          .substr(answer.sent);
+  const std::string_view part =
+      left.substr(0, mesh::ChoosePartBytes(backlog_.mbps()));
+  capnp::MallocMessageBuilder message;
+  auto frame = message.initRoot<wire::Frame>();
+  const bool is_last = part.size() == left.size();
+  if (is_last) {
+    Encode(answer.id, answer.outcome, MakeLoad(), frame.initAnswer());
   } else {
-    connection.Send(message, body);
+    frame.initBodyPart().setId(answer.id);
   }
+  session->connection->Send(message, part);
+  schedule_.RecordSent(ticket, part.size());
+  answer.sent += part.size();
+  if (is_last) bulk_.erase(ticket);
 }
 
 void LinkServer::OnClosed(const std::shared_ptr<Session>& session) {
   const auto calls = std::exchange(session->calls, {});
-  for (const auto& [id, local] : calls) receiver_.Cancel(local);
+  for (const auto& [id, call] : calls) {
+    promised_bytes_ -= call.expected_bytes;
+    receiver_.Cancel(call.local);
+  }
   sessions_.erase(session);
 }
 
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -3,7 +3,9 @@
 #ifndef OLEANDERTIDE_SIDECAR_LINK_SERVER_H_
 #define OLEANDERTIDE_SIDECAR_LINK_SERVER_H_
 
+#include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +16,7 @@
 #include "core/address.h"
 #include "core/result.h"
 #include "core/time.h"
+#include "mesh/bulk_schedule.h"
 #include "mesh/link_backlog.h"
 #include "sidecar/call.h"
 #include "sidecar/event_loop.h"
@@ -39,32 +42,46 @@
         make_update;
   };
 
-  // Listens on `address`; `link_mbps` is the bandwidth of the instance's link.
+  // Listens on `address`; `backlog` is that of the instance's link and outlives
+  // the server.
   static Result<std::unique_ptr<LinkServer>> Create(EventLoop& loop,
                                                     const Address& address,
                                                     Receiver& receiver,
-                                                    double link_mbps,
+                                                    mesh::LinkBacklog& backlog,
                                                     Callbacks callbacks);
   ~LinkServer();
 
   // Sends the status to all links now.
   void Broadcast();
 
-  // Time for which an answer waits on the instance's link.
-  Duration link_wait() const { return backlog_.Wait(MonotonicClock::now()); }
+  // Time that the instance's link needs for what it was given and for the
+  // answers to calls that are in progress.
+  Duration link_wait() const;
 
   // Tells all links of another node.
   void Forward(const NodeIdentity& node);
 
  private:
+  struct PendingCall {
+    // Id at the receiver.
+    CallId local = 0;
+    std::size_t expected_bytes = 0;
+  };
   struct Session {
     std::shared_ptr<FramedConnection> connection;
-    // By the id that the other node gave: the id at the receiver.
-    std::unordered_map<CallId, CallId> calls;
+    // By the id that the other node gave.
+    std::unordered_map<CallId, PendingCall> calls;
+  };
+  // A large answer that is sent in parts.
+  struct BulkAnswer {
+    std::weak_ptr<Session> session;
+    CallId id = 0;
+    mesh::Outcome outcome;
+    std::size_t sent = 0;
   };
 
   LinkServer(EventLoop& loop, Tcp::acceptor acceptor, Receiver& receiver,
-             double link_mbps, Callbacks callbacks);
+             mesh::LinkBacklog& backlog, Callbacks callbacks);
   void Accept();
   void ScheduleBroadcast();
   void OnFrame(const std::shared_ptr<Session>& session,
@@ -72,15 +89,28 @@
   void OnCall(const std::shared_ptr<Session>& session, wire::Call::Reader call,
               std::string_view body);
   void OnClosed(const std::shared_ptr<Session>& session);
-  void SendAnswer(FramedConnection& connection, CallId id,
-                  const mesh::Outcome& outcome);
+  void ForgetCall(Session& session, CallId id);
+  void SendAnswer(const std::shared_ptr<Session>& session, CallId id,
+                  mesh::Outcome outcome);
+  // Ends the answer to a call if it has not been sent in full.
+  void DropAnswer(const std::shared_ptr<Session>& session, CallId id);
+  void SendParts();
+  void SendPart(mesh::BulkSchedule::Ticket ticket);
   mesh::BackendLoad MakeLoad() const;
 
   Tcp::acceptor acceptor_;
   Timer broadcast_timer_;
   Timer accept_timer_;
   Receiver& receiver_;
-  mesh::LinkBacklog backlog_;
+  mesh::LinkBacklog& backlog_;
+  mesh::BulkSchedule schedule_;
+  // Large answers, by their tickets in the schedule.
+  std::map<mesh::BulkSchedule::Ticket, BulkAnswer> bulk_;
+  mesh::BulkSchedule::Ticket next_ticket_ = 1;
+  Timer part_timer_;
+  bool is_part_due_ = false;
+  // Expected bytes of the answers to calls in progress.
+  std::size_t promised_bytes_ = 0;
   Callbacks callbacks_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   mesh::BackendLoad announced_load_;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -8,6 +8,7 @@
 #include "core/random.h"
 #include "logging/log.h"
 #include "mesh/configuration_holder.h"
+#include "mesh/link_backlog.h"
 #include "platform/announcement_codec.h"
 #include "platform/names.h"
 #include "routing/quarantine.h"
@@ -77,7 +78,8 @@
                                 .drain_fence = settings.drain.fence},
                    .backend_address = settings.backend.address.ToString()},
                   quarantine_, metrics_),
-        links_(loop, identity_, random_, MakeLinkCallbacks()),
+        backlog_(settings.node.link_mbps),
+        links_(loop, identity_, random_, backlog_, MakeLinkCallbacks()),
         ingress_({.loop = loop,
                   .receiver = receiver_,
                   .links = links_,
@@ -109,7 +111,7 @@
     OLEANDERTIDE_TRY(
         link_server,
         LinkServer::Create(
-            loop_, listen.peers, receiver_, settings_.node.link_mbps,
+            loop_, listen.peers, receiver_, backlog_,
             {.on_hello =
                  [this](const NodeIdentity& node) { OnMemberTold(node); },
              .make_status = [this] { return MakeStatus(); },
@@ -345,6 +347,7 @@
   routing::Quarantine quarantine_;
   mesh::ConfigurationHolder holder_;
   Receiver receiver_;
+  mesh::LinkBacklog backlog_;
   LinkClient links_;
   Ingress ingress_;
   StoreClient store_;
