sidecar: Compress configurations between nodes and fetch one copy

A node that had restarted took calls 0.7 to 1.2 s late: its link of 5 Mbit/s was busy with several copies of the configuration (1,600 routes, 300 kB, 0.5 s each; one from each node that was asked every 400 ms, one from the store). Requests were given up in the meantime. Ruled out: the stop itself (the request was placed before the SIGTERM of the ingress).

Messages of 4 kB or more are compressed with Zstandard, a node without a configuration asks one node at a time, and reads the store only if no other node brings it within 700 ms. A check for silent links that is itself late does not close links.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -10,6 +10,7 @@
 pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
 pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
 
 # Adds every folder below ROOT that has a CMakeLists.txt.
 function(oleandertide_add_all ROOT)
--- a/libraries/mesh/admission_queue.cc
+++ b/libraries/mesh/admission_queue.cc
@@ -30,12 +30,13 @@
   return Duration(static_cast<std::int64_t>(run_time_us_.value()));
 }
 
-Duration AdmissionQueue::EstimateWait(const Key& key) const {
+Duration AdmissionQueue::EstimateWait(const Key& key, MonotonicTime now) const {
   if (slots_ == 0) return Duration::max();
   // With all slots busy, one frees itself after about a run time over slots.
   double work = run_time_us_.value();
   for (const auto& [other, waiting] : waiting_) {
     if (key < other) break;
+    if (std::get<MonotonicTime>(other) < now) continue;
     work += static_cast<double>(ExpectedRunHere(waiting.expected_run).count());
   }
   return Duration(static_cast<std::int64_t>(work / slots_));
@@ -49,7 +50,7 @@
     return Verdict::kStart;
   }
   const Key key{request.priority, now + request.wait_allowance, arrivals_++};
-  if (EstimateWait(key) > request.wait_allowance) return Verdict::kReject;
+  if (EstimateWait(key, now) > request.wait_allowance) return Verdict::kReject;
   waiting_.emplace(
       key, Waiting{ticket, request.expected_run, now + request.remaining});
   keys_.emplace(ticket, key);
@@ -59,7 +60,7 @@
 std::optional<AdmissionQueue::Ticket> AdmissionQueue::TakeNext(
     MonotonicTime now, std::vector<Ticket>& expired) {
   while (running_ < slots_ && !waiting_.empty()) {
-    const auto first = waiting_.begin();
+    const auto first = FindFirst(now);
     const Waiting waiting = first->second;
     keys_.erase(waiting.ticket);
     waiting_.erase(first);
@@ -73,6 +74,16 @@
   return std::nullopt;
 }
 
+AdmissionQueue::WaitingMap::iterator AdmissionQueue::FindFirst(
+    MonotonicTime now) {
+  const int rank = std::get<int>(waiting_.begin()->first);
+  const auto in_time = waiting_.lower_bound(Key{rank, now, 0});
+  if (in_time != waiting_.end() && std::get<int>(in_time->first) == rank) {
+    return in_time;
+  }
+  return waiting_.begin();
+}
+
 bool AdmissionQueue::IsHopeless(const Waiting& waiting,
                                 MonotonicTime now) const {
   const Duration needed =
--- a/libraries/mesh/admission_queue.h
+++ b/libraries/mesh/admission_queue.h
@@ -21,7 +21,9 @@
 // on arrival if its wait would exceed what the sender allows, since a refusal
 // after waiting costs the caller the time to go elsewhere. The most urgent
 // routes go first, and within a rank the request whose latest useful start is
-// nearest, so that short requests do not expire behind long ones.
+// nearest, so that short requests do not expire behind long ones. One that has
+// missed its start goes behind those that have not: otherwise every request is
+// started just when it is too late.
 //
 // Not thread-safe. Each ticket is in one of two states, waiting or running.
 class AdmissionQueue {
@@ -94,14 +96,19 @@
   // Rank, latest useful start, order of arrival.
   using Key = std::tuple<int, MonotonicTime, std::uint64_t>;
 
+  using WaitingMap = std::map<Key, Waiting>;
+
   bool IsHopeless(const Waiting& waiting, MonotonicTime now) const;
-  Duration EstimateWait(const Key& key) const;
+  Duration EstimateWait(const Key& key, MonotonicTime now) const;
+  // Returns the next of the most urgent rank. Those that can no longer be in
+  // time go behind those that can. Precondition: some request waits.
+  WaitingMap::iterator FindFirst(MonotonicTime now);
   Duration ExpectedRunHere(Duration expected_run) const;
 
   int slots_ = 0;
   int running_ = 0;
   std::uint64_t arrivals_ = 0;
-  std::map<Key, Waiting> waiting_;
+  WaitingMap waiting_;
   std::map<Ticket, Key> keys_;
   // Windows of samples: about a third of a second of a busy backend server.
   static constexpr int kRunWindow = 32;
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -21,6 +21,9 @@
 
 // At the first start of the system, links are open by then.
 constexpr Duration kFirstStartPatience = std::chrono::milliseconds(3500);
+// At any other start, other nodes bring the configuration within this time:
+// links are open after some 200 ms.
+constexpr Duration kRestartPatience = std::chrono::milliseconds(700);
 
 // Pause after a call that failed.
 constexpr Duration kShortestPause = std::chrono::milliseconds(100);
@@ -32,6 +35,9 @@
 constexpr Duration kOtherDataCentreDelay = std::chrono::milliseconds(200);
 // A node that does not answer a request within this time is not waited for.
 constexpr Duration kRequestLimit = std::chrono::milliseconds(400);
+// The same for a whole configuration: on a link of 5 Mbit/s it takes up to half
+// a second, and a second copy beside it would hold up all requests.
+constexpr Duration kWholeRequestLimit = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -42,9 +48,8 @@
       self_(std::move(self)),
       on_changed_(std::move(on_changed)),
       timer_(parts.loop) {
-  if (is_first_start) {
-    patient_until_ = MonotonicClock::now() + kFirstStartPatience;
-  }
+  patient_until_ = MonotonicClock::now() +
+                   (is_first_start ? kFirstStartPatience : kRestartPatience);
 }
 
 void ConfigurationSource::Start() { Tick(); }
@@ -65,6 +70,7 @@
       age == Duration::max() ? kUnconfirmedSeconds
                              : std::chrono::duration<double>(age).count());
   if (is_reading_ || now < backoff_until_) return;
+  if (!parts_.holder.current() && is_request_pending(now)) return;
   std::vector<mesh::ReaderCandidate> peers;
   for (const NodeIdentity& peer : links_->connected()) {
     if (peer.data_centre != self_.data_centre) continue;
@@ -135,7 +141,7 @@
     return;
   }
   if (version < parts_.holder.version()) return;
-  if (requested_at_ && now - *requested_at_ < kRequestLimit) return;
+  if (is_request_pending(now)) return;
   if (peer.data_centre == self_.data_centre) {
     Request(peer.name);
     return;
@@ -151,10 +157,19 @@
   });
 }
 
+std::uint64_t ConfigurationSource::base_version() const {
+  return needs_whole_ ? 0 : parts_.holder.version();
+}
+
+bool ConfigurationSource::is_request_pending(MonotonicTime now) const {
+  if (!requested_at_) return false;
+  return now - *requested_at_ <
+         (base_version() == 0 ? kWholeRequestLimit : kRequestLimit);
+}
+
 void ConfigurationSource::Request(const std::string& node) {
   requested_at_ = MonotonicClock::now();
-  links_->RequestConfiguration(node,
-                               needs_whole_ ? 0 : parts_.holder.version());
+  links_->RequestConfiguration(node, base_version());
 }
 
 void ConfigurationSource::OnUpdate(const mesh::ConfigurationUpdate& update) {
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -60,6 +60,10 @@
   void Follow();
   void Offer(mesh::Configuration configuration, std::string_view source);
   void OnText(std::string_view text);
+  // Version from which other nodes are to tell what changed; 0 asks for all.
+  std::uint64_t base_version() const;
+  // Whether a node was asked and may still answer.
+  bool is_request_pending(MonotonicTime now) const;
   void Request(const std::string& node);
   void OnRows(const Result<platform::RowList>& rows);
 
--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -3,6 +3,7 @@
 #include <capnp/serialize.h>
 #include <kj/array.h>
 #include <kj/exception.h>
+#include <zstd.h>
 
 #include <algorithm>
 #include <array>
@@ -10,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
+#include <optional>
 #include <utility>
 
 #include "logging/log.h"
@@ -45,16 +47,68 @@
   }
 }
 
+// Configurations of 1,600 routes have some 300 kB, which is half a second on a
+// link of 5 Mbit/s; compressed they have a third or less.
+constexpr std::size_t kCompressedFrom = 4096;
+// The fastest of the usual levels: the processor's share is as small.
+constexpr int kCompressionLevel = 1;
+constexpr std::uint32_t kCompressedFlag = 1U << 31U;
+
+// Returns the compressed bytes; nothing if that fails.
+std::optional<std::string> Compress(std::string_view bytes) {
+  std::string compressed(ZSTD_compressBound(bytes.size()), '\0');
+  const std::size_t size =
+      ZSTD_compress(compressed.data(), compressed.size(), bytes.data(),
+                    bytes.size(), kCompressionLevel);
+  if (ZSTD_isError(size) != 0) {
+    logging::Log(logging::Level::kError, "link", "compression failed",
+                 {{"why", ZSTD_getErrorName(size)}, {"bytes", bytes.size()}});
+    return std::nullopt;
+  }
+  compressed.resize(size);
+  return compressed;
+}
+
 void AppendFrame(std::string& output, capnp::MessageBuilder& message,
                  std::string_view body) {
   const auto words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
-  AppendLength(output, bytes.size());
+  const auto raw = words.asBytes();
+  std::string_view bytes(reinterpret_cast<const char*>(raw.begin()),
+                         raw.size());
+  std::optional<std::string> compressed;
+  if (bytes.size() >= kCompressedFrom) compressed = Compress(bytes);
+  if (compressed) bytes = *compressed;
+  AppendLength(output, bytes.size() | (compressed ? kCompressedFlag : 0));
   AppendLength(output, body.size());
-  output.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  output.append(bytes);
   output.append(body);
 }
 
+// Returns the message in aligned memory, as Cap'n Proto needs it; nothing if
+// the bytes are not one.
+std::optional<kj::Array<capnp::word>> ReadMessage(std::string_view bytes,
+                                                  bool is_compressed) {
+  unsigned long long size = bytes.size();
+  if (is_compressed) {
+    size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+    if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR) {
+      return std::nullopt;
+    }
+  }
+  if (size > kMaximumFrameBytes || size % sizeof(capnp::word) != 0) {
+    return std::nullopt;
+  }
+  auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
+  if (!is_compressed) {
+    std::memcpy(words.begin(), bytes.data(), bytes.size());
+    return words;
+  }
+  const std::size_t written =
+      ZSTD_decompress(words.begin(), size, bytes.data(), bytes.size());
+  if (ZSTD_isError(written) != 0 || written != size) return std::nullopt;
+  return words;
+}
+
 }  // namespace
 
 FramedConnection::FramedConnection(Tcp::socket socket)
@@ -145,23 +199,24 @@
 bool FramedConnection::ParseFrames() {
   std::size_t used = 0;
   while (!is_closed_ && input_size_ - used >= kHeadBytes) {
-    const std::size_t message_size = ReadLength(input_.data() + used);
+    const std::uint32_t coded_size = ReadLength(input_.data() + used);
+    const bool is_compressed = (coded_size & kCompressedFlag) != 0;
+    const std::size_t message_size = coded_size & ~kCompressedFlag;
     const std::size_t body_size = ReadLength(input_.data() + used + 4);
     const std::size_t total = kHeadBytes + message_size + body_size;
-    if (total > kMaximumFrameBytes || message_size % sizeof(capnp::word) != 0) {
-      return false;
-    }
+    if (total > kMaximumFrameBytes) return false;
     if (input_size_ - used < total) {
       if (input_.size() < total) input_.resize(total);
       break;
     }
-    // The message must be aligned in memory.
-    auto words = kj::heapArray<capnp::word>(message_size / sizeof(capnp::word));
-    std::memcpy(words.begin(), input_.data() + used + kHeadBytes, message_size);
+    const auto words = ReadMessage(
+        std::string_view(input_.data() + used + kHeadBytes, message_size),
+        is_compressed);
+    if (!words) return false;
     const std::string_view body(
         input_.data() + used + kHeadBytes + message_size, body_size);
     try {
-      capnp::FlatArrayMessageReader reader(words);
+      capnp::FlatArrayMessageReader reader(*words);
       on_frame_(reader.getRoot<wire::Frame>(), body);
     } catch (const kj::Exception&) {
       return false;
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -1,7 +1,8 @@
 @0xb9a1f0c6d2e84a57;
 # Messages between nodes. A frame is the length of the message and the length
 # of the body that follows it (32 bits each, little endian), the message, and
-# the body: that of a request or an answer.
+# the body: that of a request or an answer. The highest bit of the first length
+# tells that the message is compressed with Zstandard.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("oleandertide::sidecar::wire");
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -18,6 +18,9 @@
 // long is taken as lost.
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(1200);
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(100);
+// A check that is later than this shows that the node itself stood still: what
+// arrived meanwhile has not been read, so silence means nothing yet.
+constexpr Duration kLateCheck = std::chrono::milliseconds(300);
 
 // Nodes that are learnt together are considered together.
 constexpr Duration kSelectionDelay = std::chrono::milliseconds(10);
@@ -289,18 +292,26 @@
 }
 
 void LinkClient::CheckSilence() {
+  const MonotonicTime due = MonotonicClock::now() + kSilenceCheckInterval;
   silence_timer_.expires_after(kSilenceCheckInterval);
-  silence_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
-    const MonotonicTime now = MonotonicClock::now();
-    for (auto& [name, peer] : peers_) {
-      if (!peer->connection) continue;
-      if (now - peer->connection->last_received() > kSilenceLimit) {
-        peer->connection->Close();
-      }
-    }
-    CheckSilence();
-  });
+  silence_timer_.async_wait(
+      [this, due](const boost::system::error_code& error) {
+        if (error) return;
+        const MonotonicTime now = MonotonicClock::now();
+        if (now - due > kLateCheck) {
+          logging::Log(Level::kWarning, "node", "stood still",
+                       {{"late_ms", ToMilliseconds(now - due)}});
+          CheckSilence();
+          return;
+        }
+        for (auto& [name, peer] : peers_) {
+          if (!peer->connection) continue;
+          if (now - peer->connection->last_received() > kSilenceLimit) {
+            peer->connection->Close();
+          }
+        }
+        CheckSilence();
+      });
 }
 
 }  // namespace oleandertide::sidecar
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache pkg-config git clang-format clang-tidy python3
   libabsl-dev libcapnp-dev capnproto libboost-dev libcpp-httplib-dev
   libgflags-dev libspdlog-dev libfmt-dev catch2 libinih-dev librapidcheck-dev
-  libxxhash-dev nlohmann-json3-dev libbenchmark-dev liburcu-dev
+  libxxhash-dev libzstd-dev nlohmann-json3-dev libbenchmark-dev liburcu-dev
 )
 missing=()
 for package in "${packages[@]}"; do
