mesh: Let late requests go first where others can wait

Cause: 'in time first' without regard for slack starves calls of backend servers, whose allowance is short, behind requests that could wait.

--- a/libraries/mesh/admission_queue.cc
+++ b/libraries/mesh/admission_queue.cc
@@ -76,12 +76,18 @@
 
 AdmissionQueue::WaitingMap::iterator AdmissionQueue::FindFirst(
     MonotonicTime now) {
-  const int rank = std::get<int>(waiting_.begin()->first);
+  const auto first = waiting_.begin();
+  const int rank = std::get<int>(first->first);
   const auto in_time = waiting_.lower_bound(Key{rank, now, 0});
-  if (in_time != waiting_.end() && std::get<int>(in_time->first) == rank) {
-    return in_time;
+  if (in_time == waiting_.end() || std::get<int>(in_time->first) != rank) {
+    return first;
   }
-  return waiting_.begin();
+  // Time until the next slot frees itself.
+  const Duration interval(
+      static_cast<std::int64_t>(run_time_us_.value() / slots_));
+  const bool can_wait =
+      std::get<MonotonicTime>(in_time->first) - now > interval;
+  return can_wait ? first : in_time;
 }
 
 bool AdmissionQueue::IsHopeless(const Waiting& waiting,
--- a/libraries/mesh/admission_queue.h
+++ b/libraries/mesh/admission_queue.h
@@ -22,7 +22,7 @@
 // after waiting costs the caller the time to go elsewhere. The most urgent
 // routes go first, and within a rank the request whose latest useful start is
 // nearest, so that short requests do not expire behind long ones. One that has
-// missed its start goes behind those that have not: otherwise every request is
+// missed its start makes no other miss it: otherwise every request would be
 // started just when it is too late.
 //
 // Not thread-safe. Each ticket is in one of two states, waiting or running.
@@ -100,8 +100,9 @@
 
   bool IsHopeless(const Waiting& waiting, MonotonicTime now) const;
   Duration EstimateWait(const Key& key, MonotonicTime now) const;
-  // Returns the next of the most urgent rank. Those that can no longer be in
-  // time go behind those that can. Precondition: some request waits.
+  // Returns the next of the most urgent rank. One that can no longer be in time
+  // goes first only if the others can wait for the slot after it.
+  // Precondition: some request waits.
   WaitingMap::iterator FindFirst(MonotonicTime now);
   Duration ExpectedRunHere(Duration expected_run) const;
 
