--- a/libraries/mesh/admission_queue.cc
+++ b/libraries/mesh/admission_queue.cc
@@ -149,9 +149,13 @@
 }
 
 BackendLoad AdmissionQueue::load() const {
+  RankCounts waiting_by_rank{};
+  for (const auto& [key, request] : waiting_) {
+    ++waiting_by_rank[ToRank(std::get<int>(key))];
+  }
   return {.slots = slots_,
           .running = running_,
-          .waiting = waiting(),
+          .waiting = waiting_by_rank,
           .mean_run_time =
               Duration(static_cast<std::int64_t>(run_time_us_.value())),
           .slowness = slowness_.value(),
--- a/libraries/mesh/outcome.h
+++ b/libraries/mesh/outcome.h
@@ -3,7 +3,11 @@
 #ifndef OLEANDERTIDE_MESH_OUTCOME_H_
 #define OLEANDERTIDE_MESH_OUTCOME_H_
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <numeric>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -73,12 +77,24 @@
 
 using Outcome = std::variant<Completed, NotRun, Unknown>;
 
+// Ranks of routes that loads tell apart; less urgent ones count as the last.
+inline constexpr std::size_t kRankCount = 4;
+
+// Number of requests by rank, the most urgent first.
+using RankCounts = std::array<int, kRankCount>;
+
+// Position of a route's priority in RankCounts. Thread-safe.
+inline std::size_t ToRank(int priority) {
+  return static_cast<std::size_t>(
+      std::clamp(priority, 0, static_cast<int>(kRankCount) - 1));
+}
+
 // Load of a backend server, as the node beside it sees it.
 struct BackendLoad {
   bool accepts_requests = false;
   int slots = 0;
   int running = 0;
-  int waiting = 0;
+  RankCounts waiting{};
   // Mean time for which a request holds a slot; zero if unknown.
   Duration mean_run_time{};
   // Run times in relation to those of other backend servers of the service.
@@ -88,6 +104,14 @@
   // Time that the instance's link needs for the answers that it has promised.
   Duration link_wait{};
 
+  // Requests that wait and go before a new one of `priority`.
+  int waiting_before(int priority) const {
+    return std::accumulate(waiting.begin(),
+                           waiting.begin() + ToRank(priority) + 1, 0);
+  }
+
+  int all_waiting() const { return waiting_before(kRankCount); }
+
   bool operator==(const BackendLoad&) const = default;
 };
 
--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -1,6 +1,7 @@
 #include "mesh/placement.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace oleandertide::mesh {
 namespace {
@@ -49,6 +50,7 @@
   candidate.service = service;
   candidate.location = location;
   candidate.load = load;
+  candidate.unreported_by_rank = {};
   candidate.unreported = 0;
   candidate.unreported_bytes = 0;
 }
@@ -57,6 +59,7 @@
   const auto found = candidates_.find(node);
   if (found == candidates_.end()) return;
   found->second.load = load;
+  found->second.unreported_by_rank = {};
   found->second.unreported = 0;
   found->second.unreported_bytes = 0;
 }
@@ -66,10 +69,14 @@
   if (found != candidates_.end()) candidates_.erase(found);
 }
 
-Duration Placement::EstimateWait(const Candidate& candidate) {
+Duration Placement::EstimateWait(const Candidate& candidate, int priority) {
   const BackendLoad& load = candidate.load;
-  const int ahead =
-      load.running + load.waiting + candidate.unreported - load.slots + 1;
+  // Those of less urgent routes that wait do not hold up the request.
+  const int unreported = std::accumulate(
+      candidate.unreported_by_rank.begin(),
+      candidate.unreported_by_rank.begin() + ToRank(priority) + 1, 0);
+  const int ahead = load.running + load.waiting_before(priority) + unreported -
+                    load.slots + 1;
   if (ahead <= 0) return Duration::zero();
   return load.mean_run_time * ahead / std::max(load.slots, 1);
 }
@@ -78,9 +85,9 @@
                         Duration wait) {
   const BackendLoad& load = candidate.load;
   const double run = Microseconds(request.expected_run) * load.slowness;
-  const double used =
-      static_cast<double>(load.running + load.waiting + candidate.unreported) /
-      std::max(load.slots, 1);
+  const double used = static_cast<double>(load.running + load.all_waiting() +
+                                          candidate.unreported) /
+                      std::max(load.slots, 1);
   double score = Microseconds(wait) + run;
   score += run * kCrowdingCharge * std::max(0.0, used - kCrowdingFrom);
   score += load.failure_share * kFailureCharge *
@@ -116,7 +123,7 @@
     if (!candidate.load.accepts_requests) continue;
     if (std::ranges::find(excluded, node) != excluded.end()) continue;
     is_any_accepting = true;
-    const Duration wait = EstimateWait(candidate);
+    const Duration wait = EstimateWait(candidate, request.priority);
     shortest_wait = std::min(shortest_wait, wait);
     if (wait > request.wait_allowance) continue;
     const double score =
@@ -129,8 +136,9 @@
     best_score = score;
   }
   if (best != nullptr) {
-    const Duration wait = EstimateWait(*best);
+    const Duration wait = EstimateWait(*best, request.priority);
     ++best->unreported;
+    ++best->unreported_by_rank[ToRank(request.priority)];
     best->unreported_bytes += request.expected_bytes;
     return Choice{*best_node, wait};
   }
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -29,6 +29,8 @@
  public:
   struct Request {
     std::string_view service;
+    // Rank of the route; 0 is the most urgent.
+    int priority = 0;
     Duration expected_run{};
     // Bytes of the answer, usually.
     double expected_bytes = 0;
@@ -80,13 +82,14 @@
     std::string service;
     Location location;
     BackendLoad load;
-    // Requests sent since the report.
+    // Requests sent since the report, by rank, and their number.
+    RankCounts unreported_by_rank{};
     int unreported = 0;
     // Bytes of the answers to these that take the candidate's link.
     double unreported_bytes = 0;
   };
 
-  static Duration EstimateWait(const Candidate& candidate);
+  static Duration EstimateWait(const Candidate& candidate, int priority);
   static double Score(const Candidate& candidate, const Request& request,
                       Duration wait);
 
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -192,6 +192,7 @@
                     {.is_in_own_data_centre = true}, parts_.receiver.load());
   const mesh::Placement::Request request{
       .service = call.service,
+      .priority = route.priority,
       .expected_run = call.expected_run,
       .expected_bytes = static_cast<double>(call.expected_bytes),
       .wait_allowance = call.wait_allowance,
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -28,7 +28,11 @@
   accepts @0 :Bool;
   slots @1 :UInt16;
   running @2 :UInt16;
-  waiting @3 :UInt16;
+  # Waiting requests of the three most urgent ranks, and of all others.
+  waitingFirst @3 :UInt16;
+  waitingSecond @8 :UInt16;
+  waitingThird @9 :UInt16;
+  waitingOthers @10 :UInt16;
   # Mean time for which a request holds a slot.
   meanRunUs @4 :UInt32;
   # Run times here in relation to those of all backend servers, in thousandths.
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -85,7 +85,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5dec65f0f9772d2, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c5dec65f0f9772d2, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -522,7 +522,7 @@
 
   inline  ::uint16_t getRunning() const;
 
-  inline  ::uint16_t getWaiting() const;
+  inline  ::uint16_t getWaitingFirst() const;
 
   inline  ::uint32_t getMeanRunUs() const;
 
@@ -532,6 +532,12 @@
 
   inline  ::uint32_t getLinkWaitUs() const;
 
+  inline  ::uint16_t getWaitingSecond() const;
+
+  inline  ::uint16_t getWaitingThird() const;
+
+  inline  ::uint16_t getWaitingOthers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -569,8 +575,8 @@
   inline  ::uint16_t getRunning();
   inline void setRunning( ::uint16_t value);
 
-  inline  ::uint16_t getWaiting();
-  inline void setWaiting( ::uint16_t value);
+  inline  ::uint16_t getWaitingFirst();
+  inline void setWaitingFirst( ::uint16_t value);
 
   inline  ::uint32_t getMeanRunUs();
   inline void setMeanRunUs( ::uint32_t value);
@@ -584,6 +590,15 @@
   inline  ::uint32_t getLinkWaitUs();
   inline void setLinkWaitUs( ::uint32_t value);
 
+  inline  ::uint16_t getWaitingSecond();
+  inline void setWaitingSecond( ::uint16_t value);
+
+  inline  ::uint16_t getWaitingThird();
+  inline void setWaitingThird( ::uint16_t value);
+
+  inline  ::uint16_t getWaitingOthers();
+  inline void setWaitingOthers( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2299,16 +2314,16 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getWaiting() const {
+inline  ::uint16_t Load::Reader::getWaitingFirst() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getWaiting() {
+inline  ::uint16_t Load::Builder::getWaitingFirst() {
   return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setWaiting( ::uint16_t value) {
+inline void Load::Builder::setWaitingFirst( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
@@ -2369,6 +2384,48 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Load::Reader::getWaitingSecond() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getWaitingSecond() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setWaitingSecond( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getWaitingThird() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getWaitingThird() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setWaitingThird( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getWaitingOthers() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getWaitingOthers() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setWaitingOthers( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashReport::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -183,7 +183,10 @@
   builder.setAccepts(load.accepts_requests);
   builder.setSlots(Saturate<std::uint16_t>(load.slots));
   builder.setRunning(Saturate<std::uint16_t>(load.running));
-  builder.setWaiting(Saturate<std::uint16_t>(load.waiting));
+  builder.setWaitingFirst(Saturate<std::uint16_t>(load.waiting[0]));
+  builder.setWaitingSecond(Saturate<std::uint16_t>(load.waiting[1]));
+  builder.setWaitingThird(Saturate<std::uint16_t>(load.waiting[2]));
+  builder.setWaitingOthers(Saturate<std::uint16_t>(load.waiting[3]));
   builder.setMeanRunUs(Saturate<std::uint32_t>(load.mean_run_time.count()));
   builder.setSlownessPermille(Saturate<std::uint32_t>(
       static_cast<std::int64_t>(load.slowness * kPermille)));
@@ -196,7 +199,8 @@
   return {.accepts_requests = reader.getAccepts(),
           .slots = reader.getSlots(),
           .running = reader.getRunning(),
-          .waiting = reader.getWaiting(),
+          .waiting = {reader.getWaitingFirst(), reader.getWaitingSecond(),
+                      reader.getWaitingThird(), reader.getWaitingOthers()},
           .mean_run_time = std::chrono::microseconds(reader.getMeanRunUs()),
           .slowness = reader.getSlownessPermille() / kPermille,
           .failure_share = reader.getFailurePermille() / kPermille,
--- a/tests/mesh/placement_test.cc
+++ b/tests/mesh/placement_test.cc
@@ -15,13 +15,14 @@
   return {.accepts_requests = true,
           .slots = 12,
           .running = running,
-          .waiting = waiting,
+          .waiting = {0, 0, waiting, 0},
           .mean_run_time = milliseconds(100),
           .slowness = slowness};
 }
 
 Placement::Request Request(double bytes = 400) {
   return {.service = "rooms",
+          .priority = 2,
           .expected_run = milliseconds(100),
           .expected_bytes = bytes,
           .wait_allowance = milliseconds(200),
@@ -105,6 +106,25 @@
   REQUIRE(spread["quiet"] == 50);
 }
 
+// Guards against the collapse of a service whose backend servers call another
+// one: calls of urgent routes were refused at the ingress because less urgent
+// requests, which they overtake, were waiting everywhere.
+TEST_CASE("waiting requests of less urgent routes do not refuse urgent ones") {
+  Placement placement;
+  RandomSource random(3);
+  // Twelve run and 40 of rank 2 wait: their wait is 340 ms.
+  placement.Update("a", "rooms", kOwn, Load(12, 40));
+  Placement::Request request = Request();
+  REQUIRE(std::holds_alternative<Placement::NoRoom>(
+      placement.Choose(request, {}, random)));
+  request.priority = 1;
+  request.wait_allowance = milliseconds(65);
+  const auto decision = placement.Choose(request, {}, random);
+  const auto* choice = std::get_if<Placement::Choice>(&decision);
+  REQUIRE(choice != nullptr);
+  REQUIRE(choice->expected_wait < milliseconds(10));
+}
+
 // Guards against a refusal without a hint, and against "no room" for a service
 // that nobody runs.
 TEST_CASE("no room and no backend server are told apart") {
