--- a/libraries/mesh/admission_queue.cc
+++ b/libraries/mesh/admission_queue.cc
@@ -10,6 +10,10 @@
 // started: hardly any run is that short.
 constexpr double kHopelessShare = 0.25;
 
+// A request that missed its start by a run time waits at a backend server that
+// frees no slots; for short runs it is this time, about two checks.
+constexpr Duration kLeastLateness = std::chrono::milliseconds(50);
+
 // Half-life of what was learnt, without new samples.
 constexpr Duration kHalfLife = std::chrono::seconds(2);
 
@@ -58,14 +62,14 @@
 }
 
 std::optional<AdmissionQueue::Ticket> AdmissionQueue::TakeNext(
-    MonotonicTime now, std::vector<Ticket>& expired) {
+    MonotonicTime now, Dropped& dropped) {
   while (running_ < slots_ && !waiting_.empty()) {
     const auto first = FindFirst(now);
     const Waiting waiting = first->second;
     keys_.erase(waiting.ticket);
     waiting_.erase(first);
     if (IsHopeless(waiting, now)) {
-      expired.push_back(waiting.ticket);
+      dropped.expired.push_back(waiting.ticket);
       continue;
     }
     ++running_;
@@ -97,14 +101,20 @@
   return now + needed >= waiting.deadline;
 }
 
-std::vector<AdmissionQueue::Ticket> AdmissionQueue::TakeExpired(
-    MonotonicTime now) {
-  std::vector<Ticket> expired;
+AdmissionQueue::Dropped AdmissionQueue::TakeDropped(MonotonicTime now) {
+  Dropped dropped;
   for (const auto& [key, waiting] : waiting_) {
-    if (IsHopeless(waiting, now)) expired.push_back(waiting.ticket);
+    if (IsHopeless(waiting, now)) {
+      dropped.expired.push_back(waiting.ticket);
+    } else if (now - std::get<MonotonicTime>(key) >
+               std::max(ExpectedRunHere(waiting.expected_run),
+                        kLeastLateness)) {
+      dropped.passed_over.push_back(waiting.ticket);
+    }
   }
-  for (const Ticket ticket : expired) Remove(ticket);
-  return expired;
+  for (const Ticket ticket : dropped.expired) Remove(ticket);
+  for (const Ticket ticket : dropped.passed_over) Remove(ticket);
+  return dropped;
 }
 
 bool AdmissionQueue::Remove(Ticket ticket) {
--- a/libraries/mesh/admission_queue.h
+++ b/libraries/mesh/admission_queue.h
@@ -22,8 +22,9 @@
 // after waiting costs the caller the time to go elsewhere. The most urgent
 // routes go first, and within a rank the request whose latest useful start is
 // nearest, so that short requests do not expire behind long ones. One that has
-// missed its start makes no other miss it: otherwise every request would be
-// started just when it is too late.
+// missed its start makes no other miss it, or every request would be started
+// just when it is too late. If it is passed over for as long as a run takes, it
+// is given back, so that it can go elsewhere.
 //
 // Not thread-safe. Each ticket is in one of two states, waiting or running.
 class AdmissionQueue {
@@ -42,6 +43,15 @@
 
   enum class Verdict : std::uint8_t { kStart, kWait, kReject };
 
+  // Waiting requests that were given up.
+  struct Dropped {
+    // They can no longer be answered in time for anybody.
+    std::vector<Ticket> expired;
+    // They missed their latest useful start by a run time; another node may
+    // still have room.
+    std::vector<Ticket> passed_over;
+  };
+
   // Sets the requests that may run at once. Precondition: slots >= 0.
   void set_slots(int slots) { slots_ = slots; }
 
@@ -50,14 +60,11 @@
   Verdict Offer(MonotonicTime now, Ticket ticket, const Request& request);
 
   // Returns the next request to start and counts it as running, if a slot is
-  // free. Requests that can no longer be answered in time are moved to
-  // `expired`.
-  std::optional<Ticket> TakeNext(MonotonicTime now,
-                                 std::vector<Ticket>& expired);
-
-  // Removes and returns the waiting requests that can no longer be answered in
-  // time.
-  std::vector<Ticket> TakeExpired(MonotonicTime now);
+  // free. Requests that are given up on the way are added to `dropped`.
+  std::optional<Ticket> TakeNext(MonotonicTime now, Dropped& dropped);
+
+  // Removes and returns the waiting requests that are of no use any more.
+  Dropped TakeDropped(MonotonicTime now);
 
   // Removes a waiting request; returns whether it was waiting.
   bool Remove(Ticket ticket);
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -227,9 +227,18 @@
     RejectWaiting(mesh::Reason::kBackendServerAway);
     return;
   }
-  std::vector<CallId> expired;
-  while (const auto id = queue_.TakeNext(now, expired)) Start(*id);
-  for (const CallId id : expired) Reject(id, mesh::Reason::kDeadlinePassed);
+  mesh::AdmissionQueue::Dropped dropped;
+  while (const auto id = queue_.TakeNext(now, dropped)) Start(*id);
+  RejectDropped(dropped);
+}
+
+void Receiver::RejectDropped(const mesh::AdmissionQueue::Dropped& dropped) {
+  for (const CallId id : dropped.expired) {
+    Reject(id, mesh::Reason::kDeadlinePassed);
+  }
+  for (const CallId id : dropped.passed_over) {
+    Reject(id, mesh::Reason::kNoRoom);
+  }
 }
 
 void Receiver::Reject(CallId id, mesh::Reason reason) {
@@ -329,9 +338,7 @@
   expiry_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
     is_expiry_scheduled_ = false;
-    for (const CallId id : queue_.TakeExpired(MonotonicClock::now())) {
-      Reject(id, mesh::Reason::kDeadlinePassed);
-    }
+    RejectDropped(queue_.TakeDropped(MonotonicClock::now()));
     ScheduleExpiry();
   });
 }
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -83,6 +83,7 @@
   void StartWaiting();
   void Finish(CallId id, mesh::Outcome outcome, bool is_sample);
   void Reject(CallId id, mesh::Reason reason);
+  void RejectDropped(const mesh::AdmissionQueue::Dropped& dropped);
   void RejectWaiting(mesh::Reason reason);
   void OnAnswer(CallId id, HttpResponse response);
   void OnFailure(CallId id, HttpFailure failure);
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -44,10 +44,10 @@
   REQUIRE(queue.Offer(kStart, 1, Request(2, seconds(1))) == Verdict::kStart);
   REQUIRE(queue.Offer(kStart, 2, Request(2, seconds(1))) == Verdict::kStart);
   REQUIRE(queue.Offer(kStart, 3, Request(2, seconds(1))) == Verdict::kWait);
-  std::vector<AdmissionQueue::Ticket> expired;
-  REQUIRE_FALSE(queue.TakeNext(kStart, expired));
+  AdmissionQueue::Dropped dropped;
+  REQUIRE_FALSE(queue.TakeNext(kStart, dropped));
   queue.Finish(milliseconds(100), milliseconds(100), true);
-  REQUIRE(queue.TakeNext(kStart, expired) == 3U);
+  REQUIRE(queue.TakeNext(kStart, dropped) == 3U);
   REQUIRE(queue.running() == 2);
 }
 
@@ -75,10 +75,10 @@
   REQUIRE(queue.Offer(kStart, 3, Request(1, milliseconds(900))) ==
           Verdict::kWait);
   std::vector<AdmissionQueue::Ticket> order;
-  std::vector<AdmissionQueue::Ticket> expired;
+  AdmissionQueue::Dropped dropped;
   for (int i = 0; i < 3; ++i) {
     queue.Finish(milliseconds(10), milliseconds(10), true);
-    order.push_back(*queue.TakeNext(kStart, expired));
+    order.push_back(*queue.TakeNext(kStart, dropped));
   }
   REQUIRE(order == std::vector<AdmissionQueue::Ticket>{3, 2, 1});
 }
@@ -88,9 +88,40 @@
   AdmissionQueue queue = MakeBusyQueue(1, milliseconds(100));
   REQUIRE(queue.Offer(kStart, 1, Request(2, milliseconds(150))) ==
           Verdict::kWait);
-  REQUIRE(queue.TakeExpired(kStart + milliseconds(100)).empty());
+  REQUIRE(queue.TakeDropped(kStart + milliseconds(100)).expired.empty());
   const MonotonicTime late = kStart + milliseconds(340);
-  REQUIRE(queue.TakeExpired(late) == std::vector<AdmissionQueue::Ticket>{1});
+  REQUIRE(queue.TakeDropped(late).expired ==
+          std::vector<AdmissionQueue::Ticket>{1});
+  REQUIRE(queue.waiting() == 0);
+}
+
+// Guards against an overload in which every request is started just when it is
+// too late: the one that has missed its start would go first.
+TEST_CASE("a request that missed its start goes behind those in time") {
+  AdmissionQueue queue = MakeBusyQueue(1, milliseconds(100));
+  REQUIRE(queue.Offer(kStart, 1, Request(2, milliseconds(150))) ==
+          Verdict::kWait);
+  REQUIRE(queue.Offer(kStart, 2, Request(2, milliseconds(250))) ==
+          Verdict::kWait);
+  queue.Finish(milliseconds(100), milliseconds(100), true);
+  AdmissionQueue::Dropped dropped;
+  // The second one cannot wait for the next slot without being late as well.
+  REQUIRE(queue.TakeNext(kStart + milliseconds(200), dropped) == 2U);
+  REQUIRE(queue.waiting() == 1);
+}
+
+// Guards against requests that are held until their end although others always
+// go before them: they could run elsewhere or come back.
+TEST_CASE("a request that is passed over for a run time is given back") {
+  AdmissionQueue queue = MakeBusyQueue(1, milliseconds(100));
+  AdmissionQueue::Request request = Request(2, milliseconds(150));
+  request.remaining = seconds(2);
+  REQUIRE(queue.Offer(kStart, 1, request) == Verdict::kWait);
+  const auto early = queue.TakeDropped(kStart + milliseconds(240));
+  REQUIRE(early.passed_over.empty());
+  const auto dropped = queue.TakeDropped(kStart + milliseconds(260));
+  REQUIRE(dropped.passed_over == std::vector<AdmissionQueue::Ticket>{1});
+  REQUIRE(dropped.expired.empty());
   REQUIRE(queue.waiting() == 0);
 }
 
@@ -141,8 +172,8 @@
       ends.erase(ends.begin());
       if (now - arrived[done] <= kTarget) ++in_time;
       queue.Finish(run, kRun, true);
-      std::vector<AdmissionQueue::Ticket> expired;
-      while (const auto next = queue.TakeNext(now, expired)) start(*next);
+      AdmissionQueue::Dropped dropped;
+      while (const auto next = queue.TakeNext(now, dropped)) start(*next);
     }
     now = arrival;
     arrived[ticket] = now;
