mesh: Give repeats of refusals and of runs shares of their own

Both shares together keep below the fleet's 20 for 100 (test). Reports older than 600 ms make a node the last choice: requests were sent to nodes that were cut off until their link was closed after 1.2 s.

--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -31,6 +31,9 @@
 // Load share from which crowding is charged.
 constexpr double kCrowdingFrom = 0.5;
 
+// Reports come every 300 ms, or half as much later from nodes with many links.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(600);
+
 // A refused or failed attempt costs about this share of the target latency.
 constexpr double kFailureCharge = 1.0;
 
@@ -41,7 +44,8 @@
 }  // namespace
 
 void Placement::Update(std::string_view node, std::string_view service,
-                       const Location& location, const BackendLoad& load) {
+                       const Location& location, const BackendLoad& load,
+                       MonotonicTime now) {
   auto found = candidates_.find(node);
   if (found == candidates_.end()) {
     found = candidates_.emplace(node, Candidate{}).first;
@@ -50,15 +54,18 @@
   candidate.service = service;
   candidate.location = location;
   candidate.load = load;
+  candidate.reported_at = now;
   candidate.unreported_by_rank = {};
   candidate.unreported = 0;
   candidate.unreported_bytes = 0;
 }
 
-void Placement::UpdateLoad(std::string_view node, const BackendLoad& load) {
+void Placement::UpdateLoad(std::string_view node, const BackendLoad& load,
+                           MonotonicTime now) {
   const auto found = candidates_.find(node);
   if (found == candidates_.end()) return;
   found->second.load = load;
+  found->second.reported_at = now;
   found->second.unreported_by_rank = {};
   found->second.unreported = 0;
   found->second.unreported_bytes = 0;
@@ -113,6 +120,14 @@
 Placement::Decision Placement::Choose(const Request& request,
                                       std::span<const std::string> excluded,
                                       RandomSource& random) {
+  auto decision = ChooseAmong(request, excluded, random, false);
+  if (std::holds_alternative<Choice>(decision)) return decision;
+  return ChooseAmong(request, excluded, random, true);
+}
+
+Placement::Decision Placement::ChooseAmong(
+    const Request& request, std::span<const std::string> excluded,
+    RandomSource& random, bool includes_silent) {
   Candidate* best = nullptr;
   const std::string* best_node = nullptr;
   double best_score = 0;
@@ -122,6 +137,8 @@
     if (candidate.service != request.service) continue;
     if (!candidate.load.accepts_requests) continue;
     if (std::ranges::find(excluded, node) != excluded.end()) continue;
+    const bool is_silent = request.now - candidate.reported_at > kSilentAfter;
+    if (is_silent && !includes_silent) continue;
     is_any_accepting = true;
     const Duration wait = EstimateWait(candidate, request.priority);
     shortest_wait = std::min(shortest_wait, wait);
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -22,6 +22,9 @@
 // old, so the choice is blurred a little: otherwise all would send to the one
 // backend server that has just become free.
 //
+// Nodes report three times a second. One that has missed a report may be cut
+// off or stand still; it gets requests only if no other one takes them.
+//
 // Load pattern: bursts, slow, cold and failing backend servers.
 //
 // Not thread-safe.
@@ -38,6 +41,7 @@
     Duration wait_allowance{};
     // An answer within this time is worth most.
     Duration target_latency{};
+    MonotonicTime now;
   };
 
   struct Choice {
@@ -62,10 +66,12 @@
 
   // Takes in a report on the backend server beside `node`.
   void Update(std::string_view node, std::string_view service,
-              const Location& location, const BackendLoad& load);
+              const Location& location, const BackendLoad& load,
+              MonotonicTime now);
 
   // Takes in the load that came with an answer of `node`.
-  void UpdateLoad(std::string_view node, const BackendLoad& load);
+  void UpdateLoad(std::string_view node, const BackendLoad& load,
+                  MonotonicTime now);
 
   // The node cannot be reached.
   void Remove(std::string_view node);
@@ -82,6 +88,7 @@
     std::string service;
     Location location;
     BackendLoad load;
+    MonotonicTime reported_at;
     // Requests sent since the report, by rank, and their number.
     RankCounts unreported_by_rank{};
     int unreported = 0;
@@ -89,6 +96,10 @@
     double unreported_bytes = 0;
   };
 
+  // Chooses among all, or only among those that were heard of lately.
+  Decision ChooseAmong(const Request& request,
+                       std::span<const std::string> excluded,
+                       RandomSource& random, bool includes_silent);
   static Duration EstimateWait(const Candidate& candidate, int priority);
   static double Score(const Candidate& candidate, const Request& request,
                       Duration wait);
--- a/libraries/mesh/retry_allowance.cc
+++ b/libraries/mesh/retry_allowance.cc
@@ -4,21 +4,28 @@
 
 namespace oleandertide::mesh {
 
-double& RetryAllowance::Balance(std::string_view service) {
+RetryAllowance::Balance& RetryAllowance::Find(std::string_view service) {
   const auto found = balances_.find(service);
   if (found != balances_.end()) return found->second;
-  return balances_.emplace(service, options_.saved).first->second;
+  return balances_
+      .emplace(service, Balance{.all = options_.saved, .runs = options_.saved})
+      .first->second;
 }
 
 void RetryAllowance::RecordRequest(std::string_view service) {
-  double& balance = Balance(service);
-  balance = std::min(balance + options_.ratio, options_.saved);
+  Balance& balance = Find(service);
+  balance.all = std::min(balance.all + options_.ratio, options_.saved);
+  balance.runs = std::min(balance.runs + options_.run_ratio, options_.saved);
 }
 
-bool RetryAllowance::TryTake(std::string_view service) {
-  double& balance = Balance(service);
-  if (balance < 1) return false;
-  balance -= 1;
+bool RetryAllowance::TryTake(std::string_view service, Repeat repeat) {
+  Balance& balance = Find(service);
+  if (balance.all < 1) return false;
+  if (repeat == Repeat::kRun) {
+    if (balance.runs < 1) return false;
+    balance.runs -= 1;
+  }
+  balance.all -= 1;
   return true;
 }
 
--- a/libraries/mesh/retry_allowance.h
+++ b/libraries/mesh/retry_allowance.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDERTIDE_MESH_RETRY_ALLOWANCE_H_
 #define OLEANDERTIDE_MESH_RETRY_ALLOWANCE_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -15,6 +16,10 @@
 // safe if all spend at once: a part of its own first requests, and an equal
 // part of the fixed allowance.
 //
+// A request that a backend server refused costs one arrival when it is sent
+// again. One that ran costs more: its run repeats its calls to other services,
+// where they count as repeats as well. So the two have shares of their own.
+//
 // Load pattern: backend servers fail or refuse a large share of requests at
 // once, and repeats would make it worse.
 //
@@ -22,26 +27,35 @@
 class RetryAllowance {
  public:
   struct Options {
-    // Repeats for each first request. Half of the fleet's ratio: a repeated run
-    // repeats its calls to other services as well.
-    double ratio = 0.1;
+    // Repeats of all kinds for each first request.
+    double ratio = 0.15;
+    // Repeats of runs for each first request. Calls of runs are requests too,
+    // so the sum of both shares bounds what a service receives.
+    double run_ratio = 0.05;
     // Most repeats that can be saved up.
     double saved = 4;
   };
 
+  enum class Repeat : std::uint8_t { kRefused, kRun };
+
   explicit RetryAllowance(const Options& options) : options_(options) {}
 
   // Records the first request of a client for `service`.
   void RecordRequest(std::string_view service);
 
   // Takes one repeat; returns false if none is left.
-  bool TryTake(std::string_view service);
+  bool TryTake(std::string_view service, Repeat repeat);
 
  private:
-  double& Balance(std::string_view service);
+  struct Balance {
+    double all = 0;
+    double runs = 0;
+  };
+
+  Balance& Find(std::string_view service);
 
   const Options options_;
-  std::map<std::string, double, std::less<>> balances_;
+  std::map<std::string, Balance, std::less<>> balances_;
 };
 
 }  // namespace oleandertide::mesh
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -189,14 +189,16 @@
   call.wait_allowance = mesh::ChooseLongestWait(
       route.target_latency, now - exchange->arrived, call.expected_run);
   placement_.Update(node_, parts_.receiver.service(),
-                    {.is_in_own_data_centre = true}, parts_.receiver.load());
+                    {.is_in_own_data_centre = true}, parts_.receiver.load(),
+                    now);
   const mesh::Placement::Request request{
       .service = call.service,
       .priority = route.priority,
       .expected_run = call.expected_run,
       .expected_bytes = static_cast<double>(call.expected_bytes),
       .wait_allowance = call.wait_allowance,
-      .target_latency = route.target_latency};
+      .target_latency = route.target_latency,
+      .now = now};
   const auto decision =
       placement_.Choose(request, exchange->tried, parts_.random);
   if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
@@ -247,7 +249,10 @@
       .expected_run = exchange->call.expected_run};
   auto step = mesh::DecideNextStep(history, outcome);
   if (step == mesh::NextStep::kTryAnotherWithinBudget &&
-      !retries_.TryTake(exchange->call.service)) {
+      !retries_.TryTake(exchange->call.service,
+                        not_run != nullptr
+                            ? mesh::RetryAllowance::Repeat::kRefused
+                            : mesh::RetryAllowance::Repeat::kRun)) {
     step = mesh::NextStep::kGiveUp;
   }
   mesh::Reason reason = mesh::Reason::kNone;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -73,8 +73,12 @@
        Assign<&Settings::drain, &Settings::Drain::deadline>::To},
 
       {{"retries", "ratio", PercentRule{0, 100},
-        "repeats for each 100 requests of a service", "8"},
+        "repeats for each 100 requests of a service", "14"},
        Assign<&Settings::retries, &Settings::Retries::ratio_percent>::To},
+      {{"retries", "run-ratio", PercentRule{0, 100},
+        "repeats of requests that ran, for each 100 requests of a service",
+        "4"},
+       Assign<&Settings::retries, &Settings::Retries::run_ratio_percent>::To},
       {{"retries", "saved", IntegerRule{0, 1000},
         "most repeats that are saved up for a burst", "3"},
        Assign<&Settings::retries, &Settings::Retries::saved>::To},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -42,6 +42,7 @@
   };
   struct Retries {
     double ratio_percent = 0;
+    double run_ratio_percent = 0;
     std::int64_t saved = 0;
   };
   struct Log {
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -80,19 +80,21 @@
                   quarantine_, metrics_),
         backlog_(settings.node.link_mbps),
         links_(loop, identity_, random_, backlog_, MakeLinkCallbacks()),
-        ingress_({.loop = loop,
-                  .receiver = receiver_,
-                  .links = links_,
-                  .configuration = holder_,
-                  .quarantine = quarantine_,
-                  .metrics = metrics_,
-                  .random = random_},
-                 {.node = identity_.name,
-                  .data_centre = identity_.data_centre,
-                  .service = settings.node.service,
-                  .retries = {.ratio = settings.retries.ratio_percent / 100,
-                              .saved = static_cast<double>(
-                                  settings.retries.saved)}}),
+        ingress_(
+            {.loop = loop,
+             .receiver = receiver_,
+             .links = links_,
+             .configuration = holder_,
+             .quarantine = quarantine_,
+             .metrics = metrics_,
+             .random = random_},
+            {.node = identity_.name,
+             .data_centre = identity_.data_centre,
+             .service = settings.node.service,
+             .retries = {.ratio = settings.retries.ratio_percent / 100,
+                         .run_ratio = settings.retries.run_ratio_percent / 100,
+                         .saved =
+                             static_cast<double>(settings.retries.saved)}}),
         store_(loop, std::move(store), settings.store.address.ToString(),
                metrics_),
         source_({.loop = loop,
@@ -191,7 +193,8 @@
             },
         .on_load =
             [this](const std::string& node, const mesh::BackendLoad& load) {
-              ingress_.placement().UpdateLoad(node, load);
+              ingress_.placement().UpdateLoad(node, load,
+                                              MonotonicClock::now());
             },
         .on_lost =
             [this](const std::string& node) {
@@ -219,7 +222,7 @@
         {.is_in_own_data_centre = node.data_centre == identity_.data_centre,
          .link_mbps = static_cast<double>(
              std::min(node.link_mbps, identity_.link_mbps))},
-        status.load);
+        status.load, MonotonicClock::now());
     if (!status.crash_reports.empty()) {
       quarantine_.Merge(MonotonicClock::now(), status.crash_reports);
     }
--- a/tests/mesh/attempt_policy_test.cc
+++ b/tests/mesh/attempt_policy_test.cc
@@ -87,15 +87,24 @@
   constexpr int kNodes = 12;
   constexpr int kRequestsPerNode = 500;
   int repeats = 0;
+  int repeated_runs = 0;
   for (int node = 0; node < kNodes; ++node) {
-    RetryAllowance allowance({.ratio = 0.08, .saved = 3});
+    RetryAllowance allowance({.ratio = 0.14, .run_ratio = 0.04, .saved = 3});
     for (int i = 0; i < kRequestsPerNode; ++i) {
       allowance.RecordRequest("booking");
-      while (allowance.TryTake("booking")) ++repeats;
+      // Each repeated run repeats its call, which is one request for `rooms`.
+      while (allowance.TryTake("booking", RetryAllowance::Repeat::kRun)) {
+        ++repeated_runs;
+      }
+      allowance.RecordRequest("rooms");
+      while (allowance.TryTake("rooms", RetryAllowance::Repeat::kRefused)) {
+        ++repeats;
+      }
     }
   }
-  REQUIRE(repeats > 0);
-  REQUIRE(repeats <= 0.2 * kNodes * kRequestsPerNode + 64);
+  REQUIRE(repeated_runs > 0);
+  REQUIRE(repeats > repeated_runs);
+  REQUIRE(repeats + repeated_runs <= 0.2 * kNodes * kRequestsPerNode + 64);
 }
 
 }  // namespace
--- a/tests/mesh/placement_test.cc
+++ b/tests/mesh/placement_test.cc
@@ -11,6 +11,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr MonotonicTime kNow{std::chrono::seconds(100)};
+
 BackendLoad Load(int running, int waiting = 0, double slowness = 1) {
   return {.accepts_requests = true,
           .slots = 12,
@@ -26,7 +28,8 @@
           .expected_run = milliseconds(100),
           .expected_bytes = bytes,
           .wait_allowance = milliseconds(200),
-          .target_latency = milliseconds(300)};
+          .target_latency = milliseconds(300),
+          .now = kNow};
 }
 
 // Counts where `count` requests go if every one finds the same reports.
@@ -38,7 +41,8 @@
   for (int i = 0; i < count; ++i) {
     const auto decision = placement.Choose(request, {}, random);
     ++spread[std::get<Placement::Choice>(decision).node];
-    for (const auto& [node, load] : loads) placement.UpdateLoad(node, load);
+    for (const auto& [node, load] : loads)
+      placement.UpdateLoad(node, load, kNow);
   }
   return spread;
 }
@@ -51,8 +55,8 @@
 // Guards against requests that cross data centres although there is room.
 TEST_CASE("the own data centre goes first while it has room") {
   Placement placement;
-  placement.Update("own", "rooms", kOwn, Load(2));
-  placement.Update("other", "rooms", kOther, Load(2));
+  placement.Update("own", "rooms", kOwn, Load(2), kNow);
+  placement.Update("other", "rooms", kOther, Load(2), kNow);
   // Large answers are dear between data centres.
   auto spread = Spread(placement, 100, Request(90'000),
                        {{"own", Load(2)}, {"other", Load(2)}});
@@ -68,9 +72,9 @@
   Placement placement;
   BackendLoad failing = Load(2);
   failing.failure_share = 0.5;
-  placement.Update("good", "rooms", kOwn, Load(6));
-  placement.Update("slow", "rooms", kOwn, Load(2, 0, 5));
-  placement.Update("failing", "rooms", kOwn, failing);
+  placement.Update("good", "rooms", kOwn, Load(6), kNow);
+  placement.Update("slow", "rooms", kOwn, Load(2, 0, 5), kNow);
+  placement.Update("failing", "rooms", kOwn, failing, kNow);
   auto spread = Spread(
       placement, 200, Request(),
       {{"good", Load(6)}, {"slow", Load(2, 0, 5)}, {"failing", failing}});
@@ -81,8 +85,8 @@
 // reports show as free.
 TEST_CASE("requests sent since a report count as load") {
   Placement placement;
-  placement.Update("a", "rooms", kOwn, Load(11));
-  placement.Update("b", "rooms", kOwn, Load(11));
+  placement.Update("a", "rooms", kOwn, Load(11), kNow);
+  placement.Update("b", "rooms", kOwn, Load(11), kNow);
   RandomSource random(3);
   std::map<std::string, int> spread;
   for (int i = 0; i < 10; ++i) {
@@ -99,8 +103,8 @@
   Placement placement;
   BackendLoad busy = Load(2);
   busy.link_wait = milliseconds(150);
-  placement.Update("busy", "rooms", kOwn, busy);
-  placement.Update("quiet", "rooms", kOwn, Load(5));
+  placement.Update("busy", "rooms", kOwn, busy, kNow);
+  placement.Update("quiet", "rooms", kOwn, Load(5), kNow);
   auto spread =
       Spread(placement, 50, Request(), {{"busy", busy}, {"quiet", Load(5)}});
   REQUIRE(spread["quiet"] == 50);
@@ -113,7 +117,7 @@
   Placement placement;
   RandomSource random(3);
   // Twelve run and 40 of rank 2 wait: their wait is 340 ms.
-  placement.Update("a", "rooms", kOwn, Load(12, 40));
+  placement.Update("a", "rooms", kOwn, Load(12, 40), kNow);
   Placement::Request request = Request();
   REQUIRE(std::holds_alternative<Placement::NoRoom>(
       placement.Choose(request, {}, random)));
@@ -125,6 +129,24 @@
   REQUIRE(choice->expected_wait < milliseconds(10));
 }
 
+// Guards against requests to nodes that are cut off or stand still: their last
+// report says that they have room.
+TEST_CASE("a node that has missed its report is the last choice") {
+  Placement placement;
+  RandomSource random(4);
+  placement.Update("silent", "rooms", kOwn, Load(0), kNow);
+  const MonotonicTime later = kNow + milliseconds(700);
+  placement.Update("heard", "rooms", kOther, Load(11), later);
+  Placement::Request request = Request();
+  request.now = later;
+  auto decision = placement.Choose(request, {}, random);
+  REQUIRE(std::get<Placement::Choice>(decision).node == "heard");
+  // Better than none.
+  placement.Update("heard", "rooms", kOther, Load(12, 60), later);
+  decision = placement.Choose(request, {}, random);
+  REQUIRE(std::get<Placement::Choice>(decision).node == "silent");
+}
+
 // Guards against a refusal without a hint, and against "no room" for a service
 // that nobody runs.
 TEST_CASE("no room and no backend server are told apart") {
@@ -132,7 +154,7 @@
   RandomSource random(5);
   REQUIRE(std::holds_alternative<Placement::NoBackendServer>(
       placement.Choose(Request(), {}, random)));
-  placement.Update("a", "rooms", kOwn, Load(12, 60));
+  placement.Update("a", "rooms", kOwn, Load(12, 60), kNow);
   const auto decision = placement.Choose(Request(), {}, random);
   const auto* no_room = std::get_if<Placement::NoRoom>(&decision);
   REQUIRE(no_room != nullptr);
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -104,7 +104,8 @@
   instance.settings.drain = {.fence = milliseconds(300),
                              .announce_time = milliseconds(200),
                              .deadline = seconds(2)};
-  instance.settings.retries = {.ratio_percent = 10, .saved = 3};
+  instance.settings.retries = {
+      .ratio_percent = 10, .run_ratio_percent = 10, .saved = 3};
   StartNode(instance);
   return instance;
 }
