mesh: Keep the wait short for what is not urgent, back off from the store

Urgent routes go first in the queue, so theirs is longer (1 run time), that of others shorter (2.2).

--- a/libraries/mesh/attempt_policy.cc
+++ b/libraries/mesh/attempt_policy.cc
@@ -13,9 +13,15 @@
 // Nodes that are to run a request at once or refuse it.
 constexpr int kHopsWithoutWait = 2;
 
-// Run times of the wait that are kept for the run itself: most runs end within
-// one and a half times the mean.
-constexpr double kRunsReserved = 1.6;
+// Run times of the wait that are kept for the run itself: nine in ten runs of
+// the sites end within some 2.2 times the mean.
+constexpr double kRunsReserved = 2.2;
+// The same for urgent routes. They go first in the queue, so a short limit
+// would only refuse them in favour of less urgent ones.
+constexpr double kRunsReservedUrgent = 1;
+// Routes up to this priority are urgent: those that must not be repeated, and
+// calls that backend servers make while they run a request.
+constexpr int kUrgentPriority = 1;
 // Least time that a request may wait, as a share of the target latency.
 constexpr double kMinimumWaitShare = 0.1;
 
@@ -82,12 +88,14 @@
 }
 
 Duration ChooseLongestWait(Duration target_latency, Duration elapsed,
-                           Duration expected_run) {
+                           Duration expected_run, int priority) {
   const auto scale = [](Duration duration, double factor) {
     return Duration(static_cast<std::int64_t>(
         static_cast<double>(duration.count()) * factor));
   };
-  return std::max(target_latency - elapsed - scale(expected_run, kRunsReserved),
+  const double runs_reserved =
+      priority <= kUrgentPriority ? kRunsReservedUrgent : kRunsReserved;
+  return std::max(target_latency - elapsed - scale(expected_run, runs_reserved),
                   scale(target_latency, kMinimumWaitShare));
 }
 
--- a/libraries/mesh/attempt_policy.h
+++ b/libraries/mesh/attempt_policy.h
@@ -44,12 +44,13 @@
 // Thread-safe.
 NextStep DecideNextStep(const AttemptHistory& history, const Outcome& outcome);
 
-// Longest time that a request may wait for a slot, `elapsed` after its arrival.
+// Longest time that a request of a route with that priority may wait for a
+// slot, `elapsed` after its arrival.
 // A queue that is as long as the target latency allows makes every answer late
 // under overload, since run times differ; a shorter one keeps the slots as
 // busy. Thread-safe.
 Duration ChooseLongestWait(Duration target_latency, Duration elapsed,
-                           Duration expected_run);
+                           Duration expected_run, int priority);
 
 // Time for which a request may wait at the node that it is sent to. `hops` are
 // the nodes that refused it. The first nodes are chosen because they seem to
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -28,6 +28,10 @@
 // Pause after a call that failed.
 constexpr Duration kShortestPause = std::chrono::milliseconds(100);
 constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+// For nodes that are not the reader of their data centre the pause doubles with
+// each further failure, up to this many times: while the store is away all of
+// them ask it, and calls that fail are priced as well.
+constexpr int kMostDoublings = 2;
 
 // A node of another data centre is asked for a configuration only after the
 // own data centre's reader has had time to bring it: bytes between data centres
@@ -71,11 +75,7 @@
                              : std::chrono::duration<double>(age).count());
   if (is_reading_ || now < backoff_until_) return;
   if (!parts_.holder.current() && is_request_pending(now)) return;
-  std::vector<mesh::ReaderCandidate> peers;
-  for (const NodeIdentity& peer : links_->connected()) {
-    if (peer.data_centre != self_.data_centre) continue;
-    peers.push_back({.node = peer.name, .link_mbps = peer.link_mbps});
-  }
+  const auto peers = PeersOfDataCentre();
   const bool is_patient = now < patient_until_;
   // Without links, a patient node cannot know whether another one reads.
   if (is_patient && peers.empty()) return;
@@ -90,6 +90,16 @@
   }
 }
 
+std::vector<mesh::ReaderCandidate> ConfigurationSource::PeersOfDataCentre()
+    const {
+  std::vector<mesh::ReaderCandidate> peers;
+  for (const NodeIdentity& peer : links_->connected()) {
+    if (peer.data_centre != self_.data_centre) continue;
+    peers.push_back({.node = peer.name, .link_mbps = peer.link_mbps});
+  }
+  return peers;
+}
+
 void ConfigurationSource::ReadAll() {
   is_reading_ = true;
   parts_.store.ReadRows(platform::kOperatorTable, platform::kConfigurationKey,
@@ -115,9 +125,18 @@
                   {"version", parts_.holder.version()},
                   {"followed", followed_.value_or(0)}});
     followed_.reset();
-    backoff_until_ = now + parts_.random.Between(kShortestPause, kLongestPause);
+    const int doublings =
+        mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
+                       PeersOfDataCentre(), Duration::zero())
+            ? 0
+            : std::min(failures_, kMostDoublings);
+    ++failures_;
+    backoff_until_ =
+        now +
+        parts_.random.Between(kShortestPause, kLongestPause) * (1 << doublings);
     return;
   }
+  failures_ = 0;
   for (const platform::Row& row : rows.value().rows) {
     // Only a row that was seen moves the point from which changes are followed.
     // The store's version in an empty answer would skip what it did not tell.
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -13,6 +13,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "mesh/configuration_holder.h"
+#include "mesh/reader_election.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/link_client.h"
 #include "sidecar/node_identity.h"
@@ -60,6 +61,8 @@
   void Follow();
   void Offer(mesh::Configuration configuration, std::string_view source);
   void OnText(std::string_view text);
+  // Nodes of the own data centre with an open link.
+  std::vector<mesh::ReaderCandidate> PeersOfDataCentre() const;
   // Version from which other nodes are to tell what changed; 0 asks for all.
   std::uint64_t base_version() const;
   // Whether a node was asked and may still answer.
@@ -80,6 +83,8 @@
   MonotonicTime backoff_until_;
   // Until then, a missing confirmation does not make this node read.
   MonotonicTime patient_until_;
+  // Calls to the store that failed one after the other.
+  int failures_ = 0;
   // When a node was last asked, until it has answered.
   std::optional<MonotonicTime> requested_at_;
   // The last update did not fit; the whole configuration is asked for.
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -186,8 +186,9 @@
       Duration(static_cast<std::int64_t>(exchange->statistics->run_us.value()));
   call.expected_bytes =
       static_cast<std::size_t>(exchange->statistics->answer_bytes.value());
-  call.wait_allowance = mesh::ChooseLongestWait(
-      route.target_latency, now - exchange->arrived, call.expected_run);
+  call.wait_allowance =
+      mesh::ChooseLongestWait(route.target_latency, now - exchange->arrived,
+                              call.expected_run, route.priority);
   placement_.Update(node_, parts_.receiver.service(),
                     {.is_in_own_data_centre = true}, parts_.receiver.load(),
                     now);
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -177,12 +177,12 @@
     }
     now = arrival;
     arrived[ticket] = now;
-    const auto verdict = queue.Offer(
-        now, ticket,
-        {.priority = 2,
-         .wait_allowance = ChooseLongestWait(kTarget, Duration::zero(), kRun),
-         .remaining = milliseconds(800),
-         .expected_run = kRun});
+    const auto verdict = queue.Offer(now, ticket,
+                                     {.priority = 2,
+                                      .wait_allowance = ChooseLongestWait(
+                                          kTarget, Duration::zero(), kRun, 2),
+                                      .remaining = milliseconds(800),
+                                      .expected_run = kRun});
     if (verdict == Verdict::kReject) {
       ++refused;
       continue;
