tests: Guard the schedule of large answers, compression and restarts

The test of a restarted node failed with the mechanism switched off (no patience, no pending request: 2 reads instead of 1 after the restart). The pause after a failed read is a decision of its own now.

--- a/libraries/mesh/reader_election.cc
+++ b/libraries/mesh/reader_election.cc
@@ -1,10 +1,22 @@
 #include "mesh/reader_election.h"
 
 #include <algorithm>
+#include <cstdint>
 
 #include "core/hash.h"
 
 namespace oleandertide::mesh {
+namespace {
+
+// Pauses of the reader. The longest is a fifth of the least time in which a
+// configuration must be in force at the sites, 2 s.
+constexpr Duration kShortestPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+// Other nodes pause up to four times as long: of a dozen that ask, one asks
+// within the reader's pause.
+constexpr int kMostDoublings = 2;
+
+}  // namespace
 
 std::strong_ordering CompareReaders(const ReaderCandidate& first,
                                     const ReaderCandidate& second) {
@@ -15,6 +27,14 @@
   return std::is_neq(by_hash) ? by_hash : first.node <=> second.node;
 }
 
+Duration ChooseReadPause(bool is_reader, int failures, double unit) {
+  const int doublings = is_reader ? 0 : std::min(failures, kMostDoublings);
+  const auto spread =
+      static_cast<double>((kLongestPause - kShortestPause).count());
+  return (kShortestPause + Duration(static_cast<std::int64_t>(spread * unit))) *
+         (1 << doublings);
+}
+
 bool IsReader(const ReaderCandidate& self,
               std::span<const ReaderCandidate> peers,
               Duration confirmation_age) {
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -25,14 +25,6 @@
 // links are open after some 200 ms.
 constexpr Duration kRestartPatience = std::chrono::milliseconds(700);
 
-// Pause after a call that failed.
-constexpr Duration kShortestPause = std::chrono::milliseconds(100);
-constexpr Duration kLongestPause = std::chrono::milliseconds(400);
-// For nodes that are not the reader of their data centre the pause doubles with
-// each further failure, up to this many times: while the store is away all of
-// them ask it, and calls that fail are priced as well.
-constexpr int kMostDoublings = 2;
-
 // A node of another data centre is asked for a configuration only after the
 // own data centre's reader has had time to bring it: bytes between data centres
 // are priced.
@@ -125,15 +117,11 @@
                   {"version", parts_.holder.version()},
                   {"followed", followed_.value_or(0)}});
     followed_.reset();
-    const int doublings =
+    const bool is_reader =
         mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
-                       PeersOfDataCentre(), Duration::zero())
-            ? 0
-            : std::min(failures_, kMostDoublings);
-    ++failures_;
-    backoff_until_ =
-        now +
-        parts_.random.Between(kShortestPause, kLongestPause) * (1 << doublings);
+                       PeersOfDataCentre(), Duration::zero());
+    backoff_until_ = now + mesh::ChooseReadPause(is_reader, failures_++,
+                                                 parts_.random.Unit());
     return;
   }
   failures_ = 0;
--- a/tests/mesh/topology_test.cc
+++ b/tests/mesh/topology_test.cc
@@ -96,6 +96,19 @@
   REQUIRE(readers == 1);
 }
 
+// Guards against a fleet that asks a store which is away with full frequency:
+// all nodes read once the reader brings no confirmation.
+TEST_CASE("only the reader asks a failing store often") {
+  for (const int failures : {0, 1, 2, 9}) {
+    REQUIRE(ChooseReadPause(true, failures, 0.99) <= milliseconds(400));
+    REQUIRE(ChooseReadPause(true, failures, 0) >= milliseconds(100));
+  }
+  REQUIRE(ChooseReadPause(false, 0, 0.5) == ChooseReadPause(true, 0, 0.5));
+  REQUIRE(ChooseReadPause(false, 2, 0.5) == 4 * ChooseReadPause(true, 0, 0.5));
+  // A node that the store serves while it turns the reader away asks in time.
+  REQUIRE(ChooseReadPause(false, 9, 1) <= milliseconds(1600));
+}
+
 // Guards against a link that seems free while a download fills it.
 TEST_CASE("a link's wait follows the bytes and the bandwidth") {
   LinkBacklog backlog(5);
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -78,6 +78,7 @@
 
 void FakeStore::HandleGet(const std::string& table, const std::string& from,
                           HttpReply reply) {
+  ++reads_[table];
   json rows = json::array();
   for (const auto& [key, row] : tables_[table]) {
     if (key < from) continue;
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -39,6 +39,11 @@
   void ForgetHistory() { forgotten_ = version_; }
 
   int calls() const { return calls_; }
+  // Calls that read the rows of a table, not those that wait for changes.
+  int reads(const std::string& table) const {
+    const auto found = reads_.find(table);
+    return found == reads_.end() ? 0 : found->second;
+  }
   int writes() const { return writes_; }
 
  private:
@@ -70,6 +75,7 @@
   std::vector<std::shared_ptr<Waiter>> waiters_;
   std::uint64_t version_ = 1;
   std::uint64_t forgotten_ = 0;
+  std::map<std::string, int> reads_;
   int failure_ = 0;
   bool loses_answers_ = false;
   bool hides_changes_ = false;
--- /dev/null
+++ b/tests/sidecar/framed_connection_test.cc
@@ -0,0 +1,103 @@
+// Frames between nodes.
+
+#include "sidecar/framed_connection.h"
+
+#include <capnp/message.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "sidecar/event_loop.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kRoutes = 1600;
+
+// Two connected sockets.
+struct SocketPair {
+  SocketPair() {
+    Tcp::acceptor acceptor(
+        loop, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    first.connect(acceptor.local_endpoint());
+    acceptor.accept(second);
+  }
+
+  EventLoop loop{1};
+  Tcp::socket first{loop};
+  Tcp::socket second{loop};
+};
+
+void FillConfiguration(capnp::MallocMessageBuilder& message) {
+  auto update = message.initRoot<wire::Frame>().initConfiguration();
+  update.setVersion(7);
+  auto routes = update.initPut(kRoutes);
+  for (int i = 0; i < kRoutes; ++i) {
+    routes[i].setHost("host.example");
+    routes[i].setName("route-" + std::to_string(i * 7919 % 100'003));
+    routes[i].setPathPrefix("/route/" + std::to_string(i) + "/");
+    routes[i].setTimeoutUs(800'000);
+  }
+}
+
+// Guards against configurations that fill a narrow link for half a second.
+TEST_CASE("a large message arrives whole and takes a third of its size") {
+  SocketPair pair;
+  const auto sender = std::make_shared<FramedConnection>(std::move(pair.first));
+  const auto receiver =
+      std::make_shared<FramedConnection>(std::move(pair.second));
+  int received = 0;
+  sender->Start([](auto, auto) {}, [] {});
+  receiver->Start(
+      [&](wire::Frame::Reader frame, std::string_view body) {
+        REQUIRE(body == "and a body");
+        const auto routes = frame.getConfiguration().getPut();
+        REQUIRE(routes.size() == kRoutes);
+        REQUIRE(std::string(routes[kRoutes - 1].getPathPrefix().cStr()) ==
+                "/route/1599/");
+        ++received;
+      },
+      [] {});
+  capnp::MallocMessageBuilder message;
+  FillConfiguration(message);
+  std::size_t plain = 0;
+  for (const auto& segment : message.getSegmentsForOutput()) {
+    plain += segment.asBytes().size();
+  }
+  sender->Send(message, "and a body");
+  REQUIRE(sender->queued_bytes() < plain / 3);
+  pair.loop.run_for(milliseconds(300));
+  REQUIRE(received == 1);
+  sender->Close();
+  receiver->Close();
+  pair.loop.restart();
+  pair.loop.run_for(milliseconds(10));
+}
+
+// Guards against bytes that claim to be compressed and are not.
+TEST_CASE("bytes that do not decompress end the connection") {
+  SocketPair pair;
+  const auto receiver =
+      std::make_shared<FramedConnection>(std::move(pair.second));
+  bool is_closed = false;
+  int frames = 0;
+  receiver->Start([&](auto, auto) { ++frames; }, [&] { is_closed = true; });
+  // Four bytes, marked as compressed, and no body.
+  const std::array<unsigned char, 12> bytes = {4, 0, 0, 0x80, 0, 0,
+                                               0, 0, 1, 2,    3, 4};
+  boost::asio::write(pair.first, boost::asio::buffer(bytes));
+  pair.loop.run_for(milliseconds(100));
+  REQUIRE(is_closed);
+  REQUIRE(frames == 0);
+}
+
+}  // namespace
+}  // namespace oleandertide::sidecar
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -105,6 +105,21 @@
   mesh.AwaitService(mesh.first, "/idem/1");
 }
 
+// Guards against a restarted node whose link is busy with copies of the
+// configuration from the store and from other nodes.
+TEST_CASE("a restarted node does not read what other nodes bring") {
+  Pair mesh;
+  // A narrow link, so that the other node is the reader.
+  mesh.first.settings.node.link_mbps = 5;
+  mesh.KillNode(mesh.first);
+  // The other node takes over the reading.
+  mesh.RunFor(milliseconds(1500));
+  const int reads = mesh.store().reads("op");
+  mesh.StartNode(mesh.first);
+  mesh.RunFor(milliseconds(300));
+  REQUIRE(mesh.store().reads("op") == reads);
+}
+
 // Guards against a store outage that callers notice.
 TEST_CASE("an outage of the store does not stop requests") {
   Pair mesh;
