--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,6 +5,8 @@
 step() { printf '== %s\n' "$*"; }
 step "install packages"
 scripts/install-packages.sh
+step "names of the platform's wire"
+scripts/check-wire-names.sh
 step "build"
 scripts/build.sh build
 step "formatter and linter"
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "sidecar/mesh_fixture.h"
@@ -225,6 +226,15 @@
   }
 }
 
+// Guards against a node that stood still and takes its own silence for that of
+// all other nodes: what arrived meanwhile has not been read.
+TEST_CASE("a node that stood still keeps its links") {
+  Pair mesh;
+  std::this_thread::sleep_for(milliseconds(1600));
+  mesh.RunFor(milliseconds(20));
+  REQUIRE(mesh.Send(mesh.first, "POST", "/once/1").status == 200);
+}
+
 // Guards against a request that crashes one backend server after another.
 TEST_CASE("a request that crashes backend servers is refused") {
   const auto poison = [](const RawRequest& request) {
