--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -198,9 +198,9 @@
   }
   capnp::MallocMessageBuilder message;
   Encode(id, outcome, MakeLoad(), message.initRoot<wire::Frame>().initAnswer());
-  session->connection->Send(message, completed != nullptr
-                                         ? std::string_view(completed->body)
-                                         : std::string_view());
+  std::string_view body;
+  if (completed != nullptr) body = completed->body;
+  session->connection->Send(message, body);
 }
 
 void LinkServer::DropAnswer(const std::shared_ptr<Session>& session,
@@ -244,9 +244,8 @@
     bulk_.erase(ticket);
     return;
   }
-  const std::string_view left =
-      std::string_view(std::get<mesh::Completed>(answer.outcome).body)
-          .substr(answer.sent);
+  std::string_view left = std::get<mesh::Completed>(answer.outcome).body;
+  left.remove_prefix(answer.sent);
   const std::string_view part =
       left.substr(0, mesh::ChoosePartBytes(backlog_.mbps()));
   capnp::MallocMessageBuilder message;
