--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -11,8 +11,9 @@
 constexpr double kOtherDataCentreUs = 2'800;
 
 // Charge for each byte that crosses data centres in microseconds: the users
-// price 90 kB about as high as a whole answer.
-constexpr double kOtherDataCentreUsPerByte = 1;
+// price 90 kB about as high as a whole answer, so such an answer crosses if it
+// would otherwise be late by most of the targets of 600 to 1,000 ms.
+constexpr double kOtherDataCentreUsPerByte = 5;
 
 // Share of the mean run time by which scores are blurred.
 constexpr double kBlur = 0.15;
