mesh: Recognise a backend server that restarted with its clock set back

A backend server that crashed and started again with a new id and an earlier start time (clock 5 s back) was ignored for its whole life: 10 heartbeats in a row were logged as late while the node kept the dead incarnation, and requests got 421.

Ruled out: a lost link (other nodes had the node's status) and learnt slowness.

An announcement that seems older is now doubtful: a health check tells who lives at the address; with the same id, three heartbeats over two seconds do. Until then it is answered 409, so a departure that is not obeyed is not acknowledged. The same heartbeats end the doubt of a restarted node whose backend server gives false health answers. Departures of servers that are not known yet are remembered.

--- a/libraries/mesh/local_backend.cc
+++ b/libraries/mesh/local_backend.cc
@@ -3,6 +3,23 @@
 #include <algorithm>
 
 namespace oleandertide::mesh {
+namespace {
+
+// Heartbeats, and the time over which they come, that show that their sender
+// lives and stays. Heartbeats come every 1.5 s; late ones come all at once, and
+// none comes after its sender's departure but these.
+constexpr int kConvincingHeartbeats = 3;
+constexpr Duration kConvincingTime = std::chrono::seconds(2);
+
+// Departures that are remembered: more than backend servers can start at one
+// address while heartbeats may still be on the way.
+constexpr std::size_t kDeparturesKept = 16;
+
+bool IsConvincing(int heartbeats, Duration time) {
+  return heartbeats >= kConvincingHeartbeats && time >= kConvincingTime;
+}
+
+}  // namespace
 
 std::string_view ToString(BackendStanding standing) {
   switch (standing) {
@@ -22,62 +39,132 @@
 
 LocalBackend::Effect LocalBackend::Apply(const Announcement& announcement,
                                          MonotonicTime now) {
-  const bool is_first = !announcement_.has_value();
-  bool is_same = false;
-  if (!is_first) {
-    is_same = announcement.id == announcement_->id &&
-              announcement.started_at_ms == announcement_->started_at_ms;
-    const bool is_older =
-        is_same ? announcement.sequence <= announcement_->sequence
-                : announcement.started_at_ms <= announcement_->started_at_ms;
-    if (is_older || (is_same && has_departed_)) return Effect::kStale;
+  if (HasDeparted(announcement)) return Effect::kStale;
+  if (!announcement_) {
+    Replace(announcement,
+            options_.verifies_first ? BackendStanding::kUnverified
+                                    : BackendStanding::kServing,
+            now);
+    return Effect::kReplaced;
+  }
+  const bool is_same =
+      announcement.id == announcement_->id &&
+      announcement.started_at_ms == announcement_->started_at_ms;
+  if (!is_same) {
+    if (announcement.started_at_ms <= announcement_->started_at_ms) {
+      return ApplyDoubtful(announcement, now);
+    }
+    Replace(announcement, BackendStanding::kServing, now);
+    return Effect::kReplaced;
   }
+  if (announcement.sequence <= announcement_->sequence) return Effect::kStale;
+  rival_.reset();
   announcement_ = announcement;
   announced_at_ = now;
+  ++heartbeats_;
   const BackendStanding before = standing_;
-  if (!is_same) {
-    leaving_since_.reset();
-    has_departed_ = false;
-    standing_ = is_first && options_.verifies_first
-                    ? BackendStanding::kUnverified
-                    : BackendStanding::kServing;
-  }
-  if (announcement.is_draining) {
-    if (!leaving_since_) leaving_since_ = now;
-    standing_ = BackendStanding::kDraining;
-  } else if (leaving_since_) {
+  if (announcement.is_draining && !leaving_since_) leaving_since_ = now;
+  if (leaving_since_) {
     // A departure is never taken back within an incarnation.
     standing_ = BackendStanding::kDraining;
-  } else if (standing_ == BackendStanding::kDown) {
+  } else if (standing_ == BackendStanding::kDown ||
+             (standing_ == BackendStanding::kUnverified &&
+              IsConvincing(heartbeats_, now - first_announced_at_))) {
     standing_ = BackendStanding::kServing;
   }
-  if (!is_same) return Effect::kReplaced;
   return standing_ == before ? Effect::kRefreshed : Effect::kChanged;
 }
 
+LocalBackend::Effect LocalBackend::ApplyDoubtful(
+    const Announcement& announcement, MonotonicTime now) {
+  const bool is_known =
+      rival_ && rival_->announcement.id == announcement.id &&
+      rival_->announcement.started_at_ms == announcement.started_at_ms;
+  if (!is_known)
+    rival_ = Rival{.announcement = announcement, .first_heard_at = now};
+  if (is_known && announcement.sequence <= rival_->announcement.sequence) {
+    return Effect::kStale;
+  }
+  rival_->announcement = announcement;
+  ++rival_->heartbeats;
+  if (!IsConvincing(rival_->heartbeats, now - rival_->first_heard_at)) {
+    return Effect::kDoubtful;
+  }
+  Replace(announcement, BackendStanding::kServing, now);
+  return Effect::kReplaced;
+}
+
+void LocalBackend::Replace(const Announcement& announcement,
+                           BackendStanding standing, MonotonicTime now) {
+  if (leaving_since_) {
+    Remember({.id = announcement_->id,
+              .started_at_ms = announcement_->started_at_ms});
+  }
+  // A copy, since the announcement may be the rival's.
+  announcement_ = Announcement(announcement);
+  announced_at_ = now;
+  first_announced_at_ = now;
+  heartbeats_ = 1;
+  rival_.reset();
+  leaving_since_.reset();
+  standing_ = standing;
+  if (announcement_->is_draining) {
+    leaving_since_ = now;
+    standing_ = BackendStanding::kDraining;
+  }
+}
+
+void LocalBackend::Remember(const Departure& departure) {
+  departures_.push_back(departure);
+  if (departures_.size() > kDeparturesKept) departures_.pop_front();
+}
+
+bool LocalBackend::HasDeparted(const Announcement& announcement) const {
+  return std::ranges::any_of(departures_, [&](const Departure& departure) {
+    return departure.id == announcement.id &&
+           departure.started_at_ms == announcement.started_at_ms;
+  });
+}
+
 LocalBackend::Effect LocalBackend::ApplyDeparture(const Departure& departure,
                                                   MonotonicTime now) {
-  if (!announcement_ || departure.id != announcement_->id) {
-    return Effect::kStale;
+  const bool is_current = announcement_ && departure.id == announcement_->id;
+  Departure remembered = departure;
+  if (remembered.started_at_ms == 0 && is_current) {
+    remembered.started_at_ms = announcement_->started_at_ms;
   }
+  if (remembered.started_at_ms != 0) Remember(remembered);
+  if (rival_ && HasDeparted(rival_->announcement)) rival_.reset();
+  if (!is_current) return Effect::kStale;
   // A notice of an earlier incarnation with the same id says nothing of this
-  // one.
-  if (departure.started_at_ms != 0 &&
-      departure.started_at_ms < announcement_->started_at_ms) {
-    return Effect::kStale;
+  // one, unless the clock was set back.
+  if (remembered.started_at_ms < announcement_->started_at_ms) {
+    return Effect::kDoubtful;
   }
   const BackendStanding before = standing_;
-  has_departed_ = true;
   if (!leaving_since_) leaving_since_ = now;
   standing_ = BackendStanding::kDraining;
   return standing_ == before ? Effect::kRefreshed : Effect::kChanged;
 }
 
-void LocalBackend::RecordVerification(std::string_view id, bool is_healthy) {
-  if (standing_ != BackendStanding::kUnverified) return;
-  if (is_healthy && id == announcement_->id) {
+bool LocalBackend::needs_verification() const {
+  return standing_ == BackendStanding::kUnverified ||
+         (rival_ && rival_->announcement.id != announcement_->id);
+}
+
+bool LocalBackend::RecordVerification(std::string_view id, bool is_healthy,
+                                      MonotonicTime now) {
+  if (!is_healthy) return false;
+  if (rival_ && id == rival_->announcement.id && id != announcement_->id) {
+    Replace(rival_->announcement, BackendStanding::kServing, now);
+    return true;
+  }
+  // What was said late is forgotten.
+  if (rival_ && id == announcement_->id) rival_.reset();
+  if (standing_ == BackendStanding::kUnverified && id == announcement_->id) {
     standing_ = BackendStanding::kServing;
   }
+  return false;
 }
 
 void LocalBackend::RecordDown() {
--- a/libraries/mesh/local_backend.h
+++ b/libraries/mesh/local_backend.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDERTIDE_MESH_LOCAL_BACKEND_H_
 #define OLEANDERTIDE_MESH_LOCAL_BACKEND_H_
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,7 +16,8 @@
 enum class BackendStanding : std::uint8_t {
   // Nothing was heard of it.
   kUnknown,
-  // It announced itself, but may have left in an earlier life of this node.
+  // It announced itself, but may have left in an earlier life of this node. A
+  // health check or further heartbeats end the doubt.
   kUnverified,
   kServing,
   // It takes requests until the drain fence and finishes those in flight.
@@ -33,7 +35,9 @@
 // it, so this promise holds for the fleet whatever other nodes know.
 //
 // Load pattern: backend servers are replaced one after the other, restart under
-// their old id, and their heartbeats arrive late or after their death.
+// their old id, and their heartbeats arrive late or after their death. Clocks
+// are set back by seconds, so a backend server that restarts soon may seem to
+// have started before the one that it follows.
 //
 // Not thread-safe.
 class LocalBackend {
@@ -55,19 +59,28 @@
     kChanged,
     // Another backend server or a later incarnation took the place.
     kReplaced,
+    // Of an incarnation that started before the known one by its own clock.
+    // Either this is late, or the clock was set back between the starts.
+    kDoubtful,
   };
 
   explicit LocalBackend(const Options& options) : options_(options) {}
 
-  // Takes in a heartbeat.
+  // Takes in a heartbeat. If it is doubtful, a health check tells which backend
+  // server lives at the address, unless both have the same id; then further
+  // heartbeats decide.
   Effect Apply(const Announcement& announcement, MonotonicTime now);
 
   // Takes in the notice that the backend server leaves.
   Effect ApplyDeparture(const Departure& departure, MonotonicTime now);
 
-  // The backend server with `id` answered a health check.
-  // Precondition: standing() is kUnverified.
-  void RecordVerification(std::string_view id, bool is_healthy);
+  // Whether a health check would tell more.
+  bool needs_verification() const;
+
+  // The backend server with `id` answered a health check. Returns whether
+  // another backend server took the place.
+  bool RecordVerification(std::string_view id, bool is_healthy,
+                          MonotonicTime now);
 
   // The backend server refuses connections.
   void RecordDown();
@@ -87,12 +100,31 @@
   Duration cold_remaining(MonotonicTime now) const;
 
  private:
+  // An incarnation that may have followed the known one, in spite of its clock.
+  struct Rival {
+    Announcement announcement;
+    MonotonicTime first_heard_at;
+    int heartbeats = 0;
+  };
+
+  Effect ApplyDoubtful(const Announcement& announcement, MonotonicTime now);
+  // Takes over what a new incarnation says.
+  void Replace(const Announcement& announcement, BackendStanding standing,
+               MonotonicTime now);
+  void Remember(const Departure& departure);
+  bool HasDeparted(const Announcement& announcement) const;
+
   const Options options_;
   BackendStanding standing_ = BackendStanding::kUnknown;
   std::optional<Announcement> announcement_;
   MonotonicTime announced_at_;
+  MonotonicTime first_announced_at_;
+  // Of the known incarnation.
+  int heartbeats_ = 0;
   std::optional<MonotonicTime> leaving_since_;
-  bool has_departed_ = false;
+  std::optional<Rival> rival_;
+  // The last departures, also of backend servers that were not known.
+  std::deque<Departure> departures_;
 };
 
 }  // namespace oleandertide::mesh
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -265,32 +265,43 @@
   Finish(id, mesh::Unknown{mesh::Reason::kCancelled}, false);
 }
 
-void Receiver::Apply(const mesh::Announcement& announcement) {
+bool Receiver::Apply(const mesh::Announcement& announcement) {
   metrics_.announcements.Add();
   const auto effect = backend_.Apply(announcement, MonotonicClock::now());
-  if (effect == mesh::LocalBackend::Effect::kStale) {
-    logging::Log(Level::kInfo, "backend", "late announcement ignored",
-                 {{"id", announcement.id},
-                  {"sequence", announcement.sequence},
-                  {"started_at_ms", announcement.started_at_ms}});
-    return;
-  }
-  if (effect == mesh::LocalBackend::Effect::kReplaced) {
-    queue_.ResetStatistics();
-    client_.CloseIdle();
-  }
-  queue_.set_slots(announcement.slots);
-  if (effect != mesh::LocalBackend::Effect::kRefreshed) {
-    OnStandingChanged("announcement");
+  switch (effect) {
+    case mesh::LocalBackend::Effect::kStale:
+    case mesh::LocalBackend::Effect::kDoubtful:
+      logging::Log(
+          Level::kInfo, "backend",
+          effect == mesh::LocalBackend::Effect::kStale
+              ? "late announcement ignored"
+              : "announcement is older than the one known",
+          {{"id", announcement.id},
+           {"sequence", announcement.sequence},
+           {"started_at_ms", announcement.started_at_ms},
+           {"known_id", backend_.announcement().id},
+           {"known_started_at_ms", backend_.announcement().started_at_ms}});
+      break;
+    case mesh::LocalBackend::Effect::kReplaced:
+      OnReplaced("announcement");
+      break;
+    case mesh::LocalBackend::Effect::kChanged:
+      OnStandingChanged("announcement");
+      break;
+    case mesh::LocalBackend::Effect::kRefreshed:
+      break;
   }
-  if (backend_.standing() == mesh::BackendStanding::kUnverified) Verify();
+  queue_.set_slots(backend_.announcement().slots);
+  if (backend_.needs_verification()) Verify();
+  return effect != mesh::LocalBackend::Effect::kDoubtful;
 }
 
-void Receiver::Apply(const mesh::Departure& departure) {
+bool Receiver::Apply(const mesh::Departure& departure) {
   const auto effect = backend_.ApplyDeparture(departure, MonotonicClock::now());
   if (effect == mesh::LocalBackend::Effect::kChanged) {
     OnStandingChanged("departure");
   }
+  return effect != mesh::LocalBackend::Effect::kDoubtful;
 }
 
 void Receiver::set_stopping() {
@@ -299,6 +310,12 @@
   if (on_standing_changed_) on_standing_changed_();
 }
 
+void Receiver::OnReplaced(std::string_view cause) {
+  queue_.ResetStatistics();
+  client_.CloseIdle();
+  OnStandingChanged(cause);
+}
+
 void Receiver::OnStandingChanged(std::string_view cause) {
   const auto standing = backend_.standing();
   std::string_view id;
@@ -359,7 +376,12 @@
   is_verifying_ = true;
   const auto finish = [this](bool is_healthy, const std::string& id) {
     is_verifying_ = false;
-    backend_.RecordVerification(id, is_healthy);
+    const auto before = backend_.standing();
+    if (backend_.RecordVerification(id, is_healthy, MonotonicClock::now())) {
+      queue_.set_slots(backend_.announcement().slots);
+      OnReplaced("health check");
+      return;
+    }
     if (backend_.standing() == mesh::BackendStanding::kUnverified) {
       verify_timer_.expires_after(kVerifyInterval);
       verify_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -368,7 +390,7 @@
       });
       return;
     }
-    OnStandingChanged("health check");
+    if (backend_.standing() != before) OnStandingChanged("health check");
   };
   HttpExchange exchange;
   exchange.head = platform::EncodeHealthCheck(health_path_);
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -43,9 +43,10 @@
   // broken off; another one goes on and its answer is dropped.
   void Cancel(CallId id);
 
-  // Takes in what the backend server says of itself.
-  void Apply(const mesh::Announcement& announcement);
-  void Apply(const mesh::Departure& departure);
+  // Takes in what the backend server says of itself. Returns whether it may be
+  // acknowledged.
+  bool Apply(const mesh::Announcement& announcement);
+  bool Apply(const mesh::Departure& departure);
 
   // Path of health checks, from the configuration.
   void set_health_path(std::string path) { health_path_ = std::move(path); }
@@ -87,6 +88,8 @@
   void RejectWaiting(mesh::Reason reason);
   void OnAnswer(CallId id, HttpResponse response);
   void OnFailure(CallId id, HttpFailure failure);
+  // Another backend server, or another incarnation, is at the address.
+  void OnReplaced(std::string_view cause);
   void OnStandingChanged(std::string_view cause);
   void Verify();
   void OnConnectionLost(routing::Fingerprint fingerprint);
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -41,6 +41,7 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
 constexpr int kStatusUnavailable = 503;
 
 constexpr std::string_view kJsonLine = "Content-Type: application/json\r\n";
@@ -51,6 +52,12 @@
   return {request.target().data(), request.target().size()};
 }
 
+// Where other nodes reach this one.
+const Address& AdvertisedAddress(const SidecarSettings::Listen& listen) {
+  return listen.advertised_peers.ip.empty() ? listen.peers
+                                            : listen.advertised_peers;
+}
+
 std::uint64_t MakeSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -68,7 +75,7 @@
         identity_{
             .name = settings.node.name,
             .data_centre = settings.node.data_centre,
-            .address = settings.listen.peers.ToString(),
+            .address = AdvertisedAddress(settings.listen).ToString(),
             .service = settings.node.service,
             .link_mbps = static_cast<std::uint32_t>(settings.node.link_mbps)},
         started_at_(MonotonicClock::now()),
@@ -155,6 +162,7 @@
             loop_, listen.metrics,
             [this](const std::shared_ptr<HttpRequest>& /*request*/,
                    HttpReply reply) {
+              UpdateGauges();
               reply.Send({.status = kStatusOk,
                           .headers = std::string(kMetricsLine),
                           .body = metrics_.registry.ToPrometheusText(
@@ -199,8 +207,6 @@
         .on_lost =
             [this](const std::string& node) {
               ingress_.placement().Remove(node);
-              metrics_.links.set_value(
-                  static_cast<double>(links_.connected().size()));
             },
         .on_configuration =
             [this](const mesh::ConfigurationUpdate& update) {
@@ -229,6 +235,13 @@
     source_.OnPeerStatus(node, status);
   }
 
+  // Of what changes more often than it is asked for.
+  void UpdateGauges() {
+    metrics_.links.set_value(static_cast<double>(links_.connected().size()));
+    metrics_.backend_serving.set_value(receiver_.load().accepts_requests ? 1
+                                                                         : 0);
+  }
+
   NodeStatus MakeStatus() {
     const MonotonicTime now = MonotonicClock::now();
     mesh::BackendLoad load = receiver_.load();
@@ -275,43 +288,40 @@
       return;
     }
     target.remove_prefix(platform::kAnnouncementPathPrefix.size());
-    const bool is_accepted =
-        request.method() == boost::beast::http::verb::delete_
-            ? TakeDeparture(target, request.body())
-            : TakeAnnouncement(target, request.body());
-    reply.Send({.status = is_accepted ? kStatusOk : kStatusBadRequest,
-                .headers = std::string(kJsonLine),
-                .body = "{}"});
+    const int status = request.method() == boost::beast::http::verb::delete_
+                           ? TakeDeparture(target, request.body())
+                           : TakeAnnouncement(target, request.body());
+    reply.Send(
+        {.status = status, .headers = std::string(kJsonLine), .body = "{}"});
   }
 
-  bool TakeAnnouncement(std::string_view id, std::string_view body) {
+  // Both return the status of the answer.
+  int TakeAnnouncement(std::string_view id, std::string_view body) {
     auto announcement = platform::DecodeAnnouncement(id, body);
     if (!announcement) {
       RejectAnnouncement(id, announcement.error());
-      return false;
+      return kStatusBadRequest;
     }
     const auto& configuration = holder_.current();
     if (configuration &&
         configuration->FindService(announcement.value().service) == nullptr) {
       RejectAnnouncement(id, "service is not in the configuration");
-      return false;
+      return kStatusBadRequest;
     }
     if (announcement.value().address != settings_.backend.address.ToString()) {
       RejectAnnouncement(id, "address is not that of the local backend server");
-      return false;
+      return kStatusBadRequest;
     }
-    receiver_.Apply(announcement.value());
-    return true;
+    return receiver_.Apply(announcement.value()) ? kStatusOk : kStatusConflict;
   }
 
-  bool TakeDeparture(std::string_view id, std::string_view body) {
+  int TakeDeparture(std::string_view id, std::string_view body) {
     const auto departure = platform::DecodeDeparture(id, body);
     if (!departure) {
       RejectAnnouncement(id, departure.error());
-      return false;
+      return kStatusBadRequest;
     }
-    receiver_.Apply(departure.value());
-    return true;
+    return receiver_.Apply(departure.value()) ? kStatusOk : kStatusConflict;
   }
 
   void RejectAnnouncement(std::string_view id, std::string_view why) {
