--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -52,6 +52,9 @@
       running(registry.RegisterGauge("running", "Requests that hold a slot")),
       waiting(
           registry.RegisterGauge("waiting", "Requests that wait for a slot")),
+      backend_serving(registry.RegisterGauge(
+          "backend_serving",
+          "Whether the backend server beside the node takes requests")),
       announcements(registry.RegisterCounter(
           "announcements_total", "Heartbeats of the local backend server")),
       malformed_announcements(
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -36,6 +36,7 @@
   metrics::Gauge& waiting;
 
   // Of control.
+  metrics::Gauge& backend_serving;
   metrics::Counter& announcements;
   metrics::Counter& malformed_announcements;
   metrics::Counter& configurations;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -1,5 +1,6 @@
 #include "sidecar/settings.h"
 
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -44,6 +45,10 @@
        Assign<&Settings::listen, &Settings::Listen::clients>::To},
       {{"listen", "peers", AddressRule{}, "address for other nodes"},
        Assign<&Settings::listen, &Settings::Listen::peers>::To},
+      {{"listen", "advertised-peers", AddressRule{},
+        "address at which other nodes reach this one", std::nullopt,
+        "the address of peers"},
+       Assign<&Settings::listen, &Settings::Listen::advertised_peers>::To},
       {{"listen", "readiness", AddressRule{}, "address for readiness checks"},
        Assign<&Settings::listen, &Settings::Listen::readiness>::To},
       {{"listen", "announcements", AddressRule{},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -25,6 +25,8 @@
   struct Listen {
     Address clients;
     Address peers;
+    // Given to other nodes; without IP, `peers` is.
+    Address advertised_peers;
     Address readiness;
     Address announcements;
     Address metrics;
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -94,6 +94,7 @@
                             .is_first_start = false};
   instance.settings.listen = {.clients = UnusedAddress(),
                               .peers = UnusedAddress(),
+                              .advertised_peers = {},
                               .readiness = UnusedAddress(),
                               .announcements = UnusedAddress(),
                               .metrics = UnusedAddress()};
@@ -190,6 +191,12 @@
       .status;
 }
 
+std::string MeshFixture::ReadMetrics(Instance& instance) {
+  return Call(instance.settings.listen.metrics,
+              "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", {})
+      .body;
+}
+
 std::shared_ptr<std::optional<ClientAnswer>> MeshFixture::Begin(
     Instance& instance, const std::string& method, const std::string& target,
     const std::string& body, int deadline_ms) {
--- a/tests/sidecar/mesh_fixture.h
+++ b/tests/sidecar/mesh_fixture.h
@@ -79,6 +79,7 @@
   std::string SendRaw(const Address& address, const std::string& bytes,
                       Duration limit = std::chrono::seconds(2));
   int CheckReadiness(Instance& instance);
+  std::string ReadMetrics(Instance& instance);
 
   // Runs the loop until the condition holds; fails the test if it does not
   // within `limit`.
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -197,6 +197,39 @@
   REQUIRE(answer.status == 503);
 }
 
+// Guards against gauges that keep the value of a link's last loss.
+TEST_CASE("metrics tell of open links and of the backend server") {
+  Pair mesh;
+  mesh.RunUntil([&] {
+    return mesh.ReadMetrics(mesh.first).find("links 1\n") != std::string::npos;
+  });
+  const std::string before = mesh.ReadMetrics(mesh.second);
+  REQUIRE(before.find("backend_serving 1\n") != std::string::npos);
+  mesh.Depart(mesh.second);
+  const std::string after = mesh.ReadMetrics(mesh.second);
+  REQUIRE(after.find("backend_serving 0\n") != std::string::npos);
+}
+
+// Guards against other nodes that use the address at which a node listens while
+// it is reached at another one.
+TEST_CASE("a node is reached at the address that it advertises") {
+  MeshFixture mesh;
+  Instance& first = mesh.AddInstance("rooms", Ok);
+  Instance& second = mesh.AddInstance("booking", Ok);
+  mesh.KillNode(second);
+  second.settings.listen.advertised_peers = second.settings.listen.peers;
+  second.settings.listen.peers = UnusedAddress();
+  mesh.StartNode(second);
+  mesh.Announce(second);
+  mesh.RunFor(seconds(1));
+  REQUIRE(mesh.Send(first, "GET", "/idem/0").status == 503);
+  mesh.KillNode(second);
+  second.settings.listen.peers = second.settings.listen.advertised_peers;
+  mesh.StartNode(second);
+  mesh.Announce(second);
+  mesh.AwaitService(first, "/idem/0");
+}
+
 // Guards against requests that are cut by a planned stop.
 TEST_CASE("a stopping node finishes what it has read") {
   Pair mesh(Slow);
