--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,409 @@
+"""Checks what was seen against the promises to users."""
+
+import bisect
+import collections
+
+from record import (
+    BUDGET_RATIO,
+    BUDGET_SLACK,
+    BUDGET_WINDOW,
+    CONFIG_BOUND,
+    DRAIN_BOUND,
+    GRACE,
+    LOST_BOUND,
+    ROLLBACK_SLACK,
+    STABLE_WINDOW,
+)
+
+# A fault may overlap with what the system can know; the users' pages allow this
+# many cases a day before a promise counts as broken.
+FEW = 3
+# Further proper requests that may be denied: five, and one in 500.
+DENIED_FEW = 5
+DENIED_SHARE = 1 / 500
+# Statuses of the system's own that do not deny a request.
+TEMPORARY = (408, 421, 429)
+# Time after a client has left in which its request may still arrive, and time
+# by which a backend server may be given too much, in seconds.
+HALF_SECOND = 0.5
+# Least share of requests that are served once all faults have ended.
+RECOVERED_SHARE = 0.25
+# Time after a fault by which a site must have recovered, in seconds.
+RECOVERY_TIME = 15.0
+
+
+class Checks:
+    def __init__(self, record, attempts_allowed):
+        self.record = record
+        self.attempts_allowed = attempts_allowed
+        self.found = list(record.violations)
+        self.arrivals = collections.defaultdict(list)
+        for arrival in record.arrivals:
+            self.arrivals[arrival.identifier].append(arrival)
+
+    def run(self):
+        """Returns all violations as (rule, text)."""
+        for attempt in self.record.attempts.values():
+            self.check_answer(attempt)
+            self.check_once(attempt)
+        for arrival in self.record.arrivals:
+            self.check_asked(arrival)
+            self.check_drain(arrival)
+        self.check_configuration()
+        self.check_regress()
+        self.check_denied()
+        self.check_lost()
+        self.check_budget()
+        self.check_attempts()
+        self.check_given_time()
+        self.check_left()
+        self.check_poison()
+        return self.found
+
+    def report(self, rule, text):
+        self.found.append((rule, text))
+
+    def check_answer(self, attempt):
+        if attempt.ending != "answer":
+            return
+        runs = self.arrivals[attempt.identifier]
+        name = f"{attempt.identifier} {attempt.target} at {attempt.node}"
+        if attempt.answer_identifier not in ("", attempt.identifier):
+            self.report("answer", f"{name}: answer to {attempt.answer_identifier}")
+        if not attempt.stamp:
+            if 200 <= attempt.status < 300:
+                self.report("answer", f"{name}: {attempt.status} without signature")
+            return
+        same = [run for run in runs if run.stamp == attempt.stamp]
+        if not same:
+            self.report("answer", f"{name}: signature {attempt.stamp} is foreign")
+        elif same[0].status != attempt.status:
+            self.report(
+                "answer", f"{name}: {attempt.status} instead of {same[0].status}"
+            )
+        elif attempt.status < 300 and same[0].answer_body != attempt.answer_body:
+            self.report("answer", f"{name}: body differs from the backend server's")
+
+    def check_once(self, attempt):
+        if attempt.is_repeatable:
+            return
+        runs = [run for run in self.arrivals[attempt.identifier] if run.is_run]
+        if len(runs) > 1:
+            where = ", ".join(f"{run.backend} at {run.at:.3f}" for run in runs)
+            self.report("twice", f"{attempt.identifier} ran on {where}")
+        if runs and attempt.is_promise:
+            self.report(
+                "refused",
+                f"{attempt.identifier} got {attempt.status} at "
+                f"{attempt.ended_at:.3f} and ran on {runs[0].backend} at "
+                f"{runs[0].at:.3f}",
+            )
+
+    def check_asked(self, arrival):
+        attempt = self.record.attempts.get(arrival.identifier)
+        if attempt is None:
+            self.report("unasked", f"{arrival.identifier} at {arrival.backend}")
+            return
+        if not arrival.is_run:
+            return
+        asked = (attempt.method, attempt.target, attempt.body)
+        if asked != (arrival.method, arrival.target, arrival.body):
+            self.report("unasked", f"{arrival.identifier} was changed: {arrival}")
+        service = self.record.services[attempt.node]
+        if arrival.caller_service != service:
+            self.report(
+                "unasked",
+                f"{arrival.identifier} names the caller {arrival.caller_service}",
+            )
+        ever = {
+            service
+            for version in self.record.versions
+            for service in version.services.get(attempt.prefix, ())
+        }
+        if arrival.service not in ever:
+            self.report(
+                "route", f"{arrival.identifier} {attempt.target} ran at "
+                f"{arrival.service}, allowed are {sorted(ever)}"
+            )
+
+    def check_drain(self, arrival):
+        attempt = self.record.attempts.get(arrival.identifier)
+        if attempt is None or arrival.status == 421:
+            return
+        for leaving in self.record.acknowledgements:
+            if leaving.backend != arrival.backend:
+                continue
+            if arrival.at <= leaving.at + DRAIN_BOUND:
+                continue
+            nodes = {attempt.node, arrival.node}
+            # A node that gave the acknowledgement is bound at any time that it
+            # runs; others must have been in touch.
+            if nodes == {leaving.node}:
+                calm = self.record.is_calm(nodes, arrival.at, arrival.at)
+            else:
+                calm = all(
+                    self.record.is_in_touch(node, attempt.sent_at, arrival.at)
+                    for node in nodes
+                )
+            if calm:
+                self.report(
+                    "drain",
+                    f"{arrival.identifier} came to {arrival.backend} "
+                    f"{arrival.at - leaving.at:.3f} s after {leaving.node} "
+                    f"acknowledged that it leaves",
+                )
+                return
+
+    def check_configuration(self):
+        """A request is not handled as only an older version allows."""
+        for attempt in self.record.attempts.values():
+            end = attempt.ended_at
+            if not self.record.is_in_touch(attempt.node, attempt.sent_at, end):
+                continue
+            allowed = self.record.versions_at(attempt.sent_at - CONFIG_BOUND, end)
+            services = {
+                service
+                for version in allowed
+                for service in version.services.get(attempt.prefix, ())
+            }
+            for run in self.arrivals[attempt.identifier]:
+                if run.is_run and run.service not in services:
+                    self.report(
+                        "configuration",
+                        f"{attempt.identifier} {attempt.target} of {attempt.node}"
+                        f" ran at {run.service}; versions "
+                        f"{[version.number for version in allowed]} allow "
+                        f"{sorted(services)}",
+                    )
+            is_known = all(attempt.prefix in v.services for v in allowed)
+            if attempt.status == 404 and not attempt.stamp and is_known:
+                self.report(
+                    "configuration",
+                    f"{attempt.identifier} {attempt.target} of {attempt.node}: "
+                    f"404, versions {[v.number for v in allowed]} have the route",
+                )
+
+    def check_regress(self):
+        """A process does not go back behind a version that it acted on."""
+        by_node = collections.defaultdict(list)
+        for attempt in self.record.attempts.values():
+            by_node[attempt.node].append(attempt)
+        for node, attempts in by_node.items():
+            attempts.sort(key=lambda attempt: attempt.sent_at)
+            starts = sorted(at for name, at in self.record.starts if name == node)
+            seen = []
+            for attempt in attempts:
+                for run in self.arrivals[attempt.identifier]:
+                    least = self.least_version(attempt.prefix, run)
+                    if run.is_run and least:
+                        seen.append((run.at, least))
+            seen.sort()
+            for attempt in attempts:
+                begin = starts[bisect.bisect_right(starts, attempt.sent_at) - 1]
+                least = max(
+                    (
+                        version
+                        for at, version in seen
+                        if begin <= at < attempt.sent_at - ROLLBACK_SLACK
+                    ),
+                    default=0,
+                )
+                for run in self.arrivals[attempt.identifier]:
+                    most = self.greatest_version(attempt.prefix, run)
+                    if run.is_run and 0 < most < least:
+                        self.report(
+                            "configuration",
+                            f"{attempt.identifier} of {node} was handled by "
+                            f"version {most} or older after {least}",
+                        )
+
+    def least_version(self, prefix, run):
+        """Oldest version that allows this run."""
+        numbers = self.versions_of(prefix, run)
+        return min(numbers, default=0)
+
+    def greatest_version(self, prefix, run):
+        return max(self.versions_of(prefix, run), default=0)
+
+    def versions_of(self, prefix, run):
+        return [
+            version.number
+            for version in self.record.versions
+            if run.service in version.services.get(prefix, ()) and version.at <= run.at
+        ]
+
+    def check_denied(self):
+        denied = []
+        for attempt in self.record.attempts.values():
+            is_denial = 300 <= attempt.status < 500 and not attempt.stamp
+            if not is_denial or attempt.status in TEMPORARY:
+                continue
+            if all(attempt.prefix in v.services for v in self.record.versions):
+                denied.append(f"{attempt.identifier} {attempt.status}")
+        if len(denied) > DENIED_FEW + DENIED_SHARE * len(self.record.attempts):
+            self.report("denied", f"{len(denied)} requests, e.g. {denied[:5]}")
+
+    def check_lost(self):
+        """Planned stops cut no request, and calm nodes do not at all."""
+        without_answer = []
+        for attempt in self.record.attempts.values():
+            if attempt.ending != "closed":
+                continue
+            arrivals = self.arrivals[attempt.identifier]
+            held = attempt.ended_at - attempt.sent_at
+            if held >= attempt.deadline:
+                continue
+            if any(run.ending not in ("answered", "at work") for run in arrivals):
+                continue  # The backend server broke off.
+            is_calm = self.record.is_in_touch(
+                attempt.node, attempt.sent_at, attempt.ended_at
+            )
+            if is_calm and arrivals:
+                without_answer.append(attempt.identifier)
+            stops = [
+                at
+                for name, at in self.record.stops
+                if name == attempt.node
+                and at - attempt.deadline <= attempt.sent_at <= at + GRACE + 1
+            ]
+            # Planned stops disturb no one, so they are no faults here.
+            is_planned_only = not any(
+                fault.kind != "stop"
+                and fault.begin <= attempt.ended_at
+                and fault.end >= attempt.sent_at - STABLE_WINDOW
+                for fault in self.record.faults
+            )
+            if stops and is_planned_only and (arrivals or held > LOST_BOUND):
+                self.report(
+                    "lost",
+                    f"{attempt.identifier} at {attempt.node} ended after "
+                    f"{held:.3f} s, {attempt.ended_at - stops[-1]:.3f} s after "
+                    f"SIGTERM, with {len(arrivals)} arrivals",
+                )
+        if len(without_answer) > FEW:
+            self.report("lost", f"calm nodes gave no answer to {without_answer}")
+
+    def check_budget(self):
+        """Repeats stay within a share of the requests of a service."""
+        requests = collections.defaultdict(list)
+        repeats = collections.defaultdict(list)
+        for attempt in self.record.attempts.values():
+            arrivals = sorted(self.arrivals[attempt.identifier], key=lambda a: a.at)
+            services = {
+                service
+                for version in self.record.versions
+                for service in version.services.get(attempt.prefix, ())
+            }
+            for service in services:
+                requests[service].append(attempt.sent_at)
+            first = 0 if attempt.is_call_of_repeat else 1
+            for arrival in arrivals[first:]:
+                repeats[arrival.service].append(arrival.at)
+        for service, times in repeats.items():
+            times.sort()
+            sent = sorted(requests[service])
+
+            def count(values, end):
+                return bisect.bisect_right(values, end) - bisect.bisect_left(
+                    values, end - BUDGET_WINDOW
+                )
+
+            for at in times:
+                base = max(
+                    count(sent, at - back * BUDGET_WINDOW) for back in (0, 0.5, 1)
+                )
+                if count(times, at) > BUDGET_RATIO * base + BUDGET_SLACK:
+                    self.report(
+                        "budget",
+                        f"{service}: {count(times, at)} repeats for {base} requests"
+                        f" up to {at:.3f}",
+                    )
+                    break
+
+    def check_attempts(self):
+        beyond = []
+        for identifier, arrivals in self.arrivals.items():
+            servers = {run.backend for run in arrivals if run.is_run}
+            ended = {run.backend for run in arrivals if run.ending == "crashed"}
+            if len(servers - ended) > self.attempts_allowed:
+                beyond.append(identifier)
+        if len(beyond) > FEW:
+            self.report("budget", f"more backend servers than allowed: {beyond}")
+
+    def check_given_time(self):
+        beyond = []
+        for arrival in self.record.arrivals:
+            attempt = self.record.attempts.get(arrival.identifier)
+            if attempt is None:
+                continue
+            end = attempt.sent_at + attempt.deadline + HALF_SECOND
+            if arrival.given is None or arrival.at + arrival.given > end:
+                beyond.append(arrival.identifier)
+        if len(beyond) > 20 and len(beyond) * 5 > len(self.record.arrivals):
+            self.report("budget", f"{len(beyond)} requests were given too long")
+
+    def check_left(self):
+        late = []
+        for attempt in self.record.attempts.values():
+            if attempt.ending != "left":
+                continue
+            for arrival in self.arrivals[attempt.identifier]:
+                if arrival.at > attempt.ended_at + HALF_SECOND and all(
+                    self.record.is_in_touch(node, attempt.sent_at, arrival.at)
+                    for node in (attempt.node, arrival.node)
+                ):
+                    late.append(attempt.identifier)
+        if len(late) > FEW:
+            self.report("gone", f"arrived after their clients had left: {late}")
+
+    def check_poison(self):
+        """A crashing request is stopped after the third crash."""
+        by_target = collections.defaultdict(list)
+        for arrival in self.record.arrivals:
+            attempt = self.record.attempts.get(arrival.identifier)
+            if attempt is not None and attempt.is_poison:
+                by_target[arrival.target].append((arrival, attempt))
+        for target, pairs in by_target.items():
+            crashes = sorted(a.ended_at for a, _ in pairs if a.ending == "crashed")
+            if len(crashes) < 3:
+                continue
+            late = [
+                arrival.identifier
+                for arrival, attempt in pairs
+                if arrival.at > crashes[2] + STABLE_WINDOW
+                and self.record.is_in_touch(attempt.node, arrival.at, arrival.at)
+            ]
+            if len(late) > FEW:
+                self.report("budget", f"{target} crashes servers: {late}")
+
+
+def check_recovery(work, begin, end):
+    """Once all faults have ended, nodes serve and backend servers are used."""
+    record = work.record
+    found = []
+    sent = collections.Counter()
+    served = collections.Counter()
+    for attempt in record.attempts.values():
+        if begin <= attempt.sent_at <= end and not attempt.is_poison:
+            sent[attempt.node] += 1
+            served[attempt.node] += 200 <= attempt.status < 300
+    if sum(served.values()) < RECOVERED_SHARE * sum(sent.values()):
+        found.append(
+            ("recover", f"{sum(served.values())} of {sum(sent.values())} served")
+        )
+    used = {arrival.node for arrival in record.arrivals if begin <= arrival.at <= end}
+    for node in work.nodes:
+        name = node.name
+        if sent[name] and not served[name]:
+            found.append(("recover", f"{name} served none of {sent[name]} requests"))
+        links = len(work.nodes) - 1
+        state = (node.metrics.get("backend_serving"), node.metrics.get("links"))
+        if state != (1, links):
+            found.append(
+                ("recover", f"{name}: serving and links are {state}, not {(1, links)}")
+            )
+        # Others avoid a server for some time after it was slow or failed.
+        is_trusted = node.backend.disturbed_at < begin - RECOVERY_TIME
+        if is_trusted and name not in used:
+            found.append(("recover", f"the server beside {name} got no request"))
+    return found
