routing: Tell deaths of one backend server apart by its incarnation

A death was known by the server's address and 5 s of time, so a request that had killed servers at the same addresses a moment before explained the next deaths there, and these did not count.

Ruled out: crashes that nodes did not see (each is in the logs) and reports that come late (a model with instant knowledge shows the same, test 'a death is explained only by requests that were in flight then': 6 deaths without refusal by address only, 2 with incarnations).

A death is now known by address and incarnation. Two deaths of one server still count as one, so a server that goes up and down by turns does not have innocent requests refused.

--- a/libraries/peers/codec.cc
+++ b/libraries/peers/codec.cc
@@ -164,10 +164,11 @@
   std::vector<routing::CrashReport> reports;
   for (const auto report : reader.getCrashReports()) {
     if (reports.size() == kMaximumCrashReports) break;
-    reports.push_back({report.getFingerprint(),
-                       ToString(report.getBackendAddress()),
-                       std::chrono::milliseconds(report.getAgeMilliseconds()),
-                       report.getIsCompletion()});
+    reports.push_back(
+        {.fingerprint = report.getFingerprint(),
+         .backend_address = ToString(report.getBackendAddress()),
+         .age = std::chrono::milliseconds(report.getAgeMilliseconds()),
+         .is_completion = report.getIsCompletion()});
   }
   return reports;
 }
--- a/libraries/routing/quarantine.cc
+++ b/libraries/routing/quarantine.cc
@@ -37,12 +37,15 @@
 
 void Quarantine::RecordDeath(MonotonicTime now,
                              std::span<const Fingerprint> in_flight,
-                             std::string_view backend_address) {
+                             std::string_view backend_address,
+                             std::uint64_t incarnation) {
   const std::lock_guard lock(mutex_);
+  const Life life{std::string(backend_address), incarnation};
   for (const Fingerprint fingerprint : in_flight) {
-    if (!AddDeath(now, fingerprint, backend_address, now)) continue;
+    if (!AddDeath(now, fingerprint, life, now)) continue;
     Enqueue({.fingerprint = fingerprint,
-             .backend_address = std::string(backend_address)},
+             .backend_address = life.backend_address,
+             .incarnation = incarnation},
             now);
   }
 }
@@ -68,7 +71,12 @@
   const Entry& entry = found->second;
   if (entry.deaths.size() < threshold_) return false;
   const auto deaths = CountingDeaths(now, fingerprint, entry);
-  if (deaths.size() < threshold_) return false;
+  // A server that goes up and down by itself proves nothing.
+  absl::flat_hash_set<std::string_view> addresses;
+  for (const Death* death : deaths) {
+    addresses.insert(death->life.backend_address);
+  }
+  if (addresses.size() < threshold_) return false;
   return !IsItsTurn(now, fingerprint, entry, deaths);
 }
 
@@ -98,7 +106,8 @@
     const bool is_new =
         report.is_completion
             ? AddCompletion(report.fingerprint, time)
-            : AddDeath(now, report.fingerprint, report.backend_address, time);
+            : AddDeath(now, report.fingerprint,
+                       {report.backend_address, report.incarnation}, time);
     if (!is_new) continue;
     ++added;
     Enqueue(report, time);
@@ -111,24 +120,24 @@
   return entries_.size();
 }
 
-bool Quarantine::AddDeath(MonotonicTime now, Fingerprint fingerprint,
-                          std::string_view backend_address,
+bool Quarantine::AddDeath(MonotonicTime now, Fingerprint fingerprint, Life life,
                           MonotonicTime time) {
-  if (backend_address.empty()) return false;
+  if (life.backend_address.empty()) return false;
   if (CompletedJustBefore(fingerprint, time)) return false;
   Entry& entry = FindOrAdd(fingerprint);
   if (entry.completed.has_value() && time <= *entry.completed) return false;
   EraseDeaths(fingerprint, entry, now - quarantine_time_);
-  const auto known =
-      std::ranges::find(entry.deaths, backend_address, &Death::backend_address);
+  const auto known = std::ranges::find(entry.deaths, life, &Death::life);
   if (known != entry.deaths.end()) {
-    if (time - known->time < kNewDeath) return false;
+    const bool is_same =
+        life.incarnation != 0 || time - known->time < kNewDeath;
+    if (is_same) return false;
     known->time = time;
   } else {
     if (entry.deaths.size() >= kMaximumDeaths) return false;
-    entry.deaths.push_back({std::string(backend_address), time});
+    entry.deaths.push_back({life, time});
   }
-  by_backend_[std::string(backend_address)].insert(fingerprint);
+  by_life_[std::move(life)].insert(fingerprint);
   order_.splice(order_.end(), order_, entry.position);
   return true;
 }
@@ -173,10 +182,10 @@
 
 void Quarantine::RemoveFromIndex(Fingerprint fingerprint, const Entry& entry) {
   for (const Death& death : entry.deaths) {
-    const auto found = by_backend_.find(death.backend_address);
-    if (found == by_backend_.end()) continue;
+    const auto found = by_life_.find(death.life);
+    if (found == by_life_.end()) continue;
     found->second.erase(fingerprint);
-    if (found->second.empty()) by_backend_.erase(found);
+    if (found->second.empty()) by_life_.erase(found);
   }
 }
 
@@ -191,7 +200,7 @@
       std::remove_if(entry.deaths.begin(), entry.deaths.end(), is_old),
       entry.deaths.end());
   for (const Death& death : entry.deaths) {
-    by_backend_[death.backend_address].insert(fingerprint);
+    by_life_[death.life].insert(fingerprint);
   }
 }
 
@@ -212,17 +221,22 @@
   return deaths;
 }
 
+bool Quarantine::IsSame(const Death& first, const Death& second) {
+  return first.life == second.life &&
+         (first.life.incarnation != 0 ||
+          Distance(first.time, second.time) <= kSameDeath);
+}
+
 bool Quarantine::IsExplained(Fingerprint fingerprint, const Entry& entry,
                              const Death& death) const {
-  const auto others = by_backend_.find(death.backend_address);
-  if (others == by_backend_.end()) return false;
+  const auto others = by_life_.find(death.life);
+  if (others == by_life_.end()) return false;
   return std::ranges::any_of(others->second, [&](Fingerprint other) {
     if (other == fingerprint) return false;
     const Entry& candidate = entries_.at(other);
     if (candidate.deaths.size() <= entry.deaths.size()) return false;
     return std::ranges::any_of(candidate.deaths, [&](const Death& known) {
-      return known.backend_address == death.backend_address &&
-             Distance(known.time, death.time) <= kSameDeath;
+      return IsSame(known, death);
     });
   });
 }
@@ -235,14 +249,12 @@
                            std::span<const Death* const> deaths) const {
   const auto shares = [](const Entry& other, const Death& death) {
     return std::ranges::any_of(other.deaths, [&death](const Death& known) {
-      return known.backend_address == death.backend_address &&
-             Distance(known.time, death.time) <= kSameDeath;
+      return IsSame(known, death);
     });
   };
   std::int64_t equals = 0;
   std::int64_t rank = 0;
-  for (const Fingerprint other :
-       by_backend_.at(deaths.front()->backend_address)) {
+  for (const Fingerprint other : by_life_.at(deaths.front()->life)) {
     const Entry& candidate = entries_.at(other);
     if (candidate.deaths.size() != entry.deaths.size()) continue;
     if (!std::ranges::all_of(deaths, [&](const Death* death) {
--- a/libraries/routing/quarantine.h
+++ b/libraries/routing/quarantine.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/time.h"
@@ -32,6 +33,8 @@
   // The backend server that died while it ran the request. Empty in reports of
   // completions.
   std::string backend_address;
+  // Distinguishes the starts of a backend server; 0 if they are not told apart.
+  std::uint64_t incarnation = 0;
   // Time since the death or completion.
   Duration age{0};
   // The request completed somewhere; earlier deaths are not held against it.
@@ -43,7 +46,9 @@
 //
 // Up to a slot count of innocent requests is in flight beside the one that
 // crashes a backend server, and all of them are reported. They are told apart
-// by these rules, which every node applies to the reports that it holds:
+// by these rules, which every node applies to the reports that it holds. A
+// death is known by address and incarnation; without the latter, deaths at one
+// address within some seconds are taken to be one.
 //
 // 1. A completion clears all earlier deaths. Deaths are ignored at a node that
 //    saw the same fingerprint complete within 10 s before; this covers popular
@@ -81,9 +86,10 @@
   void set_retransmissions(int retransmissions);
 
   // Records that a backend server died (not that it stopped as planned) with
-  // these requests in flight.
+  // these requests in flight. `incarnation` is as in CrashReport.
   void RecordDeath(MonotonicTime now, std::span<const Fingerprint> in_flight,
-                   std::string_view backend_address);
+                   std::string_view backend_address,
+                   std::uint64_t incarnation = 0);
 
   // Records that a backend server answered the request.
   void RecordCompletion(MonotonicTime now, Fingerprint fingerprint);
@@ -103,8 +109,20 @@
   std::size_t size() const;
 
  private:
-  struct Death {
+  // A start of a backend server that ended with a death.
+  struct Life {
     std::string backend_address;
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const Life&) const = default;
+    template <typename H>
+    friend H AbslHashValue(H hash, const Life& life) {
+      return H::combine(std::move(hash), life.backend_address,
+                        life.incarnation);
+    }
+  };
+  struct Death {
+    Life life;
     MonotonicTime time;
   };
   // Deaths are held in the order in which they were learnt.
@@ -124,8 +142,8 @@
   };
 
   // The functions below require mutex_.
-  bool AddDeath(MonotonicTime now, Fingerprint fingerprint,
-                std::string_view backend_address, MonotonicTime time);
+  bool AddDeath(MonotonicTime now, Fingerprint fingerprint, Life life,
+                MonotonicTime time);
   bool AddCompletion(Fingerprint fingerprint, MonotonicTime time);
   bool CompletedJustBefore(Fingerprint fingerprint, MonotonicTime time) const;
   Entry& FindOrAdd(Fingerprint fingerprint);
@@ -137,6 +155,7 @@
   std::vector<const Death*> CountingDeaths(MonotonicTime now,
                                            Fingerprint fingerprint,
                                            const Entry& entry) const;
+  static bool IsSame(const Death& first, const Death& second);
   bool IsExplained(Fingerprint fingerprint, const Entry& entry,
                    const Death& death) const;
   bool IsItsTurn(MonotonicTime now, Fingerprint fingerprint, const Entry& entry,
@@ -150,8 +169,7 @@
   int retransmissions_;
   absl::flat_hash_map<Fingerprint, Entry> entries_;
   std::list<Fingerprint> order_;  // Oldest change first.
-  absl::flat_hash_map<std::string, absl::flat_hash_set<Fingerprint>>
-      by_backend_;
+  absl::flat_hash_map<Life, absl::flat_hash_set<Fingerprint>> by_life_;
   std::deque<Pending> pending_;
   // The latest completion of each value of fingerprint modulo the size. A
   // collision only loses the knowledge that spares an innocent request.
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -48,6 +48,8 @@
   backendAddress @1 :Text;
   ageMs @2 :UInt32;
   isCompletion @3 :Bool;
+  # Distinguishes the starts of a backend server.
+  incarnation @4 :UInt64;
 }
 
 # What a node tells every node that opened a connection to it.
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -100,7 +100,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e26735599c25665d, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e26735599c25665d, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -651,6 +651,8 @@
 
   inline bool getIsCompletion() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -695,6 +697,9 @@
   inline bool getIsCompletion();
   inline void setIsCompletion(bool value);
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2502,6 +2507,20 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Status::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -222,6 +222,7 @@
     const routing::CrashReport& report = status.crash_reports[i];
     reports[i].setFingerprint(report.fingerprint);
     reports[i].setBackendAddress(report.backend_address);
+    reports[i].setIncarnation(report.incarnation);
     reports[i].setAgeMs(ToMs(report.age));
     reports[i].setIsCompletion(report.is_completion);
   }
@@ -241,6 +242,7 @@
     status.crash_reports.push_back(
         {.fingerprint = report.getFingerprint(),
          .backend_address = ToString(report.getBackendAddress()),
+         .incarnation = report.getIncarnation(),
          .age = std::chrono::milliseconds(report.getAgeMs()),
          .is_completion = report.getIsCompletion()});
   }
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hash.h"
 #include "logging/log.h"
 #include "platform/http_codec.h"
 
@@ -417,7 +418,11 @@
       const auto lost = std::exchange(lost_, {});
       if (is_reachable) return;
       metrics_.crashes.Add();
-      quarantine_.RecordDeath(MonotonicClock::now(), lost, backend_address_);
+      const mesh::Announcement& died = backend_.announcement();
+      quarantine_.RecordDeath(
+          MonotonicClock::now(), lost, backend_address_,
+          CombineHashes(Hash64(died.id),
+                        static_cast<std::uint64_t>(died.started_at_ms)));
       logging::Log(
           Level::kWarning, "backend", "crashed",
           {{"id", backend_.announcement().id}, {"requests_lost", lost.size()}});
--- a/tests/peers/peers_test.cc
+++ b/tests/peers/peers_test.cc
@@ -195,8 +195,9 @@
   request.exchange.digest.heard = {{"dc2", 55}};
   request.exchange.digest.table_hash = 77;
   request.exchange.digest.deltas = {pointer, pointer};
-  request.crash_reports = {
-      {1, "127.0.0.1:10", std::chrono::milliseconds(9), false}};
+  request.crash_reports = {{.fingerprint = 1,
+                            .backend_address = "127.0.0.1:10",
+                            .age = std::chrono::milliseconds(9)}};
 
   std::promise<GossipReply> promise;
   pair.client.Exchange(pair.name, request, [&](Result<GossipReply> reply) {
--- a/tests/routing/quarantine_test.cc
+++ b/tests/routing/quarantine_test.cc
@@ -193,5 +193,50 @@
   REQUIRE(run.refused <= 10);  // Of 20,000.
 }
 
+// Records that a request has killed six servers, and, as soon as they are back,
+// that another one kills them in turn. Returns the deaths until the second
+// request is refused, or six if it is not.
+int CountDeathsOfSecondRequest(bool tells_incarnations) {
+  constexpr int kServers = 6;
+  constexpr std::array<Fingerprint, 1> kFirst = {1};
+  constexpr std::array<Fingerprint, 1> kSecond = {2};
+  Quarantine quarantine;
+  const auto address = [](int server) {
+    return "10.0.0." + std::to_string(server) + ":80";
+  };
+  for (int server = 0; server < kServers; ++server) {
+    quarantine.RecordDeath(kStart, kFirst, address(server),
+                           tells_incarnations ? 1 : 0);
+  }
+  for (int server = 0; server < kServers; ++server) {
+    const MonotonicTime now =
+        kStart + milliseconds(1500) + milliseconds(300) * server;
+    if (quarantine.IsRefused(now, kSecond.front())) return server;
+    quarantine.RecordDeath(now, kSecond, address(server),
+                           tells_incarnations ? 2 : 0);
+  }
+  return kServers;
+}
+
+// Guards against a crashing request that is excused by another one, which
+// killed the servers of the same addresses a moment before.
+TEST_CASE("a death is explained only by requests that were in flight then") {
+  REQUIRE(CountDeathsOfSecondRequest(false) == 6);
+  REQUIRE(CountDeathsOfSecondRequest(true) == 2);
+}
+
+// Guards against innocent requests that are refused because one server goes up
+// and down by turns.
+TEST_CASE("starts of one server do not count as different servers") {
+  Quarantine quarantine;
+  for (std::uint64_t start = 1; start <= 5; ++start) {
+    quarantine.RecordDeath(kStart + seconds(start), kCrash, "10.0.0.1:80",
+                           start);
+  }
+  REQUIRE_FALSE(quarantine.IsRefused(kStart + seconds(6), 42));
+  quarantine.RecordDeath(kStart + seconds(7), kCrash, "10.0.0.2:80", 1);
+  REQUIRE(quarantine.IsRefused(kStart + seconds(7), 42));
+}
+
 }  // namespace
 }  // namespace oleandertide::routing
