--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -168,6 +168,14 @@
             self.scene.arrival(identifier)
         self.expect("lost")
 
+    def test_requests_are_answered_in_time(self):
+        for number in range(promises.FEW + 1):
+            identifier = f"q{number}"
+            self.scene.attempt(
+                identifier, ending="timeout", status=0, stamp="", ended_at=13.0
+            )
+        self.expect("unanswered")
+
     def test_repeats_are_bounded(self):
         for number in range(70):
             identifier = f"q{number}"
