--- a/libraries/mesh/bulk_schedule.cc
+++ b/libraries/mesh/bulk_schedule.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "mesh/link_backlog.h"
+
 namespace oleandertide::mesh {
 namespace {
 
@@ -53,13 +55,9 @@
 }
 
 std::size_t ChoosePartBytes(double mbps) {
-  // A megabit per second is a bit per microsecond.
-  constexpr double kBitsPerByte = 8;
-  const double bytes =
-      mbps * static_cast<double>(kPartTime.count()) / kBitsPerByte;
-  return static_cast<std::size_t>(
-      std::clamp(bytes, static_cast<double>(kLeastPartBytes),
-                 static_cast<double>(kMostPartBytes)));
+  return static_cast<std::size_t>(std::clamp(
+      BytesWithin(kPartTime, mbps), static_cast<double>(kLeastPartBytes),
+      static_cast<double>(kMostPartBytes)));
 }
 
 Duration ChoosePartDelay(Duration link_wait) {
--- a/libraries/mesh/link_backlog.cc
+++ b/libraries/mesh/link_backlog.cc
@@ -3,16 +3,23 @@
 #include <algorithm>
 
 namespace oleandertide::mesh {
+namespace {
 
-void LinkBacklog::Add(MonotonicTime now, std::size_t bytes) {
-  free_at_ = std::max(free_at_, now) + TransferTime(bytes);
+// A megabit per second is a bit per microsecond.
+constexpr double kBitsPerByte = 8;
+
+}  // namespace
+
+Duration TransferTime(double bytes, double mbps) {
+  return Duration(static_cast<std::int64_t>(bytes * kBitsPerByte / mbps));
 }
 
-Duration LinkBacklog::TransferTime(std::size_t bytes) const {
-  // A megabit per second is a bit per microsecond.
-  constexpr double kBitsPerByte = 8;
-  const double microseconds = static_cast<double>(bytes) * kBitsPerByte / mbps_;
-  return Duration(static_cast<std::int64_t>(microseconds));
+double BytesWithin(Duration time, double mbps) {
+  return static_cast<double>(time.count()) * mbps / kBitsPerByte;
+}
+
+void LinkBacklog::Add(MonotonicTime now, std::size_t bytes) {
+  free_at_ = std::max(free_at_, now) + TransferTime(bytes);
 }
 
 Duration LinkBacklog::Wait(MonotonicTime now) const {
--- a/libraries/mesh/link_backlog.h
+++ b/libraries/mesh/link_backlog.h
@@ -9,6 +9,13 @@
 
 namespace oleandertide::mesh {
 
+// Returns the time that an idle link of `mbps` megabits per second takes for
+// `bytes`. Precondition: mbps > 0. Thread-safe.
+Duration TransferTime(double bytes, double mbps);
+
+// The inverse: the bytes that it sends in `time`. Thread-safe.
+double BytesWithin(Duration time, double mbps);
+
 // Estimates how long a byte that is sent now waits on the link, by the bytes
 // sent and the link's bandwidth: the system's buffers cannot be asked.
 //
@@ -28,7 +35,9 @@
   Duration Wait(MonotonicTime now) const;
 
   // Returns the time that the idle link takes for `bytes`.
-  Duration TransferTime(std::size_t bytes) const;
+  Duration TransferTime(std::size_t bytes) const {
+    return mesh::TransferTime(static_cast<double>(bytes), mbps_);
+  }
 
   double mbps() const { return mbps_; }
 
--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "mesh/link_backlog.h"
+
 namespace oleandertide::mesh {
 namespace {
 
@@ -44,6 +46,14 @@
 
 }  // namespace
 
+void Placement::Candidate::Take(const BackendLoad& reported,
+                                MonotonicTime now) {
+  load = reported;
+  reported_at = now;
+  unreported = {};
+  unreported_bytes = 0;
+}
+
 void Placement::Update(std::string_view node, std::string_view service,
                        const Location& location, const BackendLoad& load,
                        MonotonicTime now) {
@@ -54,22 +64,14 @@
   Candidate& candidate = found->second;
   candidate.service = service;
   candidate.location = location;
-  candidate.load = load;
-  candidate.reported_at = now;
-  candidate.unreported_by_rank = {};
-  candidate.unreported = 0;
-  candidate.unreported_bytes = 0;
+  candidate.Take(load, now);
 }
 
 void Placement::UpdateLoad(std::string_view node, const BackendLoad& load,
                            MonotonicTime now) {
   const auto found = candidates_.find(node);
   if (found == candidates_.end()) return;
-  found->second.load = load;
-  found->second.reported_at = now;
-  found->second.unreported_by_rank = {};
-  found->second.unreported = 0;
-  found->second.unreported_bytes = 0;
+  found->second.Take(load, now);
 }
 
 void Placement::Remove(std::string_view node) {
@@ -77,12 +79,16 @@
   if (found != candidates_.end()) candidates_.erase(found);
 }
 
+bool Placement::IsSilent(const Candidate& candidate, MonotonicTime now) {
+  return now - candidate.reported_at > kSilentAfter;
+}
+
 Duration Placement::EstimateWait(const Candidate& candidate, int priority) {
   const BackendLoad& load = candidate.load;
   // Those of less urgent routes that wait do not hold up the request.
-  const int unreported = std::accumulate(
-      candidate.unreported_by_rank.begin(),
-      candidate.unreported_by_rank.begin() + ToRank(priority) + 1, 0);
+  const int unreported =
+      std::accumulate(candidate.unreported.begin(),
+                      candidate.unreported.begin() + ToRank(priority) + 1, 0);
   const int ahead = load.running + load.waiting_before(priority) + unreported -
                     load.slots + 1;
   if (ahead <= 0) return Duration::zero();
@@ -93,20 +99,21 @@
                         Duration wait) {
   const BackendLoad& load = candidate.load;
   const double run = Microseconds(request.expected_run) * load.slowness;
-  const double used = static_cast<double>(load.running + load.all_waiting() +
-                                          candidate.unreported) /
-                      std::max(load.slots, 1);
+  const int unreported = std::accumulate(candidate.unreported.begin(),
+                                         candidate.unreported.end(), 0);
+  const double used =
+      static_cast<double>(load.running + load.all_waiting() + unreported) /
+      std::max(load.slots, 1);
   double score = Microseconds(wait) + run;
   score += run * kCrowdingCharge * std::max(0.0, used - kCrowdingFrom);
   score += load.failure_share * kFailureCharge *
            Microseconds(request.target_latency);
   if (candidate.location.link_mbps > 0) {
-    // A megabit per second is a bit per microsecond.
-    constexpr double kBitsPerByte = 8;
-    const double transfer =
-        (request.expected_bytes + candidate.unreported_bytes) * kBitsPerByte /
-        candidate.location.link_mbps;
-    const double link_wait = transfer + Microseconds(load.link_wait);
+    const double link_wait =
+        Microseconds(
+            TransferTime(request.expected_bytes + candidate.unreported_bytes,
+                         candidate.location.link_mbps)) +
+        Microseconds(load.link_wait);
     score += request.expected_bytes > kSmallAnswerBytes
                  ? link_wait
                  : std::min(link_wait, kSmallAnswerWaitUs);
@@ -123,6 +130,12 @@
                                       RandomSource& random) {
   auto decision = ChooseAmong(request, excluded, random, false);
   if (std::holds_alternative<Choice>(decision)) return decision;
+  const bool is_any_silent =
+      std::ranges::any_of(candidates_, [&](const auto& entry) {
+        return entry.second.service == request.service &&
+               IsSilent(entry.second, request.now);
+      });
+  if (!is_any_silent) return decision;
   return ChooseAmong(request, excluded, random, true);
 }
 
@@ -138,8 +151,7 @@
     if (candidate.service != request.service) continue;
     if (!candidate.load.accepts_requests) continue;
     if (std::ranges::find(excluded, node) != excluded.end()) continue;
-    const bool is_silent = request.now - candidate.reported_at > kSilentAfter;
-    if (is_silent && !includes_silent) continue;
+    if (IsSilent(candidate, request.now) && !includes_silent) continue;
     is_any_accepting = true;
     const Duration wait = EstimateWait(candidate, request.priority);
     shortest_wait = std::min(shortest_wait, wait);
@@ -155,8 +167,7 @@
   }
   if (best != nullptr) {
     const Duration wait = EstimateWait(*best, request.priority);
-    ++best->unreported;
-    ++best->unreported_by_rank[ToRank(request.priority)];
+    ++best->unreported[ToRank(request.priority)];
     best->unreported_bytes += request.expected_bytes;
     return Choice{*best_node, wait};
   }
