--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -157,7 +157,7 @@
 def run_side_by_side(arguments):
     """Runs each seed as a process of its own, a few at a time."""
     waiting = list(arguments.seeds)
-    running = {}
+    running = []
     failed = []
     while waiting or running:
         while waiting and len(running) < arguments.jobs:
@@ -170,13 +170,10 @@
                     command.append(f"--{name}={getattr(arguments, name)}")
             if arguments.keep:
                 command.append("--keep")
-            running[seed] = subprocess.Popen(command)
+            running.append((seed, subprocess.Popen(command)))
         time.sleep(0.1)
-        for seed, process in list(running.items()):
-            if process.poll() is not None:
-                del running[seed]
-                if process.returncode != 0:
-                    failed.append(seed)
+        failed += [s for s, process in running if process.poll() not in (None, 0)]
+        running = [(s, process) for s, process in running if process.poll() is None]
     return failed
 
 
