--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -1,5 +1,6 @@
 """Each promise's check reports a breach, and nothing where all is well."""
 
+import types
 import unittest
 
 import promises
@@ -221,6 +222,21 @@
             )
         self.expect("budget")
 
+    def test_links_are_all_in_small_fleets_and_bounded_in_large_ones(self):
+        def fleet(size):
+            return [
+                types.SimpleNamespace(
+                    data_centre=index % 3,
+                    backend=types.SimpleNamespace(service=index % 2),
+                )
+                for index in range(size)
+            ]
+
+        small = fleet(8)
+        self.assertEqual(promises.count_links(small[0], small), 7)
+        large = fleet(600)
+        self.assertEqual(promises.count_links(large[0], large), 32)
+
 
 if __name__ == "__main__":
     unittest.main()
