sidecar: Do not read an announcement that was never made

Cause: found by reading the diff. Since departures of unknown backend servers are remembered, a late heartbeat can be stale while no announcement is known; its log line and the number of slots then came from an empty optional.

The new test passes without the fix too (the memory happened to be zero), so no failing run is known; it guards the answers of that order of messages.

--- a/libraries/mesh/local_backend.cc
+++ b/libraries/mesh/local_backend.cc
@@ -80,8 +80,9 @@
   const bool is_known =
       rival_ && rival_->announcement.id == announcement.id &&
       rival_->announcement.started_at_ms == announcement.started_at_ms;
-  if (!is_known)
+  if (!is_known) {
     rival_ = Rival{.announcement = announcement, .first_heard_at = now};
+  }
   if (is_known && announcement.sequence <= rival_->announcement.sequence) {
     return Effect::kStale;
   }
@@ -97,8 +98,8 @@
 void LocalBackend::Replace(const Announcement& announcement,
                            BackendStanding standing, MonotonicTime now) {
   if (leaving_since_) {
-    Remember({.id = announcement_->id,
-              .started_at_ms = announcement_->started_at_ms});
+    RememberDeparture({.id = announcement_->id,
+                       .started_at_ms = announcement_->started_at_ms});
   }
   // A copy, since the announcement may be the rival's.
   announcement_ = Announcement(announcement);
@@ -114,7 +115,7 @@
   }
 }
 
-void LocalBackend::Remember(const Departure& departure) {
+void LocalBackend::RememberDeparture(const Departure& departure) {
   departures_.push_back(departure);
   if (departures_.size() > kDeparturesKept) departures_.pop_front();
 }
@@ -133,7 +134,7 @@
   if (remembered.started_at_ms == 0 && is_current) {
     remembered.started_at_ms = announcement_->started_at_ms;
   }
-  if (remembered.started_at_ms != 0) Remember(remembered);
+  if (remembered.started_at_ms != 0) RememberDeparture(remembered);
   if (rival_ && HasDeparted(rival_->announcement)) rival_.reset();
   if (!is_current) return Effect::kStale;
   // A notice of an earlier incarnation with the same id says nothing of this
@@ -159,7 +160,7 @@
     Replace(rival_->announcement, BackendStanding::kServing, now);
     return true;
   }
-  // What was said late is forgotten.
+  // The known one lives, so the other one's heartbeats came late.
   if (rival_ && id == announcement_->id) rival_.reset();
   if (standing_ == BackendStanding::kUnverified && id == announcement_->id) {
     standing_ = BackendStanding::kServing;
--- a/libraries/mesh/local_backend.h
+++ b/libraries/mesh/local_backend.h
@@ -111,7 +111,7 @@
   // Takes over what a new incarnation says.
   void Replace(const Announcement& announcement, BackendStanding standing,
                MonotonicTime now);
-  void Remember(const Departure& departure);
+  void RememberDeparture(const Departure& departure);
   bool HasDeparted(const Announcement& announcement) const;
 
   const Options options_;
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -271,18 +271,12 @@
   const auto effect = backend_.Apply(announcement, MonotonicClock::now());
   switch (effect) {
     case mesh::LocalBackend::Effect::kStale:
+      LogIgnored(announcement, "late announcement ignored");
+      return true;
     case mesh::LocalBackend::Effect::kDoubtful:
-      logging::Log(
-          Level::kInfo, "backend",
-          effect == mesh::LocalBackend::Effect::kStale
-              ? "late announcement ignored"
-              : "announcement is older than the one known",
-          {{"id", announcement.id},
-           {"sequence", announcement.sequence},
-           {"started_at_ms", announcement.started_at_ms},
-           {"known_id", backend_.announcement().id},
-           {"known_started_at_ms", backend_.announcement().started_at_ms}});
-      break;
+      LogIgnored(announcement, "announcement is older than the one known");
+      if (backend_.needs_verification()) Verify();
+      return false;
     case mesh::LocalBackend::Effect::kReplaced:
       OnReplaced("announcement");
       break;
@@ -292,9 +286,18 @@
     case mesh::LocalBackend::Effect::kRefreshed:
       break;
   }
-  queue_.set_slots(backend_.announcement().slots);
+  queue_.set_slots(announcement.slots);
   if (backend_.needs_verification()) Verify();
-  return effect != mesh::LocalBackend::Effect::kDoubtful;
+  return true;
+}
+
+void Receiver::LogIgnored(const mesh::Announcement& announcement,
+                          std::string_view why) {
+  logging::Log(Level::kInfo, "backend", why,
+               {{"id", announcement.id},
+                {"sequence", announcement.sequence},
+                {"started_at_ms", announcement.started_at_ms},
+                {"standing", mesh::ToString(backend_.standing())}});
 }
 
 bool Receiver::Apply(const mesh::Departure& departure) {
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -88,6 +88,7 @@
   void RejectWaiting(mesh::Reason reason);
   void OnAnswer(CallId id, HttpResponse response);
   void OnFailure(CallId id, HttpFailure failure);
+  void LogIgnored(const mesh::Announcement& announcement, std::string_view why);
   // Another backend server, or another incarnation, is at the address.
   void OnReplaced(std::string_view cause);
   void OnStandingChanged(std::string_view cause);
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -176,12 +176,14 @@
                             ++instance.sequence));
 }
 
-int MeshFixture::Depart(Instance& instance) {
+int MeshFixture::Depart(Instance& instance, std::int64_t started_at_ms) {
+  const std::string body =
+      started_at_ms == 0 ? "" : fmt::format(R"({{"born":{}}})", started_at_ms);
   return Call(instance.settings.listen.announcements,
               fmt::format("DELETE /oleandertide/instances/{} HTTP/1.1\r\n"
-                          "Host: a\r\nContent-Length: 0\r\n\r\n",
-                          instance.backend_id),
-              {})
+                          "Host: a\r\nContent-Length: {}\r\n\r\n",
+                          instance.backend_id, body.size()),
+              body)
       .status;
 }
 
--- a/tests/sidecar/mesh_fixture.h
+++ b/tests/sidecar/mesh_fixture.h
@@ -64,7 +64,8 @@
   // The backend server announces itself; waits for the acknowledgement.
   int Announce(Instance& instance, std::string_view state = "ready");
   int AnnounceText(Instance& instance, const std::string& body);
-  int Depart(Instance& instance);
+  // The backend server departs; its start is said unless it is 0.
+  int Depart(Instance& instance, std::int64_t started_at_ms = 0);
 
   // Sends a request to the node of an instance and waits for its end.
   ClientAnswer Send(Instance& instance, const std::string& method,
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -197,6 +197,16 @@
   REQUIRE(answer.status == 503);
 }
 
+// Guards against a restarted node that ends when the first that it hears of a
+// backend server is its departure, and the second a late heartbeat.
+TEST_CASE("a departure may come before any heartbeat") {
+  MeshFixture mesh;
+  Instance& first = mesh.AddInstance("rooms", Ok);
+  REQUIRE(mesh.Depart(first, 1000) == 200);
+  REQUIRE(mesh.Announce(first) == 200);
+  REQUIRE(mesh.Send(first, "GET", "/room/1").status == 503);
+}
+
 // Guards against gauges that keep the value of a link's last loss.
 TEST_CASE("metrics tell of open links and of the backend server") {
   Pair mesh;
