tests: Name what the soak's checks share, once

The services that versions allow were collected in three checks, and 'all these nodes were in touch' was written out in three. The store's count of calls was never read.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,8 +11,8 @@
 RESTART_DELAY = (0.1, 1.5)
 
 
-class Faults:
-    """Does things to a world; `generator` decides on all that is random."""
+class Injector:
+    """What faults have in common; the seed decides on all that is random."""
 
     def __init__(self, world, seed):
         self.world = world
@@ -36,7 +36,8 @@
         for note in notes:
             note.end = time.monotonic()
 
-    # Processes.
+    def paths(self, node):
+        return (node.link, node.store_path, node.backend_path)
 
     async def kill_some(self, nodes, seconds):
         nodes = [node for node in nodes if not node.is_ended]
@@ -53,17 +54,6 @@
         while time.monotonic() < end and not all(node.is_ready for node in nodes):
             await asyncio.sleep(0.05)
 
-    async def node_kill(self, seconds):
-        await self.kill_some([self.pick()], self.random.uniform(*RESTART_DELAY))
-
-    async def herd_kill(self, seconds):
-        await self.kill_some(self.some(), self.random.uniform(*RESTART_DELAY))
-
-    async def power_loss(self, seconds):
-        """All processes end right after a configuration is acknowledged."""
-        self.world.change_configuration()
-        await self.kill_some(self.world.nodes, self.random.uniform(*RESTART_DELAY))
-
     async def stop_and_start(self, node):
         if node.is_ended:
             return
@@ -79,6 +69,34 @@
         await self.await_readiness([node])
         self.close(notes)
 
+    async def server_faults(self, seconds, **values):
+        servers = [node.backend for node in self.some()]
+        for server in servers:
+            for name, value in values.items():
+                setattr(server.faults, name, value)
+        await asyncio.sleep(seconds)
+        for server in servers:
+            server.disturbed_at = time.monotonic()
+            for name in values:
+                setattr(server.faults, name, type(server.faults).__dict__[name])
+
+
+class Faults(Injector):
+    """One method for each kind of fault."""
+
+    # Processes.
+
+    async def node_kill(self, seconds):
+        await self.kill_some([self.pick()], self.random.uniform(*RESTART_DELAY))
+
+    async def herd_kill(self, seconds):
+        await self.kill_some(self.some(), self.random.uniform(*RESTART_DELAY))
+
+    async def power_loss(self, seconds):
+        """All processes end right after a configuration is acknowledged."""
+        self.world.change_configuration()
+        await self.kill_some(self.world.nodes, self.random.uniform(*RESTART_DELAY))
+
     async def node_stop(self, seconds):
         await self.stop_and_start(self.pick())
 
@@ -103,9 +121,6 @@
 
     # Paths.
 
-    def paths(self, node):
-        return (node.link, node.store_path, node.backend_path)
-
     async def delay(self, seconds):
         node = self.pick()
         path = self.random.choice(self.paths(node))
@@ -219,17 +234,6 @@
             await node.backend.leave(announces_draining=True)
             await node.backend.start_again()
 
-    async def server_faults(self, seconds, **values):
-        servers = [node.backend for node in self.some()]
-        for server in servers:
-            for name, value in values.items():
-                setattr(server.faults, name, value)
-        await asyncio.sleep(seconds)
-        for server in servers:
-            server.disturbed_at = time.monotonic()
-            for name in values:
-                setattr(server.faults, name, type(server.faults).__dict__[name])
-
     async def server_slow(self, seconds):
         await self.server_faults(seconds, slowness=self.random.uniform(3, 20))
 
@@ -273,8 +277,6 @@
     name
     for name, member in vars(Faults).items()
     if asyncio.iscoroutinefunction(member)
-    and name
-    not in ("last", "kill_some", "await_readiness", "stop_and_start", "server_faults")
 ]
 
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -13,6 +13,7 @@
     LOST_BOUND,
     ROLLBACK_SLACK,
     STABLE_WINDOW,
+    allowed_services,
 )
 
 # A fault may overlap with what the system can know; the users' pages allow this
@@ -120,11 +121,7 @@
                 "unasked",
                 f"{arrival.identifier} names the caller {arrival.caller_service}",
             )
-        ever = {
-            service
-            for version in self.record.versions
-            for service in version.services.get(attempt.prefix, ())
-        }
+        ever = allowed_services(self.record.versions, attempt.prefix)
         if arrival.service not in ever:
             self.report(
                 "route", f"{arrival.identifier} {attempt.target} ran at "
@@ -146,10 +143,7 @@
             if nodes == {leaving.node}:
                 calm = self.record.is_calm(nodes, arrival.at, arrival.at)
             else:
-                calm = all(
-                    self.record.is_in_touch(node, attempt.sent_at, arrival.at)
-                    for node in nodes
-                )
+                calm = self.record.are_in_touch(nodes, attempt.sent_at, arrival.at)
             if calm:
                 self.report(
                     "drain",
@@ -163,14 +157,10 @@
         """A request is not handled as only an older version allows."""
         for attempt in self.record.attempts.values():
             end = attempt.ended_at
-            if not self.record.is_in_touch(attempt.node, attempt.sent_at, end):
+            if not self.record.are_in_touch([attempt.node], attempt.sent_at, end):
                 continue
             allowed = self.record.versions_at(attempt.sent_at - CONFIG_BOUND, end)
-            services = {
-                service
-                for version in allowed
-                for service in version.services.get(attempt.prefix, ())
-            }
+            services = allowed_services(allowed, attempt.prefix)
             for run in self.arrivals[attempt.identifier]:
                 if run.is_run and run.service not in services:
                     self.report(
@@ -260,8 +250,8 @@
                 continue
             if any(run.ending not in ("answered", "at work") for run in arrivals):
                 continue  # The backend server broke off.
-            is_calm = self.record.is_in_touch(
-                attempt.node, attempt.sent_at, attempt.ended_at
+            is_calm = self.record.are_in_touch(
+                [attempt.node], attempt.sent_at, attempt.ended_at
             )
             if is_calm and arrivals:
                 without_answer.append(attempt.identifier)
@@ -294,7 +284,9 @@
             f"{attempt.identifier} at {attempt.node} {attempt.sent_at:.3f}"
             for attempt in self.record.attempts.values()
             if attempt.ending == "timeout"
-            and self.record.is_in_touch(attempt.node, attempt.sent_at, attempt.ended_at)
+            and self.record.are_in_touch(
+                [attempt.node], attempt.sent_at, attempt.ended_at
+            )
         ]
         if len(unanswered) > FEW:
             self.report("unanswered", f"at calm nodes: {unanswered}")
@@ -305,11 +297,7 @@
         repeats = collections.defaultdict(list)
         for attempt in self.record.attempts.values():
             arrivals = sorted(self.arrivals[attempt.identifier], key=lambda a: a.at)
-            services = {
-                service
-                for version in self.record.versions
-                for service in version.services.get(attempt.prefix, ())
-            }
+            services = allowed_services(self.record.versions, attempt.prefix)
             for service in services:
                 requests[service].append(attempt.sent_at)
             first = 0 if attempt.is_call_of_repeat else 1
@@ -364,9 +352,10 @@
             if attempt.ending != "left":
                 continue
             for arrival in self.arrivals[attempt.identifier]:
-                if arrival.at > attempt.ended_at + HALF_SECOND and all(
-                    self.record.is_in_touch(node, attempt.sent_at, arrival.at)
-                    for node in (attempt.node, arrival.node)
+                nodes = (attempt.node, arrival.node)
+                is_late = arrival.at > attempt.ended_at + HALF_SECOND
+                if is_late and self.record.are_in_touch(
+                    nodes, attempt.sent_at, arrival.at
                 ):
                     late.append(attempt.identifier)
         if len(late) > FEW:
@@ -388,9 +377,8 @@
                 f"{arrival.at:.3f}"
                 for arrival, attempt in pairs
                 if arrival.at > crashes[2] + STABLE_WINDOW
-                and all(
-                    self.record.is_in_touch(node, arrival.at, arrival.at)
-                    for node in (attempt.node, arrival.node)
+                and self.record.are_in_touch(
+                    (attempt.node, arrival.node), arrival.at, arrival.at
                 )
             ]
             if len(late) > FEW:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -94,6 +94,11 @@
     at: float
 
 
+def allowed_services(versions, prefix):
+    """Services that one of these versions lets run a request."""
+    return {service for v in versions for service in v.services.get(prefix, ())}
+
+
 @dataclasses.dataclass
 class Acknowledgement:
     """A node's answer to a backend server that says that it leaves."""
@@ -152,8 +157,9 @@
             for fault in self.faults
         )
 
-    def is_in_touch(self, node, begin, end):
-        return self.is_calm({node, STORE}, begin, end)
+    def are_in_touch(self, nodes, begin, end):
+        """Whether nothing was done to these nodes or the store, as in is_calm."""
+        return self.is_calm({*nodes, STORE}, begin, end)
 
     def versions_at(self, begin, end):
         """Versions that a request sent at `begin` may be handled by."""
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -37,7 +37,6 @@
         self.changed = asyncio.Event()
         self.servers = []
         self.tasks = set()
-        self.calls = 0
 
     async def listen(self, node, address):
         async def serve(reader, writer):
@@ -74,7 +73,6 @@
         try:
             while True:
                 request = await wire.read_message(reader)
-                self.calls += 1
                 if self.faults.delay:
                     await asyncio.sleep(self.faults.delay * self.random.random())
                 answer = await self.answer(node, request)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -166,6 +166,7 @@
         self.version = 0
         self.added_routes = []
         self.largest_pause = 0.0
+        self.watches = []
         self.nodes = [
             Node(
                 self,
@@ -312,7 +313,7 @@
 
     def end(self):
         """Ends whatever still runs."""
-        for watch in getattr(self, "watches", ()):
+        for watch in self.watches:
             watch.cancel()
         for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
