sidecar: Hold signals back until their handler is installed

Cause: SIGTERM between the opening of the listeners and the installation of the handler ended oleandertide-sidecar by the default action, with connections that the kernel had already accepted. Change: main() blocks SIGTERM, SIGINT and SIGHUP first; they are delivered once the supervisor has its handler. Test: system_early_stop sends SIGTERM 0 to 20 ms after the start.

--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -53,6 +53,16 @@
   fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+// Signals that the supervisor handles.
+sigset_t SupervisedSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, number);
+  }
+  return signals;
+}
+
 // Reloads settings at SIGHUP and when the file's content has changed, and stops
 // at SIGTERM.
 class Supervisor {
@@ -135,6 +145,8 @@
                 {"service", settings.node.service},
                 {"first_start", settings.node.is_first_start}});
   Supervisor supervisor(loop, *sidecar.value(), FLAGS_settings, text);
+  const sigset_t signals = SupervisedSignals();
+  sigprocmask(SIG_UNBLOCK, &signals, nullptr);
   loop.run();
   return kExitSuccess;
 }
@@ -174,6 +186,10 @@
 }  // namespace oleandertide::sidecar
 
 int main(int argc, char** argv) {
+  // A signal that arrives before its handler is installed would end the process
+  // at once, with connections already accepted by the kernel.
+  const sigset_t signals = oleandertide::sidecar::SupervisedSignals();
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
   gflags::SetUsageMessage("--settings FILE [--check | --help_settings]");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
