sidecar: Handle pipelined requests concurrently and without a shared read buffer

Cause: ServerConnection read into the free part of its flat_buffer; while that read was pending, OnWritten parsed the next request from the same buffer. When the buffer emptied, its offsets were reset, and the bytes of the following read were looked for where those of an earlier request stood. Clients got answers to requests of others, and requests that nobody sent were run. Besides, pipelined requests ran one after the other while their backend server had slots free. Change: a connection waits for readability and reads into an area that all connections of a server share; only bytes that cannot be used yet are kept, so no read is ever pending into a buffer and an idle connection holds no 16 kB. Repeatable requests of a connection run concurrently, up to 32; one that must run once waits until all answers before it are sent. Deadlines count from the reading of each request. A closing server answers all it has read, and after its own close of a connection it drains what the client still sends for up to a second, as unread bytes would reset the connection and could take the answer along. Looked at for the same pattern: HttpConnection and FramedConnection touch their buffers only in the completion of the one read that is pending.

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -2,12 +2,14 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -18,12 +20,16 @@
 
 namespace detail {
 
-// Bytes that are read at once.
-constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
+// Requests of one connection that are handled concurrently.
+constexpr std::size_t kMaxConcurrentRequests = 32;
 
-// Bytes of further requests that are kept while one is being answered. Reading
-// stops there; a client that leaves is then noticed when its answer is sent.
-constexpr std::size_t kMaximumPipelinedBytes = std::size_t{256} << 10U;
+// Bytes of answers that wait for an earlier one, or for a client that does not
+// read. No further request of the connection is handled beyond it.
+constexpr std::size_t kMaxHeldAnswerBytes = std::size_t{1} << 20U;
+
+// Bytes of further requests that are kept unparsed. Reading stops there; a
+// client that leaves is then noticed when its answer is sent.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{256} << 10U;
 
 // Connections are checked for idleness this often.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
@@ -31,6 +37,10 @@
 // A client that does not read its answer for this long is cut off.
 constexpr Duration kWriteTimeout = std::chrono::seconds(30);
 
+// Closing a connection with unread bytes resets it, and the client may lose the
+// last answer. What the client still sends is read and dropped for this long.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+
 // Pause after a failure to accept, e.g. for want of descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -49,62 +59,54 @@
  public:
   ServerConnection(HttpServer* server, Tcp::socket socket)
       : server_(server), socket_(std::move(socket)) {
+    boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
     BeginRequest();
   }
 
-  void Start() { Read(); }
+  void Start() { AwaitBytes(); }
 
-  void Send(HttpAnswer answer) {
-    if (!is_answering_ || is_closed_) return;
-    is_answering_ = false;
-    is_writing_ = true;
-    on_client_left_ = nullptr;
-    const bool closes = answer.closes_connection || !keeps_alive_ ||
-                        server_ == nullptr || server_->is_closing_;
-    closes_after_write_ = closes;
-    const auto reason =
-        http::obsolete_reason(static_cast<http::status>(answer.status));
-    head_ = fmt::format("HTTP/1.1 {} {}\r\n{}", answer.status,
-                        std::string_view(reason.data(), reason.size()),
-                        answer.headers);
-    const bool is_without_body = answer.status == 204 || answer.status == 304;
-    if (!is_without_body) {
-      head_ += fmt::format("Content-Length: {}\r\n", answer.body.size());
-    }
-    if (closes) head_ += "Connection: close\r\n";
-    head_ += "\r\n";
-    body_ = is_head_request_ || is_without_body ? std::string()
-                                                : std::move(answer.body);
-    deadline_ = MonotonicClock::now() + kWriteTimeout;
-    const std::array<boost::asio::const_buffer, 2> buffers = {
-        boost::asio::buffer(head_), boost::asio::buffer(body_)};
-    boost::asio::async_write(
-        socket_, buffers,
-        [self = shared_from_this()](const boost::system::error_code& error,
-                                    std::size_t /*size*/) {
-          self->OnWritten(error);
-        });
+  void Send(RequestNumber number, HttpAnswer answer) {
+    Pending* pending = Find(number);
+    if (pending == nullptr || pending->answer) return;
+    pending->on_client_left = nullptr;
+    held_bytes_ += answer.body.size();
+    pending->answer = std::move(answer);
+    WriteNext();
   }
 
-  void set_on_client_left(std::function<void()> on_client_left) {
-    if (is_closed_) {
+  void set_on_client_left(RequestNumber number,
+                          std::function<void()> on_client_left) {
+    Pending* pending = Find(number);
+    if (pending == nullptr) {
       // The client left while the handler was running.
       if (on_client_left) on_client_left();
       return;
     }
-    on_client_left_ = std::move(on_client_left);
+    if (!pending->answer) pending->on_client_left = std::move(on_client_left);
   }
 
   // Closes the connection if the client has exceeded its time.
   void CheckTime(MonotonicTime now) {
-    if (is_answering_ || now < deadline_) return;
-    if (!is_writing_ && has_partial_request_) {
+    if (now < deadline_) return;
+    if (is_writing_ || is_lingering_) {
+      Close();
+      return;
+    }
+    if (!pending_.empty()) return;
+    if (has_partial_request_) {
       Fail({408});
     } else {
       Close();
     }
   }
 
+  bool has_unsent_answer() const {
+    return std::ranges::any_of(pending_, [](const Pending& pending) {
+      return pending.answer.has_value();
+    });
+  }
+
   void Close() {
     if (is_closed_) return;
     is_closed_ = true;
@@ -112,18 +114,49 @@
     socket_.close(ignored);
     // The callbacks may hold the last other references to this object.
     const auto self = shared_from_this();
-    const auto on_client_left = std::exchange(on_client_left_, nullptr);
     if (server_ != nullptr) server_->connections_.erase(self);
-    if (on_client_left) on_client_left();
+    DropPending();
   }
 
   void Detach() {
     server_ = nullptr;
-    on_client_left_ = nullptr;
+    for (Pending& pending : pending_) pending.on_client_left = nullptr;
     Close();
   }
 
  private:
+  // A request that was handed to the handler, until its answer has been sent.
+  struct Pending {
+    bool keeps_alive = true;
+    bool is_head_request = false;
+    std::function<void()> on_client_left{};
+    std::optional<HttpAnswer> answer{};
+  };
+
+  // A complete request that is handled when all answers before it are sent.
+  struct HeldRequest {
+    std::shared_ptr<HttpRequest> request;
+    MonotonicTime received_at;
+  };
+
+  // Returns nothing if the connection has no use for the answer any more.
+  Pending* Find(RequestNumber number) {
+    if (number < first_number_ || number - first_number_ >= pending_.size()) {
+      return nullptr;
+    }
+    return &pending_[number - first_number_];
+  }
+
+  // Forgets all requests and tells their handlers.
+  void DropPending() {
+    const auto pending = std::exchange(pending_, {});
+    first_number_ += pending.size();
+    held_.reset();
+    for (const Pending& dropped : pending) {
+      if (dropped.on_client_left) dropped.on_client_left();
+    }
+  }
+
   void BeginRequest() {
     parser_.emplace();
     const HttpLimits& limits = server_->limits_;
@@ -135,131 +168,269 @@
     deadline_ = MonotonicClock::now() + limits.idle_timeout;
   }
 
-  void Read() {
-    if (is_reading_ || is_closed_) return;
-    if (is_answering_ && buffer_.size() >= kMaximumPipelinedBytes) return;
-    is_reading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(kReadBytes),
-        [self = shared_from_this()](const boost::system::error_code& error,
-                                    std::size_t size) {
-          self->OnRead(error, size);
+  void AwaitBytes() {
+    if (is_awaiting_ || is_closed_) return;
+    if (unparsed_.size() >= kMaxUnparsedBytes) return;
+    is_awaiting_ = true;
+    socket_.async_wait(
+        Tcp::socket::wait_read,
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          self->is_awaiting_ = false;
+          if (!error) self->ReadBytes();
         });
   }
 
-  void OnRead(const boost::system::error_code& error, std::size_t size) {
-    is_reading_ = false;
-    if (is_closed_) return;
+  void ReadBytes() {
+    if (is_closed_ || server_ == nullptr) return;
+    auto& area = server_->read_area_;
+    boost::system::error_code error;
+    const std::size_t size =
+        socket_.read_some(boost::asio::buffer(area), error);
+    if (error == boost::asio::error::would_block) {
+      AwaitBytes();
+      return;
+    }
     if (error) {
       // A client that shuts down its side has no use for an answer.
       Close();
       return;
     }
-    buffer_.commit(size);
-    if (!is_answering_ && !is_writing_) Parse();
-    Read();
+    if (is_lingering_) {
+      AwaitBytes();
+      return;
+    }
+    if (unparsed_.size() == 0) {
+      const std::size_t used = Parse(boost::asio::buffer(area.data(), size));
+      Keep(area.data() + used, size - used);
+    } else {
+      Keep(area.data(), size);
+      ParseKept();
+    }
+    AwaitBytes();
   }
 
-  void Parse() {
-    if (buffer_.size() == 0) return;
-    if (!has_partial_request_) {
-      has_partial_request_ = true;
-      deadline_ = MonotonicClock::now() + server_->limits_.header_timeout;
+  void Keep(const char* bytes, std::size_t size) {
+    if (size == 0 || is_closed_) return;
+    boost::asio::buffer_copy(unparsed_.prepare(size),
+                             boost::asio::buffer(bytes, size));
+    unparsed_.commit(size);
+  }
+
+  void ParseKept() {
+    if (unparsed_.size() == 0) return;
+    unparsed_.consume(Parse(unparsed_.data()));
+    if (unparsed_.size() == 0) unparsed_.shrink_to_fit();
+  }
+
+  // Whether the next request of the connection may be parsed.
+  bool may_parse() const {
+    if (is_closed_ || is_last_parsed_ || held_ || server_ == nullptr) {
+      return false;
     }
-    boost::system::error_code error;
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-      const std::size_t used = parser_->put(buffer_.data(), error);
-      buffer_.consume(used);
-      if (error == http::error::need_more) {
-        error = {};
-        if (used == 0) break;
+    if (server_->is_closing_ && !pending_.empty()) return false;
+    return pending_.size() < kMaxConcurrentRequests &&
+           held_bytes_ < kMaxHeldAnswerBytes;
+  }
+
+  // Parses requests and handles them; returns the number of bytes that were
+  // used.
+  std::size_t Parse(boost::asio::const_buffer bytes) {
+    std::size_t total = 0;
+    while (bytes.size() > 0 && may_parse()) {
+      if (!has_partial_request_) {
+        has_partial_request_ = true;
+        deadline_ = MonotonicClock::now() + server_->limits_.header_timeout;
       }
-      if (error) {
+      boost::system::error_code error;
+      const std::size_t used = parser_->put(bytes, error);
+      bytes += used;
+      total += used;
+      if (error && error != http::error::need_more) {
         Fail(ToFailure(error));
-        return;
+        return total;
       }
+      if (parser_->is_done()) {
+        OnRequest();
+        continue;
+      }
+      if (parser_->is_header_done()) {
+        deadline_ = MonotonicClock::now() + server_->limits_.idle_timeout;
+      }
+      if (error == http::error::need_more && used == 0) return total;
     }
-    if (parser_->is_header_done() && !parser_->is_done()) {
-      deadline_ = MonotonicClock::now() + server_->limits_.idle_timeout;
-    }
-    if (parser_->is_done()) Handle();
+    return total;
   }
 
-  void Handle() {
+  void OnRequest() {
     auto request = std::make_shared<HttpRequest>(parser_->release());
-    is_answering_ = true;
-    has_partial_request_ = false;
-    keeps_alive_ = request->keep_alive();
-    is_head_request_ = request->method() == http::verb::head;
-    server_->handler_(std::move(request), HttpReply(shared_from_this()));
+    const MonotonicTime now = MonotonicClock::now();
+    if (!request->keep_alive()) is_last_parsed_ = true;
+    BeginRequest();
+    if (!pending_.empty() &&
+        !(server_->is_repeatable_ && server_->is_repeatable_(*request))) {
+      held_ = HeldRequest{std::move(request), now};
+      return;
+    }
+    Handle(std::move(request), now);
+  }
+
+  void Handle(std::shared_ptr<HttpRequest> request, MonotonicTime received_at) {
+    pending_.push_back(
+        {.keeps_alive = request->keep_alive(),
+         .is_head_request = request->method() == http::verb::head});
+    const RequestNumber number = first_number_ + pending_.size() - 1;
+    server_->handler_(std::move(request),
+                      HttpReply(shared_from_this(), number, received_at));
   }
 
+  // Answers a request that cannot be parsed, after those before it.
   void Fail(ServerFailure failure) {
-    is_answering_ = true;
-    is_head_request_ = false;
-    Send({.status = failure.status, .closes_connection = true});
+    is_last_parsed_ = true;
+    has_partial_request_ = false;
+    pending_.push_back({});
+    Send(first_number_ + pending_.size() - 1,
+         {.status = failure.status, .closes_connection = true});
+  }
+
+  void WriteNext() {
+    if (is_writing_ || is_closed_ || is_lingering_) return;
+    if (pending_.empty() || !pending_.front().answer) return;
+    const Pending& pending = pending_.front();
+    HttpAnswer& answer = *pending_.front().answer;
+    // What was read before the server began to close is answered as well.
+    const bool is_last_read = pending_.size() == 1 && !held_;
+    const bool closes =
+        answer.closes_connection || !pending.keeps_alive ||
+        (is_last_read && (server_ == nullptr || server_->is_closing_));
+    closes_after_write_ = closes;
+    const auto reason =
+        http::obsolete_reason(static_cast<http::status>(answer.status));
+    head_ = fmt::format("HTTP/1.1 {} {}\r\n{}", answer.status,
+                        std::string_view(reason.data(), reason.size()),
+                        answer.headers);
+    const bool is_without_body = answer.status == 204 || answer.status == 304;
+    if (!is_without_body) {
+      head_ += fmt::format("Content-Length: {}\r\n", answer.body.size());
+    }
+    if (closes) head_ += "Connection: close\r\n";
+    head_ += "\r\n";
+    held_bytes_ -= answer.body.size();
+    body_ = pending.is_head_request || is_without_body ? std::string()
+                                                       : std::move(answer.body);
+    is_writing_ = true;
+    deadline_ = MonotonicClock::now() + kWriteTimeout;
+    const std::array<boost::asio::const_buffer, 2> buffers = {
+        boost::asio::buffer(head_), boost::asio::buffer(body_)};
+    boost::asio::async_write(
+        socket_, buffers,
+        [self = shared_from_this()](const boost::system::error_code& error,
+                                    std::size_t /*size*/) {
+          self->OnWritten(error);
+        });
   }
 
   void OnWritten(const boost::system::error_code& error) {
     is_writing_ = false;
     if (is_closed_) return;
-    if (error || closes_after_write_ || server_ == nullptr) {
-      boost::system::error_code ignored;
-      socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    if (error || server_ == nullptr) {
       Close();
       return;
     }
+    const bool is_end_agreed = !pending_.front().keeps_alive;
+    pending_.pop_front();
+    ++first_number_;
     head_.clear();
     body_ = std::string();
-    BeginRequest();
-    Parse();
-    Read();
+    if (closes_after_write_) {
+      boost::system::error_code ignored;
+      socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+      if (is_end_agreed) {
+        Close();
+      } else {
+        Linger();
+      }
+      return;
+    }
+    deadline_ = MonotonicClock::now() + (has_partial_request_
+                                             ? server_->limits_.header_timeout
+                                             : server_->limits_.idle_timeout);
+    if (held_ && pending_.empty()) {
+      const HeldRequest held = *std::exchange(held_, std::nullopt);
+      Handle(held.request, held.received_at);
+    }
+    WriteNext();
+    ParseKept();
+    AwaitBytes();
+  }
+
+  // Drops what the client still sends.
+  void Linger() {
+    is_lingering_ = true;
+    deadline_ = MonotonicClock::now() + kLingerTime;
+    unparsed_.clear();
+    DropPending();
+    AwaitBytes();
   }
 
   HttpServer* server_;
   Tcp::socket socket_;
-  boost::beast::flat_buffer buffer_;
+  // Bytes behind the requests in progress, and of a request that is not whole.
+  boost::beast::flat_buffer unparsed_;
   std::optional<http::request_parser<http::string_body>> parser_;
+  // In the order of the requests.
+  std::deque<Pending> pending_;
+  RequestNumber first_number_ = 0;
+  std::optional<HeldRequest> held_;
+  // Bytes of answers in pending_.
+  std::size_t held_bytes_ = 0;
+  // The answer that is being written, that of the first request.
   std::string head_;
   std::string body_;
-  std::function<void()> on_client_left_;
   MonotonicTime deadline_;
-  bool is_reading_ = false;
+  bool is_awaiting_ = false;
   bool has_partial_request_ = false;
-  bool is_answering_ = false;
+  // No further request is parsed.
+  bool is_last_parsed_ = false;
   bool is_writing_ = false;
+  bool is_lingering_ = false;
   bool is_closed_ = false;
-  bool keeps_alive_ = true;
   bool closes_after_write_ = false;
-  bool is_head_request_ = false;
 };
 
 }  // namespace detail
 
 void HttpReply::Send(HttpAnswer answer) {
-  connection_->Send(std::move(answer));
+  connection_->Send(number_, std::move(answer));
 }
 
 void HttpReply::set_on_client_left(std::function<void()> on_client_left) {
-  connection_->set_on_client_left(std::move(on_client_left));
+  connection_->set_on_client_left(number_, std::move(on_client_left));
 }
 
-Result<std::unique_ptr<HttpServer>> HttpServer::Create(EventLoop& loop,
-                                                       const Address& address,
-                                                       Handler handler) {
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(
+    EventLoop& loop, const Address& address, Handler handler,
+    IsRepeatable is_repeatable) {
   OLEANDERTIDE_TRY(acceptor, Listen(loop, address));
-  std::unique_ptr<HttpServer> server(
-      new HttpServer(loop, std::move(acceptor), std::move(handler)));
+  std::unique_ptr<HttpServer> server(new HttpServer(
+      loop, std::move(acceptor), std::move(handler), std::move(is_repeatable)));
   server->Accept();
   server->Sweep();
   return server;
 }
 
-HttpServer::HttpServer(EventLoop& loop, Tcp::acceptor acceptor, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, Tcp::acceptor acceptor, Handler handler,
+                       IsRepeatable is_repeatable)
     : acceptor_(std::move(acceptor)),
       accept_timer_(loop),
       sweep_timer_(loop),
-      handler_(std::move(handler)) {}
+      handler_(std::move(handler)),
+      is_repeatable_(std::move(is_repeatable)) {}
+
+bool HttpServer::has_unsent_answers() const {
+  return std::ranges::any_of(connections_, [](const auto& connection) {
+    return connection->has_unsent_answer();
+  });
+}
 
 HttpServer::~HttpServer() {
   const auto connections = std::exchange(connections_, {});
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -3,9 +3,11 @@
 #ifndef OLEANDERTIDE_SIDECAR_HTTP_SERVER_H_
 #define OLEANDERTIDE_SIDECAR_HTTP_SERVER_H_
 
+#include <array>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,34 +45,59 @@
 class ServerConnection;
 }
 
-// A request that waits for its answer, which is to be sent once.
+// Number of a request on its connection, from 0.
+using RequestNumber = std::uint64_t;
+
+// A request that waits for its answer, which is to be sent once. Not
+// thread-safe.
 class HttpReply {
  public:
-  explicit HttpReply(std::shared_ptr<detail::ServerConnection> connection)
-      : connection_(std::move(connection)) {}
-
-  // Sends the answer. Does nothing if the client has left.
+  HttpReply(std::shared_ptr<detail::ServerConnection> connection,
+            RequestNumber number, MonotonicTime received_at)
+      : connection_(std::move(connection)),
+        number_(number),
+        received_at_(received_at) {}
+
+  // Sends the answer after those to earlier requests of the connection. Does
+  // nothing if the client has left or an earlier answer closes the connection.
   void Send(HttpAnswer answer);
 
-  // Sets what to call if the client leaves before the answer.
+  // Sets what to call if the client leaves before the answer, or if an earlier
+  // answer closes the connection: the client then takes the request for unread.
   void set_on_client_left(std::function<void()> on_client_left);
 
+  // When the last byte of the request was read.
+  MonotonicTime received_at() const { return received_at_; }
+
  private:
   std::shared_ptr<detail::ServerConnection> connection_;
+  RequestNumber number_;
+  MonotonicTime received_at_;
 };
 
-// Accepts connections and hands each complete request to a handler. Answers go
-// out in the order of the requests: the next request of a connection is read
-// when the answer to the last one has been sent. Malformed requests and those
-// beyond the limits are answered by the server itself. Not thread-safe.
+// Accepts connections and hands each complete request to a handler. Malformed
+// requests and those beyond the limits are answered by the server itself.
+//
+// Pipelined requests that may be repeated are handled concurrently, up to a
+// number for each connection; their answers go out in the order of the
+// requests. Any other request is handled when all answers before it have been
+// sent: clients repeat what they sent behind an answer that closes the
+// connection. Nothing is read behind a malformed request, behind one that ends
+// the connection, or once the server is closing and a request is in progress.
+//
+// Not thread-safe.
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<HttpRequest>, HttpReply)>;
-
-  // Listens on `address`. Errors of the system, e.g. that it is in use.
-  static Result<std::unique_ptr<HttpServer>> Create(EventLoop& loop,
-                                                    const Address& address,
-                                                    Handler handler);
+  // Whether a request may be repeated.
+  using IsRepeatable = std::function<bool(const HttpRequest&)>;
+
+  // Listens on `address`. Without `is_repeatable`, no requests of a connection
+  // are handled concurrently. Errors of the system, e.g. that the address is in
+  // use.
+  static Result<std::unique_ptr<HttpServer>> Create(
+      EventLoop& loop, const Address& address, Handler handler,
+      IsRepeatable is_repeatable = {});
   ~HttpServer();
 
   // Limits for requests from now on.
@@ -81,10 +108,17 @@
 
   std::size_t connection_count() const { return connections_.size(); }
 
+  // Whether an answer has not been handed to the system in full.
+  bool has_unsent_answers() const;
+
  private:
   friend class detail::ServerConnection;
 
-  HttpServer(EventLoop& loop, Tcp::acceptor acceptor, Handler handler);
+  // Bytes that are read at once.
+  static constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
+
+  HttpServer(EventLoop& loop, Tcp::acceptor acceptor, Handler handler,
+             IsRepeatable is_repeatable);
   void Accept();
   void Sweep();
 
@@ -92,6 +126,9 @@
   Timer accept_timer_;
   Timer sweep_timer_;
   Handler handler_;
+  IsRepeatable is_repeatable_;
+  // Shared by all connections, so that an idle one holds no memory for reading.
+  std::array<char, kReadBytes> read_area_;
   HttpLimits limits_;
   bool is_closing_ = false;
   std::unordered_set<std::shared_ptr<detail::ServerConnection>> connections_;
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -90,6 +90,14 @@
          kFreshLimit;
 }
 
+bool Ingress::IsRepeatable(const HttpRequest& request) const {
+  const auto& configuration = parts_.configuration.current();
+  if (!configuration) return true;
+  const mesh::Route* route = configuration->FindRoute(
+      View(request[boost::beast::http::field::host]), View(request.target()));
+  return route == nullptr || mesh::is_repeatable(route->kind);
+}
+
 void Ingress::Refuse(HttpReply& reply, std::string_view request_id,
                      Duration after) {
   reply.Send(
@@ -134,7 +142,7 @@
     return;
   }
   auto exchange = std::make_shared<Exchange>(parts_.loop, std::move(reply));
-  exchange->arrived = MonotonicClock::now();
+  exchange->arrived = exchange->reply.received_at();
   exchange->configuration = configuration;
   exchange->route = route;
   exchange->statistics = &statistics_[route->path_prefix];
@@ -156,7 +164,7 @@
   exchange->call.fingerprint = MakeFingerprint(exchange->call);
   retries_.RecordRequest(exchange->call.service);
   exchanges_.insert(exchange);
-  exchange->timer.expires_after(exchange->deadline - exchange->arrived +
+  exchange->timer.expires_after(exchange->deadline - MonotonicClock::now() +
                                 kOutcomeGrace);
   exchange->timer.async_wait(
       [this, exchange](const boost::system::error_code& error) {
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -59,6 +59,10 @@
   // Handles a request of a client.
   void Handle(const std::shared_ptr<HttpRequest>& request, HttpReply reply);
 
+  // Whether a request may run more than once. One without route is not run at
+  // all.
+  bool IsRepeatable(const HttpRequest& request) const;
+
   // What other nodes told of their backend servers.
   mesh::Placement& placement() { return placement_; }
 
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -133,13 +133,16 @@
     link_server_ = std::move(link_server);
     receiver_.set_on_standing_changed([this] { link_server_->Broadcast(); });
     source_.set_links(links_);
-    OLEANDERTIDE_TRY(
-        clients,
-        HttpServer::Create(loop_, listen.clients,
-                           [this](const std::shared_ptr<HttpRequest>& request,
-                                  HttpReply reply) {
-                             ingress_.Handle(request, std::move(reply));
-                           }));
+    OLEANDERTIDE_TRY(clients,
+                     HttpServer::Create(
+                         loop_, listen.clients,
+                         [this](const std::shared_ptr<HttpRequest>& request,
+                                HttpReply reply) {
+                           ingress_.Handle(request, std::move(reply));
+                         },
+                         [this](const HttpRequest& request) {
+                           return ingress_.IsRepeatable(request);
+                         }));
     clients_ = std::move(clients);
     OLEANDERTIDE_TRY(
         readiness,
@@ -337,8 +340,8 @@
       is_receiver_stopped_ = true;
       receiver_.set_stopping();
     }
-    const bool is_done =
-        is_receiver_stopped_ && receiver_.is_idle() && ingress_.is_idle();
+    const bool is_done = is_receiver_stopped_ && receiver_.is_idle() &&
+                         ingress_.is_idle() && !clients_->has_unsent_answers();
     if (is_done || elapsed >= settings_.drain.deadline) {
       logging::Log(
           Level::kInfo, "node", "stopped",
--- /dev/null
+++ b/tests/sidecar/http_server_test.cc
@@ -0,0 +1,172 @@
+// Random pipelines against a plain model of the protocol.
+
+#include "sidecar/http_server.h"
+
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sidecar/mesh_fixture.h"
+#include "sidecar/raw_client.h"
+#include "support/property.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A pipeline as a client sends it, and what has to come back.
+struct Pipeline {
+  std::string sent;
+  std::string expected;
+  bool is_ended_by_server = false;
+  int handled = 0;
+};
+
+class PipelineMaker {
+ public:
+  explicit PipelineMaker(std::uint64_t seed) : random_(seed) {}
+
+  // Returns a number from 0 to `limit` - 1.
+  int Below(int limit) {
+    return std::uniform_int_distribution<int>(0, limit - 1)(random_);
+  }
+
+  Pipeline Make() {
+    Pipeline pipeline;
+    const int count = 1 + Below(40);
+    for (int i = 0; i < count && !pipeline.is_ended_by_server; ++i) {
+      if (Below(25) == 0) {
+        AddMalformed(pipeline);
+      } else {
+        AddRequest(pipeline, i);
+      }
+    }
+    if (pipeline.is_ended_by_server && Below(2) == 0) {
+      pipeline.sent += "GET /behind HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    return pipeline;
+  }
+
+ private:
+  void AddRequest(Pipeline& pipeline, int number) {
+    const bool is_get = Below(3) != 0;
+    const std::string target = fmt::format("/{}", number);
+    const std::string body =
+        is_get ? std::string()
+               : std::string(static_cast<std::size_t>(Below(3000)), 'b');
+    const bool closes = Below(30) == 0;
+    std::string head =
+        fmt::format("{} {} HTTP/1.1\r\nHost: h\r\n{}", is_get ? "GET" : "POST",
+                    target, closes ? "Connection: close\r\n" : "");
+    if (body.empty()) {
+      pipeline.sent += head + (is_get ? "\r\n" : "Content-Length: 0\r\n\r\n");
+    } else if (Below(2) == 0) {
+      pipeline.sent +=
+          head + fmt::format("Content-Length: {}\r\n\r\n", body.size()) + body;
+    } else {
+      pipeline.sent +=
+          head + "Transfer-Encoding: chunked\r\n\r\n" +
+          fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+    }
+    const std::string answer = fmt::format("{} {}", target, body.size());
+    pipeline.expected += fmt::format(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{}\r\n{}", answer.size(),
+        closes ? "Connection: close\r\n" : "", answer);
+    pipeline.is_ended_by_server = closes;
+    ++pipeline.handled;
+  }
+
+  void AddMalformed(Pipeline& pipeline) {
+    pipeline.sent += "\x01 \x02\r\n\r\n";
+    pipeline.expected +=
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
+        "Connection: close\r\n\r\n";
+    pipeline.is_ended_by_server = true;
+  }
+
+  std::mt19937_64 random_;
+};
+
+// Guards against answers out of order, twice, or of requests that nobody sent,
+// for any mix of requests, any split of their bytes and any order of outcomes.
+TEST_CASE("random pipelines are answered as the protocol says") {
+  REQUIRE(testing::HoldsForSeeds("pipelines", 150, [](std::uint64_t seed) {
+    EventLoop loop(1);
+    PipelineMaker maker(seed);
+    int handled = 0;
+    const Address address = UnusedAddress();
+    auto server = HttpServer::Create(
+        loop, address,
+        [&](const std::shared_ptr<HttpRequest>& request, HttpReply reply) {
+          ++handled;
+          const std::string answer = fmt::format(
+              "{} {}", std::string(request->target()), request->body().size());
+          if (maker.Below(3) == 0) {
+            reply.Send({.body = answer});
+            return;
+          }
+          const auto timer =
+              std::make_shared<Timer>(loop, microseconds(maker.Below(3000)));
+          timer->async_wait(
+              [timer, reply, answer](const boost::system::error_code&) mutable {
+                reply.Send({.body = answer});
+              });
+        },
+        [](const HttpRequest& request) {
+          return request.method() == boost::beast::http::verb::get;
+        });
+    if (!server) return false;
+    for (int connection = 0; connection < 3; ++connection) {
+      const Pipeline pipeline = maker.Make();
+      handled = 0;
+      RawClient client(loop, address);
+      const bool is_split_small = maker.Below(4) == 0;
+      for (std::size_t sent = 0; sent < pipeline.sent.size();) {
+        const auto size = static_cast<std::size_t>(
+            1 + maker.Below(is_split_small ? 7 : 4000));
+        client.Send(std::string_view(pipeline.sent).substr(sent, size));
+        sent += size;
+        loop.restart();
+        if (is_split_small) {
+          loop.poll();
+        } else {
+          loop.run_for(microseconds(maker.Below(500)));
+        }
+      }
+      const MonotonicTime end = MonotonicClock::now() + seconds(5);
+      const auto is_done = [&] {
+        return client.received().size() >= pipeline.expected.size() &&
+               client.is_ended() == pipeline.is_ended_by_server;
+      };
+      while (!is_done() && MonotonicClock::now() < end) {
+        loop.restart();
+        loop.run_one_for(milliseconds(5));
+      }
+      loop.restart();
+      loop.run_for(milliseconds(4));
+      if (client.received() != pipeline.expected || !is_done() ||
+          client.is_reset() || handled != pipeline.handled) {
+        UNSCOPED_INFO("seed " << seed << " sent:\n"
+                              << pipeline.sent << "\nreceived:\n"
+                              << client.received() << "\nexpected:\n"
+                              << pipeline.expected);
+        return false;
+      }
+      client.Close();
+      loop.restart();
+      loop.run_for(milliseconds(1));
+    }
+    return true;
+  }));
+}
+
+}  // namespace
+}  // namespace oleandertide::sidecar
