sidecar: Tell changes of the load within the data centre only

Cause: a busy node sent its status, some 150 bytes, to every link up to 20 times a second, also to the dozen links that lead to other data centres and carry few requests.

--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -37,12 +37,17 @@
   return load.running + load.total_waiting() >= load.slots;
 }
 
+bool IsAcceptanceChange(const mesh::BackendLoad& before,
+                        const mesh::BackendLoad& after) {
+  return before.accepts_requests != after.accepts_requests ||
+         before.slots != after.slots;
+}
+
 bool IsMaterialChange(const mesh::BackendLoad& before,
                       const mesh::BackendLoad& after) {
   const int change = after.running + after.total_waiting() - before.running -
                      before.total_waiting();
-  return before.accepts_requests != after.accepts_requests ||
-         before.slots != after.slots || IsFull(before) != IsFull(after) ||
+  return IsAcceptanceChange(before, after) || IsFull(before) != IsFull(after) ||
          std::abs(change) >= kMaterialChange ||
          after.link_wait - before.link_wait >= kMaterialLinkWait;
 }
@@ -52,20 +57,22 @@
 }  // namespace
 
 Result<std::unique_ptr<LinkServer>> LinkServer::Create(
-    EventLoop& loop, const Address& address, Receiver& receiver,
-    mesh::LinkBacklog& backlog, Callbacks callbacks) {
+    EventLoop& loop, const Address& address, std::string data_centre,
+    Receiver& receiver, mesh::LinkBacklog& backlog, Callbacks callbacks) {
   OLEANDERTIDE_TRY(acceptor, Listen(loop, address));
-  std::unique_ptr<LinkServer> server(new LinkServer(
-      loop, std::move(acceptor), receiver, backlog, std::move(callbacks)));
+  std::unique_ptr<LinkServer> server(
+      new LinkServer(loop, std::move(acceptor), std::move(data_centre),
+                     receiver, backlog, std::move(callbacks)));
   server->Accept();
   server->ScheduleBroadcast();
   return server;
 }
 
 LinkServer::LinkServer(EventLoop& loop, Tcp::acceptor acceptor,
-                       Receiver& receiver, mesh::LinkBacklog& backlog,
-                       Callbacks callbacks)
+                       std::string data_centre, Receiver& receiver,
+                       mesh::LinkBacklog& backlog, Callbacks callbacks)
     : acceptor_(std::move(acceptor)),
+      data_centre_(std::move(data_centre)),
       broadcast_timer_(loop),
       accept_timer_(loop),
       receiver_(receiver),
@@ -113,11 +120,10 @@
                          wire::Frame::Reader frame, std::string_view body) {
   switch (frame.which()) {
     case wire::Frame::HELLO: {
-      callbacks_.on_hello(Decode(frame.getHello()));
-      capnp::MallocMessageBuilder message;
-      Encode(callbacks_.make_status(),
-             message.initRoot<wire::Frame>().initStatus());
-      session->connection->Send(message);
+      const NodeIdentity node = Decode(frame.getHello());
+      session->is_in_own_data_centre = node.data_centre == data_centre_;
+      callbacks_.on_hello(node);
+      SendStatus(callbacks_.make_status(), {session});
       return;
     }
     case wire::Frame::CALL:
@@ -278,14 +284,48 @@
       std::clamp(scaled, kCheckInterval, kLongestCheckInterval));
   broadcast_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    if (MonotonicClock::now() - announced_at_ >= kStatusInterval ||
-        IsMaterialChange(announced_load_, MakeLoad())) {
-      Broadcast();
-    }
+    SendDueStatus();
     ScheduleBroadcast();
   });
 }
 
+void LinkServer::SendDueStatus() {
+  const MonotonicTime now = MonotonicClock::now();
+  const mesh::BackendLoad load = MakeLoad();
+  const bool is_change = IsMaterialChange(announced_load_, load);
+  // Other data centres get few requests from this one, and bytes between data
+  // centres are priced: a change of the load alone is told at the next regular
+  // status.
+  const bool is_change_for_all = IsAcceptanceChange(announced_load_, load);
+  std::vector<std::shared_ptr<Session>> due;
+  for (const auto& session : sessions_) {
+    if (now - session->told_at >= kStatusInterval ||
+        (session->is_in_own_data_centre ? is_change : is_change_for_all)) {
+      due.push_back(session);
+    }
+  }
+  if (is_change) announced_load_ = load;
+  if (due.empty()) return;
+  const NodeStatus status = callbacks_.make_status();
+  // Each report is sent a few times; each time, all nodes are to learn of it.
+  if (!status.crash_reports.empty()) {
+    due.assign(sessions_.begin(), sessions_.end());
+  }
+  SendStatus(status, due);
+}
+
+void LinkServer::SendStatus(
+    const NodeStatus& status,
+    const std::vector<std::shared_ptr<Session>>& sessions) {
+  capnp::MallocMessageBuilder message;
+  Encode(status, message.initRoot<wire::Frame>().initStatus());
+  const MonotonicTime now = MonotonicClock::now();
+  for (const auto& session : sessions) {
+    session->told_at = now;
+    session->connection->Send(message);
+  }
+}
+
 void LinkServer::Forward(const NodeIdentity& node) {
   capnp::MallocMessageBuilder message;
   Encode(node, message.initRoot<wire::Frame>().initMembers().initMembers(1)[0]);
@@ -294,14 +334,9 @@
 }
 
 void LinkServer::Broadcast() {
-  const NodeStatus status = callbacks_.make_status();
-  announced_load_ = status.load;
-  announced_at_ = MonotonicClock::now();
-  capnp::MallocMessageBuilder message;
-  Encode(status, message.initRoot<wire::Frame>().initStatus());
+  announced_load_ = MakeLoad();
   // A failing link removes itself from the set.
-  const auto sessions = sessions_;
-  for (const auto& session : sessions) session->connection->Send(message);
+  SendStatus(callbacks_.make_status(), {sessions_.begin(), sessions_.end()});
 }
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "core/address.h"
 #include "core/result.h"
@@ -42,13 +43,11 @@
         make_update;
   };
 
-  // Listens on `address`; `backlog` is that of the instance's link and outlives
-  // the server.
-  static Result<std::unique_ptr<LinkServer>> Create(EventLoop& loop,
-                                                    const Address& address,
-                                                    Receiver& receiver,
-                                                    mesh::LinkBacklog& backlog,
-                                                    Callbacks callbacks);
+  // Listens on `address` as a node of `data_centre`; `backlog` is that of the
+  // instance's link and outlives the server.
+  static Result<std::unique_ptr<LinkServer>> Create(
+      EventLoop& loop, const Address& address, std::string data_centre,
+      Receiver& receiver, mesh::LinkBacklog& backlog, Callbacks callbacks);
   ~LinkServer();
 
   // Sends the status to all links now.
@@ -69,6 +68,9 @@
   };
   struct Session {
     std::shared_ptr<FramedConnection> connection;
+    bool is_in_own_data_centre = false;
+    // When the node was last told the status.
+    MonotonicTime told_at;
     // By the id that the other node gave.
     std::unordered_map<CallId, PendingCall> calls;
   };
@@ -80,10 +82,15 @@
     std::size_t sent = 0;
   };
 
-  LinkServer(EventLoop& loop, Tcp::acceptor acceptor, Receiver& receiver,
-             mesh::LinkBacklog& backlog, Callbacks callbacks);
+  LinkServer(EventLoop& loop, Tcp::acceptor acceptor, std::string data_centre,
+             Receiver& receiver, mesh::LinkBacklog& backlog,
+             Callbacks callbacks);
   void Accept();
   void ScheduleBroadcast();
+  // Sends the status to the links for which it is due.
+  void SendDueStatus();
+  void SendStatus(const NodeStatus& status,
+                  const std::vector<std::shared_ptr<Session>>& sessions);
   void OnFrame(const std::shared_ptr<Session>& session,
                wire::Frame::Reader frame, std::string_view body);
   void OnCall(const std::shared_ptr<Session>& session, wire::Call::Reader call,
@@ -99,6 +106,7 @@
   mesh::BackendLoad MakeLoad() const;
 
   Tcp::acceptor acceptor_;
+  const std::string data_centre_;
   Timer broadcast_timer_;
   Timer accept_timer_;
   Receiver& receiver_;
@@ -113,8 +121,8 @@
   std::size_t promised_bytes_ = 0;
   Callbacks callbacks_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
+  // What nodes of the own data centre were last told.
   mesh::BackendLoad announced_load_;
-  MonotonicTime announced_at_;
 };
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -121,7 +121,7 @@
     OLEANDERTIDE_TRY(
         link_server,
         LinkServer::Create(
-            loop_, listen.peers, receiver_, backlog_,
+            loop_, listen.peers, identity_.data_centre, receiver_, backlog_,
             {.on_hello =
                  [this](const NodeIdentity& node) { OnMemberTold(node); },
              .make_status = [this] { return MakeStatus(); },
