mesh: Place requests by expected loss and the bytes between data centres

Cause: the score was a time in microseconds, in which a byte between data centres counted 5 us. Change: candidates are compared by what an answer is expected to lose there: the probability that it misses its target latency (exponential run times, elapsed time counted), refusals and failures beyond two of the window, a small part for time as such, and the bytes of request and answer that cross, at a price that is a setting ([placement] crossing-cost, 1.6% of an answer's value for 1 kB; users' sites price it from 0.9 to 3.2%).

--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -1,6 +1,8 @@
 #include "mesh/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
 #include <numeric>
 
 #include "mesh/link_backlog.h"
@@ -11,14 +13,23 @@
 // Round trip between data centres. Users' sites have 1 to 2.8 ms.
 constexpr double kCrossDataCentreRoundTripUs = 2'800;
 
-// Penalty for each byte sent between data centres. Users price 90 kB of such
-// traffic about as high as a whole answer. An answer of that size therefore
-// crosses only if it would otherwise be late by most of its target latency of
-// 600 to 1,000 ms.
-constexpr double kCrossDataCentreUsPerByte = 5;
-
-// Maximum random addition to a score, as a share of the mean run time.
-constexpr double kScoreJitterShare = 0.15;
+// Bytes of a request and its answer beside their bodies.
+constexpr double kOverheadBytes = 900;
+
+// Share of its value that a late answer loses. Users' sites lose 0.5 to 0.9.
+constexpr double kLateLoss = 0.6;
+// Value that an answer loses by taking its whole target latency. It orders
+// candidates that are all likely to answer in time, or all too late.
+constexpr double kTimeLoss = 0.1;
+// Value that an answer loses with a backend server that refuses or fails every
+// request: some of them succeed elsewhere.
+constexpr double kFailureLoss = 0.6;
+// Share of refused and failed requests up to which a backend server counts as
+// sound: two of the window from which the share is computed.
+constexpr double kMaxSoundFailureShare = 0.08;
+
+// Maximum random addition to a time, as a share of the mean run time.
+constexpr double kJitterShare = 0.15;
 // Minimum run time from which jitter is computed. Run times are unknown at
 // first, and without jitter all ingresses would choose the same node.
 constexpr double kMinJitterRunTimeUs = 20'000;
@@ -38,9 +49,6 @@
 // Reports arrive every 300 ms, and every 450 ms from nodes with many links.
 constexpr Duration kMaxReportAge = std::chrono::milliseconds(600);
 
-// Penalty for a refused or failed attempt, as a share of the target latency.
-constexpr double kFailurePenaltyShare = 1.0;
-
 double ToMicroseconds(Duration duration) {
   return static_cast<double>(duration.count());
 }
@@ -96,35 +104,43 @@
   return load.mean_run_time * ahead / std::max(load.slots, 1);
 }
 
-double Placement::Score(const Candidate& candidate, const Request& request,
-                        Duration wait) {
+double Placement::Cost(const Candidate& candidate, const Request& request,
+                       Duration wait) const {
   const BackendLoad& load = candidate.load;
-  const double run = ToMicroseconds(request.expected_run) * load.slowness;
   const int unreported = std::accumulate(candidate.unreported.begin(),
                                          candidate.unreported.end(), 0);
   const double load_share =
       static_cast<double>(load.running + load.total_waiting() + unreported) /
       std::max(load.slots, 1);
-  double score = ToMicroseconds(wait) + run;
-  score += run * kNearFullPenaltyShare *
-           std::max(0.0, load_share - kNearFullLoadShare);
-  score += load.failure_share * kFailurePenaltyShare *
-           ToMicroseconds(request.target_latency);
+  const double run = ToMicroseconds(request.expected_run) * load.slowness *
+                     (1 + kNearFullPenaltyShare *
+                              std::max(0.0, load_share - kNearFullLoadShare));
+  double before_run = ToMicroseconds(wait);
   if (candidate.location.link_mbps > 0) {
     const double link_wait =
         ToMicroseconds(
             TransferTime(request.expected_bytes + candidate.unreported_bytes,
                          candidate.location.link_mbps)) +
         ToMicroseconds(load.link_wait);
-    score += request.expected_bytes > kMaxSmallAnswerBytes
-                 ? link_wait
-                 : std::min(link_wait, kMaxSmallAnswerWaitUs);
+    before_run += request.expected_bytes > kMaxSmallAnswerBytes
+                      ? link_wait
+                      : std::min(link_wait, kMaxSmallAnswerWaitUs);
   }
+  double cost =
+      kFailureLoss * std::max(0.0, load.failure_share - kMaxSoundFailureShare);
   if (!candidate.location.is_in_own_data_centre) {
-    score += kCrossDataCentreRoundTripUs +
-             request.expected_bytes * kCrossDataCentreUsPerByte;
+    before_run += kCrossDataCentreRoundTripUs;
+    cost += crossing_cost_per_byte_ *
+            (request.request_bytes + request.expected_bytes + kOverheadBytes);
   }
-  return score;
+  const double target = std::max(ToMicroseconds(request.target_latency), 1.0);
+  const double time_for_run =
+      target - ToMicroseconds(request.elapsed) - before_run;
+  // Run times are taken as exponentially distributed.
+  const double late_share =
+      time_for_run > 0 ? std::exp(-time_for_run / std::max(run, 1.0)) : 1;
+  return cost + kLateLoss * late_share +
+         kTimeLoss * (before_run + run) / target;
 }
 
 Placement::Decision Placement::Choose(const Request& request,
@@ -146,7 +162,7 @@
     RandomSource& random, bool includes_stale) {
   Candidate* best = nullptr;
   const std::string* best_node = nullptr;
-  double best_score = 0;
+  double lowest_cost = 0;
   Duration shortest_wait = Duration::max();
   bool is_any_accepting = false;
   for (auto& [node, candidate] : candidates_) {
@@ -158,15 +174,15 @@
     const Duration wait = EstimateWait(candidate, request.priority);
     shortest_wait = std::min(shortest_wait, wait);
     if (wait > request.wait_allowance) continue;
-    const double score =
-        Score(candidate, request, wait) +
-        random.Unit() * kScoreJitterShare *
-            std::max(ToMicroseconds(candidate.load.mean_run_time),
-                     kMinJitterRunTimeUs);
-    if (best != nullptr && score >= best_score) continue;
+    const Duration jitter(static_cast<std::int64_t>(
+        random.Unit() * kJitterShare *
+        std::max(ToMicroseconds(candidate.load.mean_run_time),
+                 kMinJitterRunTimeUs)));
+    const double cost = Cost(candidate, request, wait + jitter);
+    if (best != nullptr && cost >= lowest_cost) continue;
     best = &candidate;
     best_node = &node;
-    best_score = score;
+    lowest_cost = cost;
   }
   if (best != nullptr) {
     const Duration wait = EstimateWait(*best, request.priority);
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -16,17 +16,21 @@
 
 namespace oleandertide::mesh {
 
-// Chooses the node with the lowest expected time until the answer: the wait for
-// a slot, the run time at the backend server's speed, the transfer over the
-// network, and a penalty for expected refusals and failures. All ingresses use
-// reports that are some milliseconds old, so each score gets random jitter:
-// otherwise all ingresses would send to the one backend server that has just
-// become free.
+// Chooses the node with the lowest expected cost. The cost is the value that an
+// answer is expected to lose there, by arriving late or not at all, and that of
+// the bytes that cross to another data centre; the unit is the value of an
+// answer in time. The expected time until the answer is the wait for a slot,
+// the run time at the backend server's speed and the transfer over the network.
+// Requests thus stay in their own data centre while their answers are likely to
+// be in time. All ingresses use reports that are some milliseconds old, so each
+// time gets random jitter: otherwise all ingresses would send to the one
+// backend server that has just become free.
 //
 // Nodes report three times a second. A node that has missed a report may be
 // disconnected or paused; it gets requests only if no other node accepts them.
 //
-// Expected load: bursts; slow, cold and failing backend servers.
+// Expected load: data centres with unequal traffic; bursts; slow, cold and
+// failing backend servers.
 //
 // Not thread-safe.
 class Placement {
@@ -36,12 +40,16 @@
     // Rank of the route; 0 is the most urgent.
     int priority = 0;
     Duration expected_run{};
+    // Size of the request's body in bytes.
+    double request_bytes = 0;
     // Mean size of the route's answers in bytes.
     double expected_bytes = 0;
     // Time for which the request may wait for a slot.
     Duration wait_allowance{};
     // The client gets the full value of an answer within this time.
     Duration target_latency{};
+    // Time since the arrival of the request.
+    Duration elapsed{};
     MonotonicTime now;
   };
 
@@ -65,6 +73,11 @@
     double link_mbps = 0;
   };
 
+  // `crossing_cost_per_byte` is the cost of a byte sent between data centres,
+  // as a share of the value of an answer in time.
+  explicit Placement(double crossing_cost_per_byte)
+      : crossing_cost_per_byte_(crossing_cost_per_byte) {}
+
   // Applies a report on the backend server on the instance of `node`.
   void Update(std::string_view node, std::string_view service,
               const Location& location, const BackendLoad& load,
@@ -105,9 +118,11 @@
                        RandomSource& random, bool includes_stale);
   static bool IsReportStale(const Candidate& candidate, MonotonicTime now);
   static Duration EstimateWait(const Candidate& candidate, int priority);
-  static double Score(const Candidate& candidate, const Request& request,
-                      Duration wait);
+  // Returns the expected cost; `wait` includes the jitter.
+  double Cost(const Candidate& candidate, const Request& request,
+              Duration wait) const;
 
+  const double crossing_cost_per_byte_;
   std::map<std::string, Candidate, std::less<>> candidates_;
 };
 
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -81,6 +81,7 @@
       node_(options.node),
       data_centre_(options.data_centre),
       service_(options.service),
+      placement_(options.crossing_cost_per_byte),
       retries_(options.retries) {}
 
 Ingress::~Ingress() = default;
@@ -207,9 +208,11 @@
       .service = call.service,
       .priority = route.priority,
       .expected_run = call.expected_run,
+      .request_bytes = static_cast<double>(call.body.size()),
       .expected_bytes = static_cast<double>(call.expected_bytes),
       .wait_allowance = call.wait_allowance,
       .target_latency = route.target_latency,
+      .elapsed = now - exchange->arrived,
       .now = now};
   const auto decision =
       placement_.Choose(request, exchange->tried, parts_.random);
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -40,6 +40,8 @@
     // Service of the instance.
     std::string service;
     mesh::RetryAllowance::Options retries;
+    // See mesh::Placement.
+    double crossing_cost_per_byte = 0;
   };
 
   // What the ingress works with; all outlive it.
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -88,6 +88,13 @@
         "most repeats that are saved up for a burst", "3"},
        Assign<&Settings::retries, &Settings::Retries::saved>::To},
 
+      {{"placement", "crossing-cost", PercentRule{0, 100},
+        "cost of 1 kB between data centres for each 100 that an answer in time "
+        "is worth; 0 places requests by time alone",
+        "1.6"},
+       Assign<&Settings::placement,
+              &Settings::Placement::crossing_cost_percent>::To},
+
       {{"log", "level", ChoiceRule{{"debug", "info", "warning", "error"}},
         "least severe events that are logged", "info"},
        Assign<&Settings::log, &Settings::Log::level>::To},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -47,6 +47,11 @@
     double run_ratio_percent = 0;
     std::int64_t saved = 0;
   };
+  struct Placement {
+    // Cost of 1 kB between data centres, in percent of the value of an answer
+    // in time.
+    double crossing_cost_percent = 0;
+  };
   struct Log {
     std::string level;
   };
@@ -57,6 +62,7 @@
   Store store;
   Drain drain;
   Retries retries;
+  Placement placement;
   Log log;
 
   // Reads settings in INI; all errors are reported together. Thread-safe.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -38,6 +38,8 @@
 // that start with it.
 constexpr Duration kJoinTime = std::chrono::seconds(3);
 
+constexpr double kBytesPerKb = 1000;
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
@@ -102,7 +104,9 @@
              .retries = {.ratio = settings.retries.ratio_percent / 100,
                          .run_ratio = settings.retries.run_ratio_percent / 100,
                          .max_saved_retries =
-                             static_cast<double>(settings.retries.saved)}}),
+                             static_cast<double>(settings.retries.saved)},
+             .crossing_cost_per_byte =
+                 settings.placement.crossing_cost_percent / 100 / kBytesPerKb}),
         store_(loop, std::move(store), settings.store.address.ToString(),
                metrics_),
         source_({.loop = loop,
--- a/tests/mesh/placement_test.cc
+++ b/tests/mesh/placement_test.cc
@@ -13,6 +13,9 @@
 
 constexpr MonotonicTime kNow{std::chrono::seconds(100)};
 
+// 16 kB between data centres cost about a quarter of an answer's value.
+constexpr double kCrossingCostPerByte = 16e-6;
+
 BackendLoad MakeLoad(int running, int waiting = 0, double slowness = 1) {
   return {.accepts_requests = true,
           .slots = 12,
@@ -33,17 +36,18 @@
 }
 
 // Returns the number of requests sent to each node when `loads` is reported
-// again after each of the `count` requests.
+// before each of the `count` requests.
 std::map<std::string, int> CountChoicesByNode(
     Placement& placement, int count, const Placement::Request& request,
     const std::map<std::string, BackendLoad>& loads) {
   RandomSource random(11);
   std::map<std::string, int> choices;
   for (int i = 0; i < count; ++i) {
+    for (const auto& [node, load] : loads) {
+      placement.UpdateLoad(node, load, kNow);
+    }
     const auto decision = placement.Choose(request, {}, random);
     ++choices[std::get<Placement::Choice>(decision).node];
-    for (const auto& [node, load] : loads)
-      placement.UpdateLoad(node, load, kNow);
   }
   return choices;
 }
@@ -56,7 +60,7 @@
 // Guards against requests that are sent to another data centre although the own
 // one has capacity.
 TEST_CASE("the own data centre is preferred while it has capacity") {
-  Placement placement;
+  Placement placement(kCrossingCostPerByte);
   placement.Update("own", "rooms", kOwnDataCentre, MakeLoad(2), kNow);
   placement.Update("other", "rooms", kOtherDataCentre, MakeLoad(2), kNow);
   // Large answers between data centres carry a high penalty.
@@ -71,10 +75,51 @@
   REQUIRE(choices["other"] == 100);
 }
 
+// Guards against bytes between data centres without gain: an answer that is
+// expected in time anyway came from whichever server was a little less loaded.
+TEST_CASE("a request stays in its data centre while its answer is in time") {
+  Placement placement(kCrossingCostPerByte);
+  Placement::Request request = MakeRequest(1500);
+  request.expected_run = milliseconds(150);
+  request.target_latency = milliseconds(1500);
+  placement.Update("own", "rooms", kOwnDataCentre, MakeLoad(11, 0, 1.4), kNow);
+  placement.Update("other", "rooms", kOtherDataCentre, MakeLoad(0), kNow);
+  auto choices = CountChoicesByNode(
+      placement, 100, request,
+      {{"own", MakeLoad(11, 0, 1.4)}, {"other", MakeLoad(0)}});
+  REQUIRE(choices["own"] == 100);
+  // The answer would be late there more often than the bytes are worth.
+  request.target_latency = milliseconds(400);
+  choices = CountChoicesByNode(
+      placement, 100, request,
+      {{"own", MakeLoad(11, 0, 1.4)}, {"other", MakeLoad(0)}});
+  REQUIRE(choices["other"] == 100);
+  // Time that has passed counts.
+  request.target_latency = milliseconds(1500);
+  request.elapsed = milliseconds(1100);
+  choices = CountChoicesByNode(
+      placement, 100, request,
+      {{"own", MakeLoad(11, 0, 1.4)}, {"other", MakeLoad(0)}});
+  REQUIRE(choices["other"] == 100);
+}
+
+// Guards against a data centre that is left for long because of a failure or
+// two: without requests, its backend server could not show that it is sound.
+TEST_CASE("few failures do not drive requests to another data centre") {
+  Placement placement(kCrossingCostPerByte);
+  BackendLoad load = MakeLoad(2);
+  load.failure_share = 0.07;
+  placement.Update("own", "rooms", kOwnDataCentre, load, kNow);
+  placement.Update("other", "rooms", kOtherDataCentre, MakeLoad(2), kNow);
+  auto choices = CountChoicesByNode(placement, 100, MakeRequest(),
+                                    {{"own", load}, {"other", MakeLoad(2)}});
+  REQUIRE(choices["own"] == 100);
+}
+
 // Guards against a slow or failing backend server that gets as many requests as
 // a good one.
 TEST_CASE("slow and failing backend servers are avoided") {
-  Placement placement;
+  Placement placement(kCrossingCostPerByte);
   BackendLoad failing = MakeLoad(2);
   failing.failure_share = 0.5;
   placement.Update("good", "rooms", kOwnDataCentre, MakeLoad(6), kNow);
@@ -90,7 +135,7 @@
 // Guards against ingresses that each send all requests to the one node that
 // their old reports show as free.
 TEST_CASE("requests sent since a report count as load") {
-  Placement placement;
+  Placement placement(kCrossingCostPerByte);
   placement.Update("a", "rooms", kOwnDataCentre, MakeLoad(11), kNow);
   placement.Update("b", "rooms", kOwnDataCentre, MakeLoad(11), kNow);
   RandomSource random(3);
@@ -106,7 +151,7 @@
 
 // Guards against small answers that wait behind downloads on a narrow link.
 TEST_CASE("a node with a backlog on its link is avoided") {
-  Placement placement;
+  Placement placement(kCrossingCostPerByte);
   BackendLoad busy = MakeLoad(2);
   busy.link_wait = milliseconds(150);
   placement.Update("busy", "rooms", kOwnDataCentre, busy, kNow);
@@ -120,7 +165,7 @@
 // one: calls of urgent routes were refused at the ingress because less urgent
 // requests, which they overtake, were waiting everywhere.
 TEST_CASE("waiting requests of less urgent routes do not refuse urgent ones") {
-  Placement placement;
+  Placement placement(kCrossingCostPerByte);
   RandomSource random(3);
   // 12 requests run and 40 of priority 2 wait: a further one waits 340 ms.
   placement.Update("a", "rooms", kOwnDataCentre, MakeLoad(12, 40), kNow);
@@ -138,7 +183,7 @@
 // Guards against requests to nodes that are disconnected or paused, whose last
 // report still shows free capacity.
 TEST_CASE("a node with a stale report is chosen only if no other accepts") {
-  Placement placement;
+  Placement placement(kCrossingCostPerByte);
   RandomSource random(4);
   placement.Update("silent", "rooms", kOwnDataCentre, MakeLoad(0), kNow);
   const MonotonicTime later = kNow + milliseconds(700);
@@ -156,7 +201,7 @@
 // Guards against a refusal without the expected time until there is room, and
 // against NoRoom for a service that no backend server runs.
 TEST_CASE("the decision distinguishes no room from no backend server") {
-  Placement placement;
+  Placement placement(kCrossingCostPerByte);
   RandomSource random(5);
   REQUIRE(std::holds_alternative<Placement::NoBackendServer>(
       placement.Choose(MakeRequest(), {}, random)));
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -107,6 +107,7 @@
                              .deadline = seconds(2)};
   instance.settings.retries = {
       .ratio_percent = 10, .run_ratio_percent = 10, .saved = 3};
+  instance.settings.placement = {.crossing_cost_percent = 1.6};
   StartNode(instance);
   return instance;
 }
