sidecar: Pack small messages between nodes

Cause: half of the bytes of a status, call or answer between nodes were zeros, and bytes between data centres are priced. Change: messages below 4 kB are sent in Cap'n Proto's packed encoding, marked by the second highest bit of the length, to nodes that said in Hello or Status that they read it: nodes of an earlier build get plain ones. A packed message may expand to 32 kB at most. Tests: framed_connection_test (a status takes at most 0.6 of its bytes; cut, oversized and empty ones).

--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -1,8 +1,10 @@
 #include "sidecar/framed_connection.h"
 
+#include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
 #include <kj/array.h>
 #include <kj/exception.h>
+#include <kj/io.h>
 #include <zstd.h>
 
 #include <algorithm>
@@ -53,6 +55,11 @@
 // The fastest of the usual levels: the processor's share is as small.
 constexpr int kCompressionLevel = 1;
 constexpr std::uint32_t kCompressedFlag = 1U << 31U;
+// Smaller messages are packed: half of their bytes are zeros.
+constexpr std::uint32_t kPackedFlag = 1U << 30U;
+// Words that a packed message may have or its reader may visit. Messages of
+// kCompressedFrom bytes have an eighth of it.
+constexpr std::uint64_t kMaxPackedWords = kCompressedFrom;
 
 // Returns the compressed bytes; nothing if that fails.
 std::optional<std::string> Compress(std::string_view bytes) {
@@ -69,8 +76,25 @@
   return compressed;
 }
 
+void AppendPacked(std::string& output, capnp::MessageBuilder& message,
+                  std::string_view body) {
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, message);
+  const auto bytes = packed.getArray();
+  AppendLength(output, bytes.size() | kPackedFlag);
+  AppendLength(output, body.size());
+  output.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  output.append(body);
+}
+
 void AppendFrame(std::string& output, capnp::MessageBuilder& message,
-                 std::string_view body) {
+                 std::string_view body, bool packs) {
+  if (packs &&
+      capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word) <
+          kCompressedFrom) {
+    AppendPacked(output, message, body);
+    return;
+  }
   const auto words = capnp::messageToFlatArray(message);
   const auto raw = words.asBytes();
   std::string_view bytes(reinterpret_cast<const char*>(raw.begin()),
@@ -127,7 +151,7 @@
                             std::string_view body) {
   if (is_closed_) return;
   const std::size_t before = pending_.size();
-  AppendFrame(pending_, message, body);
+  AppendFrame(pending_, message, body, packs_);
   const std::size_t added = pending_.size() - before;
   queued_bytes_ += added;
   if (on_queued_) on_queued_(added);
@@ -201,7 +225,9 @@
   while (!is_closed_ && input_size_ - used >= kHeadBytes) {
     const std::uint32_t coded_size = ReadLength(input_.data() + used);
     const bool is_compressed = (coded_size & kCompressedFlag) != 0;
-    const std::size_t message_size = coded_size & ~kCompressedFlag;
+    const bool is_packed = (coded_size & kPackedFlag) != 0;
+    const std::size_t message_size =
+        coded_size & ~(kCompressedFlag | kPackedFlag);
     const std::size_t body_size = ReadLength(input_.data() + used + 4);
     const std::size_t total = kHeadBytes + message_size + body_size;
     if (total > kMaximumFrameBytes) return false;
@@ -209,18 +235,12 @@
       if (input_.size() < total) input_.resize(total);
       break;
     }
-    const auto words = ReadMessage(
-        std::string_view(input_.data() + used + kHeadBytes, message_size),
-        is_compressed);
-    if (!words) return false;
-    const std::string_view body(
-        input_.data() + used + kHeadBytes + message_size, body_size);
-    try {
-      capnp::FlatArrayMessageReader reader(*words);
-      on_frame_(reader.getRoot<wire::Frame>(), body);
-    } catch (const kj::Exception&) {
-      return false;
-    }
+    const std::string_view message(input_.data() + used + kHeadBytes,
+                                   message_size);
+    const std::string_view body(message.data() + message_size, body_size);
+    const bool is_read = is_packed ? ReadPacked(message, body)
+                                   : ReadFlat(message, is_compressed, body);
+    if (!is_read) return false;
     used += total;
   }
   if (used > 0) {
@@ -233,6 +253,34 @@
   return true;
 }
 
+bool FramedConnection::ReadFlat(std::string_view message, bool is_compressed,
+                                std::string_view body) {
+  const auto words = ReadMessage(message, is_compressed);
+  if (!words) return false;
+  try {
+    capnp::FlatArrayMessageReader reader(*words);
+    on_frame_(reader.getRoot<wire::Frame>(), body);
+  } catch (const kj::Exception&) {
+    return false;
+  }
+  return true;
+}
+
+bool FramedConnection::ReadPacked(std::string_view message,
+                                  std::string_view body) {
+  try {
+    kj::ArrayInputStream input(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(message.data()), message.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxPackedWords;
+    capnp::PackedMessageReader reader(input, options);
+    on_frame_(reader.getRoot<wire::Frame>(), body);
+  } catch (const kj::Exception&) {
+    return false;
+  }
+  return true;
+}
+
 void FramedConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
--- a/libraries/sidecar/framed_connection.h
+++ b/libraries/sidecar/framed_connection.h
@@ -42,6 +42,9 @@
     on_queued_ = std::move(on_queued);
   }
 
+  // Sets whether small messages are packed: the other node must read that.
+  void set_packs(bool packs) { packs_ = packs; }
+
   // Closes the connection; on_closed is called once, also on failures.
   void Close();
 
@@ -60,7 +63,11 @@
 
  private:
   void Read();
+  // Each returns whether the bytes were well-formed.
   bool ParseFrames();
+  bool ReadFlat(std::string_view message, bool is_compressed,
+                std::string_view body);
+  bool ReadPacked(std::string_view message, std::string_view body);
   void ScheduleFlush();
   void Flush();
 
@@ -75,6 +82,7 @@
   MonotonicTime last_received_;
   std::uint64_t queued_bytes_ = 0;
   std::uint64_t submitted_bytes_ = 0;
+  bool packs_ = false;
   bool is_flush_scheduled_ = false;
   bool is_writing_ = false;
   bool is_closed_ = false;
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -2,7 +2,8 @@
 # Messages between nodes. A frame is the length of the message and the length
 # of the body that follows it (32 bits each, little endian), the message, and
 # the body: that of a request or an answer. The highest bit of the first length
-# tells that the message is compressed with Zstandard.
+# tells that the message is compressed with Zstandard, the next one that it is in
+# Cap'n Proto's packed encoding.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("oleandertide::sidecar::wire");
@@ -17,6 +18,8 @@
   service @3 :Text;
   # Bandwidth of the instance's link.
   linkMbps @4 :UInt32;
+  # Whether the node that opened the connection reads packed messages.
+  acceptsPacked @5 :Bool;
 }
 
 struct Members {
@@ -62,6 +65,8 @@
   crashReports @4 :List(CrashReport);
   # The same by the store's clock; 0 if it never did.
   confirmedStoreTimeMs @5 :UInt64;
+  # Whether the node reads packed messages.
+  acceptsPacked @6 :Bool;
 }
 
 struct Call {
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -333,6 +333,8 @@
 
   inline  ::uint32_t getLinkMbps() const;
 
+  inline bool getAcceptsPacked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -392,6 +394,9 @@
   inline  ::uint32_t getLinkMbps();
   inline void setLinkMbps( ::uint32_t value);
 
+  inline bool getAcceptsPacked();
+  inline void setAcceptsPacked(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -758,6 +763,8 @@
 
   inline  ::uint64_t getConfirmedStoreTimeMs() const;
 
+  inline bool getAcceptsPacked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -816,6 +823,9 @@
   inline  ::uint64_t getConfirmedStoreTimeMs();
   inline void setConfirmedStoreTimeMs( ::uint64_t value);
 
+  inline bool getAcceptsPacked();
+  inline void setAcceptsPacked(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2243,6 +2253,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::getAcceptsPacked() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getAcceptsPacked() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setAcceptsPacked(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Members::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2670,6 +2694,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Status::Reader::getAcceptsPacked() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Status::Builder::getAcceptsPacked() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setAcceptsPacked(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Call::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -188,6 +188,7 @@
         logging::Log(Level::kInfo, "link", "opened",
                      {{"node", peer.identity.name}});
       }
+      peer.connection->set_packs(frame.getStatus().getAcceptsPacked());
       callbacks_.on_status(peer.identity, Decode(frame.getStatus()));
       return;
     case wire::Frame::ANSWER:
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -111,6 +111,7 @@
   builder.setDataCentre(node.data_centre);
   builder.setService(node.service);
   builder.setLinkMbps(node.link_mbps);
+  builder.setAcceptsPacked(true);
 }
 
 NodeIdentity Decode(wire::Hello::Reader reader) {
@@ -215,6 +216,7 @@
                                    ? kMaximumAgeMs
                                    : ToMs(status.confirmation_age));
   builder.setConfirmedStoreTimeMs(status.confirmed_store_time);
+  builder.setAcceptsPacked(true);
   if (status.crash_reports.empty()) return;
   auto reports = builder.initCrashReports(
       static_cast<unsigned>(status.crash_reports.size()));
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -122,6 +122,7 @@
     case wire::Frame::HELLO: {
       const NodeIdentity node = Decode(frame.getHello());
       session->is_in_own_data_centre = node.data_centre == data_centre_;
+      session->connection->set_packs(frame.getHello().getAcceptsPacked());
       callbacks_.on_hello(node);
       SendStatus(callbacks_.make_status(), {session});
       return;
--- a/tests/sidecar/framed_connection_test.cc
+++ b/tests/sidecar/framed_connection_test.cc
@@ -12,8 +12,10 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "sidecar/event_loop.h"
+#include "sidecar/link_codec.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -82,6 +84,71 @@
   pair.loop.run_for(milliseconds(10));
 }
 
+// Guards against status messages, sent several times a second, of which half
+// are zeros.
+TEST_CASE("a packed message arrives whole and takes half of its size") {
+  SocketPair pair;
+  const auto sender = std::make_shared<FramedConnection>(std::move(pair.first));
+  const auto receiver =
+      std::make_shared<FramedConnection>(std::move(pair.second));
+  int received = 0;
+  sender->Start([](auto, auto) {}, [] {});
+  receiver->Start(
+      [&](wire::Frame::Reader frame, std::string_view body) {
+        REQUIRE(body == "and a body");
+        const NodeStatus status = Decode(frame.getStatus());
+        REQUIRE(status.service == "booking");
+        REQUIRE(status.load.slots == 12);
+        REQUIRE(status.configuration_version == 87);
+        REQUIRE(frame.getStatus().getAcceptsPacked());
+        ++received;
+      },
+      [] {});
+  capnp::MallocMessageBuilder message;
+  NodeStatus status;
+  status.service = "booking";
+  status.load = {.accepts_requests = true, .slots = 12, .running = 3};
+  status.configuration_version = 87;
+  Encode(status, message.initRoot<wire::Frame>().initStatus());
+  sender->Send(message, "and a body");
+  const auto plain = sender->queued_bytes();
+  sender->set_packs(true);
+  sender->Send(message, "and a body");
+  REQUIRE(sender->queued_bytes() - plain < plain * 6 / 10);
+  pair.loop.run_for(milliseconds(100));
+  REQUIRE(received == 2);
+  sender->Close();
+  receiver->Close();
+  pair.loop.restart();
+  pair.loop.run_for(milliseconds(10));
+}
+
+// Guards against packed messages that are cut, claim more words than they have,
+// or expand without end.
+TEST_CASE("malformed packed messages end the connection") {
+  const std::vector<unsigned char> message = GENERATE(
+      // A word of eight bytes of which two follow.
+      std::vector<unsigned char>{0xff, 1, 2},
+      // One segment of 2^31 words, and a run of zeros.
+      std::vector<unsigned char>{0xf0, 0, 0, 0, 0x80, 0x00, 0xff, 0x00, 0xff},
+      // 2^32 segments.
+      std::vector<unsigned char>{0x0f, 0xff, 0xff, 0xff, 0xff},
+      std::vector<unsigned char>{});
+  SocketPair pair;
+  const auto receiver =
+      std::make_shared<FramedConnection>(std::move(pair.second));
+  bool is_closed = false;
+  int frames = 0;
+  receiver->Start([&](auto, auto) { ++frames; }, [&] { is_closed = true; });
+  std::vector<unsigned char> bytes = {
+      static_cast<unsigned char>(message.size()), 0, 0, 0x40, 0, 0, 0, 0};
+  bytes.insert(bytes.end(), message.begin(), message.end());
+  boost::asio::write(pair.first, boost::asio::buffer(bytes));
+  pair.loop.run_for(milliseconds(100));
+  REQUIRE(is_closed);
+  REQUIRE(frames == 0);
+}
+
 // Guards against bytes that claim to be compressed and are not.
 TEST_CASE("bytes that do not decompress end the connection") {
   SocketPair pair;
