mesh: Keep a reserve of repeats for nodes that stop

Change: three repeats of each kind are added for each service when a node begins to stop. Test: attempt_policy_test.

--- a/libraries/mesh/retry_allowance.cc
+++ b/libraries/mesh/retry_allowance.cc
@@ -8,17 +8,24 @@
   const auto found = balances_.find(service);
   if (found != balances_.end()) return found->second;
   return balances_
-      .emplace(service, Balance{.all = options_.max_saved_retries,
-                                .runs = options_.max_saved_retries})
+      .emplace(service, Balance{.all = options_.max_saved_retries + reserve_,
+                                .runs = options_.max_saved_retries + reserve_})
       .first->second;
 }
 
 void RetryAllowance::RecordRequest(std::string_view service) {
   Balance& balance = Find(service);
-  balance.all =
-      std::min(balance.all + options_.ratio, options_.max_saved_retries);
-  balance.runs =
-      std::min(balance.runs + options_.run_ratio, options_.max_saved_retries);
+  const double limit = options_.max_saved_retries + reserve_;
+  balance.all = std::min(balance.all + options_.ratio, limit);
+  balance.runs = std::min(balance.runs + options_.run_ratio, limit);
+}
+
+void RetryAllowance::AddReserve(int count) {
+  reserve_ += count;
+  for (auto& [service, balance] : balances_) {
+    balance.all += count;
+    balance.runs += count;
+  }
 }
 
 bool RetryAllowance::TryTake(std::string_view service, RetryKind kind) {
--- a/libraries/mesh/retry_allowance.h
+++ b/libraries/mesh/retry_allowance.h
@@ -45,6 +45,13 @@
   // Records the first attempt of a client's request for `service`.
   void RecordRequest(std::string_view service);
 
+  // Adds `count` repeats of each kind for each service, beyond the limit of
+  // what is saved.
+  //
+  // Load pattern: a node that stops gets few requests that earn it repeats, and
+  // must not give up those that it has taken.
+  void AddReserve(int count);
+
   // Takes one repeat from the balance; returns false if none is left.
   bool TryTake(std::string_view service, RetryKind kind);
 
@@ -57,6 +64,8 @@
   Balance& Find(std::string_view service);
 
   const Options options_;
+  // Added to the balance of each service.
+  double reserve_ = 0;
   std::map<std::string, Balance, std::less<>> balances_;
 };
 
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -23,6 +23,11 @@
 // end.
 constexpr Duration kEndMargin = std::chrono::milliseconds(250);
 
+// Repeats that a node gets when it stops: a request that it has taken is to be
+// answered although its first run was cut. Nodes stop one after the other, so
+// this fits into the allowance of the fleet.
+constexpr int kStopReserve = 3;
+
 // A route that is not in the configuration is denied only if the store has
 // confirmed the configuration within this time.
 constexpr Duration kFreshLimit = std::chrono::seconds(2);
@@ -91,6 +96,11 @@
          kFreshLimit;
 }
 
+void Ingress::set_end(MonotonicTime end) {
+  end_ = end;
+  retries_.AddReserve(kStopReserve);
+}
+
 bool Ingress::IsRepeatable(const HttpRequest& request) const {
   const auto& configuration = parts_.configuration.current();
   if (!configuration) return true;
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -72,7 +72,7 @@
 
   // The node ends at `end`: requests from now on are taken only if they can be
   // answered before.
-  void set_end(MonotonicTime end) { end_ = end; }
+  void set_end(MonotonicTime end);
 
   // Whether no request waits for its answer.
   bool is_idle() const { return exchanges_.empty(); }
--- a/tests/mesh/attempt_policy_test.cc
+++ b/tests/mesh/attempt_policy_test.cc
@@ -110,5 +110,22 @@
   REQUIRE(repeats + repeated_runs <= 0.2 * kNodes * kRequestsPerNode + 64);
 }
 
+// Guards against a request that a stopping node gives up because its balance is
+// used up, although its first run was cut and time is left.
+TEST_CASE("a node that stops has a reserve of repeats") {
+  RetryAllowance allowance(
+      {.ratio = 0.14, .run_ratio = 0.04, .max_saved_retries = 3});
+  allowance.RecordRequest("booking");
+  const auto take_all = [&](std::string_view service) {
+    int taken = 0;
+    while (allowance.TryTake(service, RetryAllowance::RetryKind::kRun)) ++taken;
+    return taken;
+  };
+  REQUIRE(take_all("booking") == 3);
+  allowance.AddReserve(2);
+  REQUIRE(take_all("booking") == 2);
+  REQUIRE(take_all("rooms") == 5);
+}
+
 }  // namespace
 }  // namespace oleandertide::mesh
