sidecar: Bound what a faulty backend server may send

Cause: an answer without id was taken for the answer to the request at hand, also on a connection in use again, where it may be a late copy of an earlier one. A line, chunk extension or trailer without end was kept until the time limit, 64 MiB of body were accepted on instances with 160 MB, informational answers were followed without limit, and a store that dripped renewed its limit for ever. Change: without id an answer counts only on a connection's first request; an answer with a request's id is no health answer. Unparsed bytes (64 KiB), skipped answers (16), bodies ([backend] max-answer, 16 MiB) and renewals (20) are bounded; beyond that the connection is closed and the outcome is unknown.

--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -15,8 +15,15 @@
 
 constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
 
-// Answers of backend servers and the store are smaller than this.
-constexpr std::size_t kMaximumAnswerBytes = std::size_t{64} << 20U;
+// Bytes of a head, or of a chunk's line with its extensions, that may be kept
+// unparsed.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10U;
+
+// Informational and late answers in front of an answer.
+constexpr int kMaxSkippedAnswers = 16;
+
+// How often the limit of an exchange may pass while bytes arrive.
+constexpr int kMaxRenewals = 20;
 
 // Time until a silent connection fails; the kernel counts in whole seconds.
 constexpr Duration kSilenceLimit = std::chrono::seconds(1);
@@ -47,6 +54,8 @@
 void HttpConnection::Start(HttpExchange exchange) {
   exchange_ = std::move(exchange);
   is_written_ = false;
+  skipped_ = 0;
+  last_limit_ = MonotonicClock::now() + exchange_->limit * kMaxRenewals;
   BeginAnswer();
   if (!is_connected_) {
     Connect();
@@ -117,7 +126,7 @@
     Close();
     return;
   }
-  if (exchange_->is_limit_renewed) {
+  if (exchange_->is_limit_renewed && MonotonicClock::now() < last_limit_) {
     StartTimer(exchange_->limit, HttpFailure::kTimeout);
   }
   Parse();
@@ -126,7 +135,7 @@
 
 void HttpConnection::BeginAnswer() {
   parser_.emplace();
-  parser_->body_limit(kMaximumAnswerBytes);
+  parser_->body_limit(exchange_->max_body_bytes);
   parser_->header_limit(std::numeric_limits<std::uint16_t>::max());
   parser_->eager(true);
   if (exchange_->is_head_request) parser_->skip(true);
@@ -145,24 +154,29 @@
       FinishAnswer();
       return;
     }
-    if (error == http::error::need_more && used == 0) return;
+    if (error == http::error::need_more && used == 0) {
+      if (buffer_.size() > kMaxUnparsedBytes) {
+        Fail(HttpFailure::kMalformedAnswer);
+      }
+      return;
+    }
   }
 }
 
 void HttpConnection::FinishAnswer() {
   HttpResponse response = parser_->release();
   if (response.result_int() >= 100 && response.result_int() < 200) {
-    BeginAnswer();
-    Parse();
+    SkipAnswer();
     return;
   }
-  if (exchange_->is_answer && !exchange_->is_answer(response)) {
+  if (exchange_->is_answer &&
+      !exchange_->is_answer(response, is_first_request_)) {
     // A late or repeated answer to an earlier request; ours may follow.
     is_reusable_ = false;
-    BeginAnswer();
-    Parse();
+    SkipAnswer();
     return;
   }
+  is_first_request_ = false;
   timer_.cancel();
   idle_since_ = MonotonicClock::now();
   keep_alive_ = ParseKeepAlive(response[http::field::keep_alive]);
@@ -176,6 +190,15 @@
   on_answer(std::move(response));
 }
 
+void HttpConnection::SkipAnswer() {
+  if (++skipped_ > kMaxSkippedAnswers) {
+    Fail(HttpFailure::kMalformedAnswer);
+    return;
+  }
+  BeginAnswer();
+  Parse();
+}
+
 void HttpConnection::OnEnd(const boost::system::error_code& error) {
   if (!exchange_) {
     Close();
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,9 +42,14 @@
   // Whether the limit starts anew when bytes arrive: a large answer may take
   // long on a narrow link.
   bool is_limit_renewed = false;
+  // An answer with a larger body is malformed.
+  std::size_t max_body_bytes = std::size_t{16} << 20U;
   // Whether an answer belongs to this request; others are skipped and the
-  // connection is not used again. Empty: every answer does.
-  std::function<bool(const boost::beast::http::fields&)> is_answer;
+  // connection is not used again. The flag tells that the connection carried no
+  // request before, so that no late answer can come on it. Empty: every answer
+  // belongs to it.
+  std::function<bool(const boost::beast::http::fields&, bool is_first_request)>
+      is_answer;
   // Called once, unless the connection is closed before.
   std::function<void(HttpResponse)> on_answer;
   std::function<void(HttpFailure)> on_failure;
@@ -52,7 +58,9 @@
 // Carries one exchange at a time. An answer without length is complete only if
 // its connection ends in order. Bytes that belong to no answer, and an answer
 // that came before its request was sent whole, make the connection unusable for
-// another exchange. Not thread-safe.
+// another exchange. A server that sends bytes without end is cut off: heads,
+// bodies, bytes that cannot be parsed yet, skipped answers and the whole time
+// are limited. Not thread-safe.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
   // Connects when the first exchange starts.
@@ -89,6 +97,8 @@
   void Parse();
   void BeginAnswer();
   void FinishAnswer();
+  // Goes on to the answer behind one that is not the exchange's.
+  void SkipAnswer();
   void OnEnd(const boost::system::error_code& error);
   void Fail(HttpFailure failure);
   void StartTimer(Duration limit, HttpFailure failure);
@@ -105,6 +115,11 @@
   std::function<void()> on_closed_;
   MonotonicTime idle_since_;
   std::optional<Duration> keep_alive_;
+  // When the exchange is given up although bytes still arrive.
+  MonotonicTime last_limit_;
+  // Answers skipped in this exchange.
+  int skipped_ = 0;
+  bool is_first_request_ = true;
   bool is_connected_ = false;
   bool is_reading_ = false;
   bool is_written_ = false;
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -49,6 +49,7 @@
       backend_address_(options.backend_address),
       quarantine_(quarantine),
       metrics_(metrics),
+      max_answer_bytes_(options.max_answer_bytes),
       client_(loop, options.backend_server),
       backend_(options.standing),
       fence_timer_(loop),
@@ -137,10 +138,14 @@
        .body_size = call.body.size()});
   exchange.body = std::move(pending.call.body);
   exchange.is_head_request = call.method == "HEAD";
+  exchange.max_body_bytes = max_answer_bytes_;
   exchange.limit = remaining + kAnswerGrace;
-  exchange.is_answer = [request_id = call.request_id](const auto& fields) {
+  exchange.is_answer = [request_id = call.request_id](const auto& fields,
+                                                      bool is_first_request) {
     const std::string_view answered = platform::FindRequestId(fields);
-    return answered.empty() || answered == request_id;
+    // Without id it may be a late copy of the answer to an earlier request.
+    if (answered.empty()) return is_first_request;
+    return answered == request_id;
   };
   exchange.on_answer = [this, id](HttpResponse response) {
     OnAnswer(id, std::move(response));
@@ -399,6 +404,10 @@
   HttpExchange exchange;
   exchange.head = platform::EncodeHealthCheck(health_path_);
   exchange.limit = kVerifyLimit;
+  // A late answer to an earlier request says nothing of the health.
+  exchange.is_answer = [](const auto& fields, bool /*is_first_request*/) {
+    return platform::FindRequestId(fields).empty();
+  };
   exchange.on_answer = [finish](const HttpResponse& response) {
     finish(is_success(static_cast<int>(response.result_int())),
            platform::DecodeBackendAnswer(response).instance_id);
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDERTIDE_SIDECAR_RECEIVER_H_
 #define OLEANDERTIDE_SIDECAR_RECEIVER_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -31,6 +32,8 @@
     Tcp::endpoint backend_server;
     mesh::LocalBackend::Options standing;
     std::string backend_address;
+    // A larger answer is unusable.
+    std::size_t max_answer_bytes = 0;
   };
 
   Receiver(EventLoop& loop, const Options& options,
@@ -102,6 +105,7 @@
   const std::string backend_address_;
   routing::Quarantine& quarantine_;
   NodeMetrics& metrics_;
+  const std::size_t max_answer_bytes_;
   BackendClient client_;
   mesh::LocalBackend backend_;
   mesh::AdmissionQueue queue_;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -60,6 +60,11 @@
       {{"backend", "address", AddressRule{},
         "address of the backend server beside the node"},
        Assign<&Settings::backend, &Settings::Backend::address>::To},
+      {{"backend", "max-answer", IntegerRule{1, 1'048'576},
+        "largest body of an answer in KiB; a larger one is cut off and its "
+        "outcome is unknown. All slots may hold one at a time",
+        "16384"},
+       Assign<&Settings::backend, &Settings::Backend::max_answer_kb>::To},
 
       {{"store", "address", AddressRule{}, "address of the metadata store"},
        Assign<&Settings::store, &Settings::Store::address>::To},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -33,6 +33,7 @@
   };
   struct Backend {
     Address address;
+    std::int64_t max_answer_kb = 0;
   };
   struct Store {
     Address address;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -86,7 +86,10 @@
                    .standing = {.requires_verification =
                                     !settings.node.is_first_start,
                                 .drain_fence = settings.drain.fence},
-                   .backend_address = settings.backend.address.ToString()},
+                   .backend_address = settings.backend.address.ToString(),
+                   .max_answer_bytes =
+                       static_cast<std::size_t>(settings.backend.max_answer_kb)
+                       << 10U},
                   quarantine_, metrics_),
         backlog_(settings.node.link_mbps),
         links_(loop, identity_, random_, backlog_, MakeLinkCallbacks()),
--- /dev/null
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -0,0 +1,139 @@
+// Backend servers that send answers late or twice, or bytes without end.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "sidecar/mesh_fixture.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A node beside a backend server that answers by a script.
+struct OneNode : MeshFixture {
+  explicit OneNode(RawServer::Script script)
+      : instance(AddInstance("booking", std::move(script))) {
+    REQUIRE(Announce(instance) == 200);
+    AwaitService(instance, "/idem/0");
+  }
+
+  Instance& instance;
+};
+
+std::string AnswerWithHead(const std::string& id_line) {
+  return "HTTP/1.1 200 OK\r\n" + id_line +
+         "Oleandertide-Server-Stamp: stamp\r\nContent-Length: 4\r\n\r\ncopy";
+}
+
+// Guards against a caller that gets the answer to an earlier request: a backend
+// server sends a second copy of it while the connection carries the next one.
+TEST_CASE("a late copy of an answer reaches nobody") {
+  const std::string copy = GENERATE(
+      AnswerWithHead("Oleandertide-Request-Id: earlier\r\n"),
+      // Without an id it cannot be told from an answer to the next request.
+      AnswerWithHead(""), "HTTP/1.1 100 Continue\r\n\r\n" + AnswerWithHead(""),
+      AnswerWithHead("Oleandertide-Request-Id: earlier\r\n") +
+          AnswerWithHead(""));
+  // Before the next request is sent, and while it runs.
+  const Duration delay = GENERATE(milliseconds(20), milliseconds(120));
+  const std::string method = GENERATE("GET", "POST");
+  OneNode mesh([&](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/idem/first") {
+      reply.late_bytes = copy;
+      reply.late_delay = delay;
+    }
+    if (request.target() == "/once/next" || request.target() == "/idem/next") {
+      reply.delay = milliseconds(150);
+    }
+    return reply;
+  });
+  REQUIRE(mesh.Send(mesh.instance, "GET", "/idem/first").status == 200);
+  const int connections = mesh.instance.backend->connections();
+  mesh.RunFor(milliseconds(60));
+  const std::string target = method == "GET" ? "/idem/next" : "/once/next";
+  const ClientAnswer next = mesh.Send(mesh.instance, method, target);
+  REQUIRE(next.status == 200);
+  REQUIRE(next.body == "body of " + target);
+  if (delay > milliseconds(60)) {
+    // The copy came on the connection that carried the next request.
+    REQUIRE(mesh.instance.backend->connections() == connections);
+  }
+  REQUIRE(mesh.Send(mesh.instance, "GET", "/idem/last").body ==
+          "body of /idem/last");
+}
+
+// Guards against memory and slots that are lost to a backend server which sends
+// without end, in a head or a body, until its connection is closed.
+TEST_CASE("bytes without end are cut off") {
+  constexpr std::size_t kChunk = 4096;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+      "Oleandertide-Server-Stamp: s\r\n";
+  const auto [bytes, endless] = GENERATE_COPY(table<std::string, std::string>(
+      {// No line ever ends.
+       {"HTTP/1.1 200 OK\r\nX: ", std::string(kChunk, 'x')},
+       {"", std::string(kChunk, 'x')},
+       // Header fields.
+       {head, "X-Field: value\r\n"},
+       // Informational answers, and answers to nobody.
+       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+       {"",
+        "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: other\r\n"
+        "Content-Length: 0\r\n\r\n"},
+       // A body without length, and one in chunks.
+       {head + "\r\n", std::string(kChunk, 'x')},
+       {head + "Transfer-Encoding: chunked\r\n\r\n",
+        "1000\r\n" + std::string(kChunk, 'x') + "\r\n"},
+       // A chunk's size, its extension, and a trailer.
+       {head + "Transfer-Encoding: chunked\r\n\r\n", std::string(kChunk, '0')},
+       {head + "Transfer-Encoding: chunked\r\n\r\n5;x=",
+        std::string(kChunk, 'x')},
+       {head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+        std::string(kChunk, 'x')},
+       {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"}}));
+  OneNode mesh([&, first = bytes, rest = endless](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/once/endless") {
+      reply.bytes = first;
+      reply.endless_bytes = rest;
+    }
+    return reply;
+  });
+  const auto endless_answer =
+      mesh.Begin(mesh.instance, "POST", "/once/endless", {}, 3000);
+  // The other slot serves meanwhile.
+  const auto other = mesh.Begin(mesh.instance, "GET", "/idem/other");
+  mesh.RunUntil([&] { return endless_answer->has_value(); });
+  // It may have run; that is said before the time limit, by the limits of size.
+  REQUIRE((*endless_answer)->status == 502);
+  mesh.RunUntil([&] { return other->has_value(); });
+  REQUIRE((*other)->status == 200);
+  // The limit of a body is 4 MiB here; more lies in the system's buffers.
+  const std::size_t sent = mesh.instance.backend->endless_sent();
+  REQUIRE(sent < (std::size_t{12} << 20U));
+  mesh.RunFor(milliseconds(50));
+  REQUIRE(mesh.instance.backend->endless_sent() == sent);
+}
+
+// Guards against a connection that is held for ever by a byte now and then.
+TEST_CASE("an answer that drips ends at the time limit") {
+  OneNode mesh([](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/short/drip") {
+      reply.bytes = "HTTP/1.1 200 OK\r\nX: ";
+      reply.late_bytes = "x";
+      reply.late_delay = milliseconds(250);
+    }
+    return reply;
+  });
+  const MonotonicTime start = MonotonicClock::now();
+  REQUIRE(mesh.Send(mesh.instance, "GET", "/short/drip").status == 504);
+  REQUIRE(MonotonicClock::now() - start < milliseconds(600));
+}
+
+}  // namespace
+}  // namespace oleandertide::sidecar
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -101,6 +101,7 @@
   const auto endpoint = instance.backend->endpoint();
   instance.settings.backend.address = {.ip = "127.0.0.1",
                                        .port = endpoint.port()};
+  instance.settings.backend.max_answer_kb = 4096;
   instance.settings.store.address = store_->address();
   instance.settings.drain = {.fence = milliseconds(300),
                              .announce_time = milliseconds(200),
--- a/tests/sidecar/raw_server.cc
+++ b/tests/sidecar/raw_server.cc
@@ -121,6 +121,20 @@
   boost::system::error_code ignored;
   boost::asio::write(session->socket, boost::asio::buffer(session->output),
                      ignored);
+  if (!reply.late_bytes.empty()) {
+    auto timer = std::make_shared<Timer>(loop_, reply.late_delay);
+    timer->async_wait([session, timer, bytes = reply.late_bytes](
+                          const boost::system::error_code& error) {
+      boost::system::error_code closed;
+      if (!error) {
+        boost::asio::write(session->socket, boost::asio::buffer(bytes), closed);
+      }
+    });
+  }
+  if (!reply.endless_bytes.empty()) {
+    SendEndlessly(session, std::make_shared<std::string>(reply.endless_bytes));
+    return;
+  }
   if (reply.closes) {
     session->socket.shutdown(Tcp::socket::shutdown_both, ignored);
     session->socket.close(ignored);
@@ -129,6 +143,17 @@
   Handle(session);
 }
 
+void RawServer::SendEndlessly(const std::shared_ptr<Session>& session,
+                              const std::shared_ptr<std::string>& bytes) {
+  boost::asio::async_write(
+      session->socket, boost::asio::buffer(*bytes),
+      [this, session, bytes](const boost::system::error_code& error,
+                             std::size_t size) {
+        endless_sent_ += size;
+        if (!error) SendEndlessly(session, bytes);
+      });
+}
+
 void RawServer::Crash() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
--- a/tests/sidecar/raw_server.h
+++ b/tests/sidecar/raw_server.h
@@ -35,6 +35,12 @@
   bool resets = false;
   // Answer as soon as the head is in.
   bool is_early = false;
+  // Sent once more after this time, if not empty, whatever the connection does
+  // then.
+  std::string late_bytes{};
+  Duration late_delay{};
+  // Sent again and again until the other side closes, if not empty.
+  std::string endless_bytes{};
 };
 
 // Returns a complete answer of a backend server with its signature.
@@ -58,6 +64,9 @@
 
   int connections() const { return accepted_; }
 
+  // Total of endless bytes that the system took.
+  std::size_t endless_sent() const { return endless_sent_; }
+
   // Refuses connections from now on and resets the open ones.
   void Crash();
 
@@ -75,7 +84,11 @@
   Script script_;
   std::vector<RawRequest> requests_;
   std::vector<std::weak_ptr<Session>> sessions_;
+  void SendEndlessly(const std::shared_ptr<Session>& session,
+                     const std::shared_ptr<std::string>& bytes);
+
   int abandoned_ = 0;
+  std::size_t endless_sent_ = 0;
   int accepted_ = 0;
 };
 
--- a/tests/sidecar/request_test.cc
+++ b/tests/sidecar/request_test.cc
@@ -229,6 +229,39 @@
   REQUIRE(MonotonicClock::now() - start < milliseconds(600));
 }
 
+// Guards against slots that stay taken by requests that are never answered, and
+// against "not run" for one that a backend server may have run: some backend
+// servers that are full answer neither a request nor any later one of its
+// connection.
+TEST_CASE("a backend server that hangs gives up its slots at the time limit") {
+  TwoNodes mesh([](const RawRequest& request) {
+    RawReply reply = Ok(request);
+    if (request.target().find("hang") != std::string::npos) {
+      reply.delay = seconds(60);
+    }
+    return reply;
+  });
+  mesh.AwaitService(mesh.first, "/idem/0");
+  const int connections = mesh.second.backend->connections();
+  // Both slots are taken.
+  const auto once = mesh.Begin(mesh.first, "POST", "/once/hang", {}, 400);
+  const auto repeatable = mesh.Begin(mesh.first, "GET", "/short/hang", {}, 400);
+  mesh.RunUntil([&] { return once->has_value() && repeatable->has_value(); },
+                milliseconds(700));
+  REQUIRE((*once)->status == 504);
+  REQUIRE((*repeatable)->status == 504);
+  // Their connections carry nothing more.
+  mesh.RunUntil([&] { return mesh.second.backend->abandoned() == 2; },
+                milliseconds(200));
+  const auto first = mesh.Begin(mesh.first, "GET", "/idem/1", {}, 400);
+  const auto second = mesh.Begin(mesh.first, "GET", "/idem/2", {}, 400);
+  mesh.RunUntil([&] { return first->has_value() && second->has_value(); },
+                milliseconds(200));
+  REQUIRE((*first)->status == 200);
+  REQUIRE((*second)->status == 200);
+  REQUIRE(mesh.second.backend->connections() > connections);
+}
+
 // Guards against large bodies that arrive in part or out of order.
 TEST_CASE("a large answer arrives whole, between small ones") {
   std::string large;
