mesh: Ask a failing store at the same rate at any size of the data centre

Cause: while the store rejects nodes, each asks it every 0.4 to 1.6 s, so the calls grow with the fleet. Change: the pause of a node that is not the reader grows with the number of known nodes in its data centre, up to 16 times the reader's pause; with a dozen nodes nothing changes. A node that the store serves has not failed and does not pause. Test: topology_test, 12 to 40 nodes: below 16 calls a second, and no gap of 700 ms. With the earlier pauses 40 nodes make about 40.

--- a/libraries/mesh/reader_election.cc
+++ b/libraries/mesh/reader_election.cc
@@ -1,6 +1,7 @@
 #include "mesh/reader_election.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 #include "core/hash.h"
@@ -12,9 +13,12 @@
 // shortest time in which a configuration must be in force at the sites.
 constexpr Duration kMinReadPause = std::chrono::milliseconds(100);
 constexpr Duration kMaxReadPause = std::chrono::milliseconds(400);
-// Other nodes pause up to four times as long. Of a dozen nodes that poll the
-// store, one still does so within the reader's pause.
-constexpr int kMaxPauseDoublings = 2;
+// Other nodes pause up to this many times as long for each node of the data
+// centre, so that some node still asks within the reader's pause.
+constexpr double kPauseFactorPerNode = 1.0 / 3;
+constexpr double kMinPauseFactor = 4;
+// Known nodes need not be alive.
+constexpr double kMaxPauseFactor = 16;
 
 }  // namespace
 
@@ -27,13 +31,19 @@
   return std::is_neq(by_hash) ? by_hash : first.node <=> second.node;
 }
 
-Duration ChooseReadPause(bool is_reader, int failures, double random_fraction) {
-  const int doublings = is_reader ? 0 : std::min(failures, kMaxPauseDoublings);
+Duration ChooseReadPause(bool is_reader, int failures,
+                         std::size_t data_centre_nodes,
+                         double random_fraction) {
+  const double max_factor =
+      std::clamp(static_cast<double>(data_centre_nodes) * kPauseFactorPerNode,
+                 kMinPauseFactor, kMaxPauseFactor);
+  const double factor =
+      is_reader ? 1 : std::min(std::exp2(failures), max_factor);
   const auto pause_range_us =
       static_cast<double>((kMaxReadPause - kMinReadPause).count());
-  return (kMinReadPause + Duration(static_cast<std::int64_t>(
-                              pause_range_us * random_fraction))) *
-         (1 << doublings);
+  const double pause_us = static_cast<double>(kMinReadPause.count()) +
+                          pause_range_us * random_fraction;
+  return Duration(static_cast<std::int64_t>(pause_us * factor));
 }
 
 bool IsReader(const ReaderCandidate& self,
--- a/libraries/mesh/reader_election.h
+++ b/libraries/mesh/reader_election.h
@@ -4,6 +4,7 @@
 #define OLEANDERTIDE_MESH_READER_ELECTION_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -37,10 +38,15 @@
               std::span<const ReaderCandidate> peers,
               Duration confirmation_age);
 
-// Pause after a read that failed, when `failures` before it failed as well;
-// `random_fraction` is a random number in [0, 1). For nodes that are not the
-// reader it grows: while the store is away all nodes ask it. Thread-safe.
-Duration ChooseReadPause(bool is_reader, int failures, double random_fraction);
+// Pause after a read that failed, when `failures` before it failed as well.
+// `data_centre_nodes` is the number of known nodes in the data centre and
+// `random_fraction` a random number in [0, 1).
+//
+// Load pattern: while the store is away, all nodes ask it. The pauses of nodes
+// other than the reader grow with their number, so that a data centre asks at
+// the same rate whatever its size. Thread-safe.
+Duration ChooseReadPause(bool is_reader, int failures,
+                         std::size_t data_centre_nodes, double random_fraction);
 
 }  // namespace oleandertide::mesh
 
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -120,8 +120,10 @@
     const bool is_reader =
         mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
                        PeersOfDataCentre(), Duration::zero());
-    backoff_until_ = now + mesh::ChooseReadPause(is_reader, failures_++,
-                                                 parts_.random.Unit());
+    backoff_until_ =
+        now + mesh::ChooseReadPause(is_reader, failures_++,
+                                    links_->known_count(self_.data_centre),
+                                    parts_.random.Unit());
     return;
   }
   failures_ = 0;
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -284,6 +284,13 @@
   found->second->connection->Send(message);
 }
 
+std::size_t LinkClient::known_count(std::string_view data_centre) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(peers_, [data_centre](const auto& entry) {
+        return entry.second->identity.data_centre == data_centre;
+      }));
+}
+
 std::vector<NodeIdentity> LinkClient::connected() const {
   std::vector<NodeIdentity> nodes;
   for (const auto& [name, peer] : peers_) {
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -64,6 +64,7 @@
 
   // Number of known nodes, connected or not.
   std::size_t known_count() const { return peers_.size(); }
+  std::size_t known_count(std::string_view data_centre) const;
 
  private:
   struct PendingCall {
--- a/tests/mesh/topology_test.cc
+++ b/tests/mesh/topology_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/random.h"
 #include "mesh/link_backlog.h"
 #include "mesh/peer_selection.h"
 #include "mesh/reader_election.h"
@@ -102,14 +103,44 @@
 // fleet: all nodes read once the reader's confirmations stop.
 TEST_CASE("only the reader asks a failing store often") {
   for (const int failures : {0, 1, 2, 9}) {
-    REQUIRE(ChooseReadPause(true, failures, 0.99) <= milliseconds(400));
-    REQUIRE(ChooseReadPause(true, failures, 0) >= milliseconds(100));
+    REQUIRE(ChooseReadPause(true, failures, 100, 0.99) <= milliseconds(400));
+    REQUIRE(ChooseReadPause(true, failures, 100, 0) >= milliseconds(100));
   }
-  REQUIRE(ChooseReadPause(false, 0, 0.5) == ChooseReadPause(true, 0, 0.5));
-  REQUIRE(ChooseReadPause(false, 2, 0.5) == 4 * ChooseReadPause(true, 0, 0.5));
+  const Duration first = ChooseReadPause(true, 0, 12, 0.5);
+  REQUIRE(ChooseReadPause(false, 0, 12, 0.5) == first);
+  REQUIRE(ChooseReadPause(false, 2, 12, 0.5) == 4 * first);
   // A node that the store serves while it rejects the reader still reads in
   // time.
-  REQUIRE(ChooseReadPause(false, 9, 1) <= milliseconds(1600));
+  REQUIRE(ChooseReadPause(false, 9, 4, 1) <= milliseconds(1600));
+  REQUIRE(ChooseReadPause(false, 9, 12, 1) <= milliseconds(1600));
+}
+
+// Guards against calls to a failing store that grow with the fleet, and against
+// a data centre in which no node notices soon that the store is back: some node
+// asks within 700 ms, of the 2 s in which a configuration is to be in force.
+TEST_CASE("a data centre asks a failing store at the same rate at any size") {
+  RandomSource random(7);
+  for (const std::size_t nodes : {12, 24, 40}) {
+    const Duration time = seconds(60);
+    std::vector<Duration> asked;
+    for (std::size_t node = 0; node < nodes; ++node) {
+      int failures = 0;
+      Duration next = Duration::zero();
+      while (next < time) {
+        asked.push_back(next);
+        next += ChooseReadPause(false, failures++, nodes, random.Unit());
+      }
+    }
+    std::ranges::sort(asked);
+    const double calls_per_second = static_cast<double>(asked.size()) /
+                                    (static_cast<double>(time.count()) / 1e6);
+    REQUIRE(calls_per_second < 16);
+    Duration longest_gap = Duration::zero();
+    for (std::size_t i = 1; i < asked.size(); ++i) {
+      longest_gap = std::max(longest_gap, asked[i] - asked[i - 1]);
+    }
+    REQUIRE(longest_gap < milliseconds(700));
+  }
 }
 
 // Guards against a link that seems idle while a download occupies it.
