sidecar: Keep the time limit of an answer apart from that of a request

Cause: a connection had one time limit for all it waits for. The beginning of a request behind an answer that was still being written replaced the 30 s of the answer by the limit of a request's head, and the answer was cut: 3.9 of 24 MiB arrived at a client that had paused for 800 ms. Change: the limit of the answer that is being written is kept apart. Test: http_server_test (failed first).

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -88,8 +88,12 @@
 
   // Closes the connection if the client has exceeded its time.
   void CheckTime(MonotonicTime now) {
+    if (is_writing_) {
+      if (now >= write_deadline_) Close();
+      return;
+    }
     if (now < deadline_) return;
-    if (is_writing_ || is_lingering_) {
+    if (is_lingering_) {
       Close();
       return;
     }
@@ -318,7 +322,7 @@
     body_ = pending.is_head_request || is_without_body ? std::string()
                                                        : std::move(answer.body);
     is_writing_ = true;
-    deadline_ = MonotonicClock::now() + kWriteTimeout;
+    write_deadline_ = MonotonicClock::now() + kWriteTimeout;
     const std::array<boost::asio::const_buffer, 2> buffers = {
         boost::asio::buffer(head_), boost::asio::buffer(body_)};
     boost::asio::async_write(
@@ -386,6 +390,8 @@
   // The answer that is being written, that of the first request.
   std::string head_;
   std::string body_;
+  // Of the answer that is being written, and of everything else.
+  MonotonicTime write_deadline_;
   MonotonicTime deadline_;
   bool is_awaiting_ = false;
   bool has_partial_request_ = false;
--- a/tests/sidecar/http_server_test.cc
+++ b/tests/sidecar/http_server_test.cc
@@ -168,5 +168,45 @@
   }));
 }
 
+// Guards against an answer that is cut although the client reads it: the time
+// limit of a partial request behind it replaced that of the answer.
+TEST_CASE("a partial request does not shorten the time of a slow answer") {
+  EventLoop loop(1);
+  const Address address = UnusedAddress();
+  const std::string body(std::size_t{24} << 20U, 'b');
+  auto server =
+      HttpServer::Create(loop, address,
+                         [&](const std::shared_ptr<HttpRequest>& /*request*/,
+                             HttpReply reply) { reply.Send({.body = body}); });
+  REQUIRE(server.has_value());
+  server.value()->set_limits(
+      {.header_timeout = milliseconds(100), .idle_timeout = milliseconds(200)});
+  Tcp::socket client(loop);
+  client.connect(ToEndpoint(address).value());
+  const std::string request =
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHo";
+  boost::asio::write(client, boost::asio::buffer(request));
+  // The client pauses for longer than the limits of a request.
+  loop.run_for(milliseconds(800));
+  std::size_t received = 0;
+  std::vector<char> chunk(std::size_t{1} << 20U);
+  std::string last;
+  client.non_blocking(true);
+  const MonotonicTime end = MonotonicClock::now() + seconds(10);
+  while (MonotonicClock::now() < end) {
+    boost::system::error_code error;
+    const std::size_t size =
+        client.read_some(boost::asio::buffer(chunk), error);
+    received += size;
+    if (size > 0) last.assign(chunk.data(), size);
+    if (error && error != boost::asio::error::would_block) break;
+    loop.restart();
+    loop.run_for(milliseconds(1));
+  }
+  REQUIRE(received > body.size());
+  // The partial request is refused in its own time.
+  REQUIRE(last.find("HTTP/1.1 408") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
