sidecar: Offer a parser the end of a chunked body whole

Cause: Beast's parser asserts that it has five bytes once it has seen the size of the last chunk. Our loops called it again after need_more, and with each byte that arrived, so that three or four bytes of an end aborted a build with assertions; release builds have none, and the code behind them reads no further. Change: no call after need_more without new bytes, and none with less than five bytes inside a chunked message, which always ends with five, in the connections of clients and to servers. Test: faulty_backend_test in the sanitizer build (failed first: Subprocess aborted); random pipelines now have chunked bodies without content.

--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -19,6 +19,10 @@
 // unparsed.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10U;
 
+// A chunked body ends with this many bytes at least. Beast asserts that it gets
+// them together.
+constexpr std::size_t kMinChunkedBytes = 5;
+
 // Informational and late answers in front of an answer.
 constexpr int kMaxSkippedAnswers = 16;
 
@@ -143,6 +147,10 @@
 
 void HttpConnection::Parse() {
   while (buffer_.size() > 0 && exchange_) {
+    if (parser_->is_header_done() && parser_->chunked() &&
+        buffer_.size() < kMinChunkedBytes) {
+      return;
+    }
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
@@ -154,7 +162,7 @@
       FinishAnswer();
       return;
     }
-    if (error == http::error::need_more && used == 0) {
+    if (error == http::error::need_more) {
       if (buffer_.size() > kMaxUnparsedBytes) {
         Fail(HttpFailure::kMalformedAnswer);
       }
--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -31,6 +31,10 @@
 // client that leaves is then noticed when its answer is sent.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{256} << 10U;
 
+// A chunked body ends with this many bytes at least. Beast asserts that it gets
+// them together.
+constexpr std::size_t kMinChunkedBytes = 5;
+
 // Connections are checked for idleness this often.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
 
@@ -245,6 +249,10 @@
         has_partial_request_ = true;
         deadline_ = MonotonicClock::now() + server_->limits_.header_timeout;
       }
+      if (parser_->is_header_done() && parser_->chunked() &&
+          bytes.size() < kMinChunkedBytes) {
+        return total;
+      }
       boost::system::error_code error;
       const std::size_t used = parser_->put(bytes, error);
       bytes += used;
@@ -260,7 +268,7 @@
       if (parser_->is_header_done()) {
         deadline_ = MonotonicClock::now() + server_->limits_.idle_timeout;
       }
-      if (error == http::error::need_more && used == 0) return total;
+      if (error == http::error::need_more) return total;
     }
     return total;
   }
--- a/tests/sidecar/http_server_test.cc
+++ b/tests/sidecar/http_server_test.cc
@@ -61,13 +61,17 @@
     const std::string target = fmt::format("/{}", number);
     const std::string body =
         is_get ? std::string()
-               : std::string(static_cast<std::size_t>(Below(3000)), 'b');
+               : std::string(
+                     static_cast<std::size_t>(Below(4) == 0 ? 0 : Below(3000)),
+                     'b');
     const bool closes = Below(30) == 0;
     std::string head =
         fmt::format("{} {} HTTP/1.1\r\nHost: h\r\n{}", is_get ? "GET" : "POST",
                     target, closes ? "Connection: close\r\n" : "");
-    if (body.empty()) {
-      pipeline.sent += head + (is_get ? "\r\n" : "Content-Length: 0\r\n\r\n");
+    if (is_get) {
+      pipeline.sent += head + "\r\n";
+    } else if (body.empty()) {
+      pipeline.sent += head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
     } else if (Below(2) == 0) {
       pipeline.sent +=
           head + fmt::format("Content-Length: {}\r\n\r\n", body.size()) + body;
