--- a/review/2/case.py
+++ b/review/2/case.py
@@ -91,7 +91,9 @@
     world.backend_class = FaultyBackend
 
     def work(path):
-        return random.uniform(0.2, 0.4) if path.startswith("/order/") else random.uniform(0.05, 0.15)
+        if path.startswith("/order/"):
+            return random.uniform(0.2, 0.4)
+        return random.uniform(0.05, 0.15)
 
     for zone in ("falkirk", "motherwell", "cumbernauld"):
         world.add(zone, "orderdesk", 9, work)
