--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,8 +19,10 @@
 BODY = b"o" * 24_000
 FREEZE_S = 0.6
 PAUSE_S = 0.7
-# The freeze begins at a random moment of this time after the bookings.
-WINDOW_S = 0.006
+# The freeze begins at a random moment of this time after the bookings, or, in
+# every other round, after a short freeze in which the bookings have arrived.
+WINDOW_S = 0.004
+SHORT_FREEZE_S = 0.1
 
 
 async def book(client, answer):
@@ -28,28 +30,41 @@
     client.close()
 
 
+def wait_at_most(seconds):
+    """Waits for a random time without leaving the processor."""
+    moment = time.monotonic() + seconds * random.random()
+    while time.monotonic() < moment:
+        pass
+
+
 async def play(world):
     end = world.record.now() + LENGTH_S
-    for frozen in itertools.cycle(world.machines):
+    for number in itertools.count():
         if world.record.now() > end:
             break
+        # With three machines, each has both kinds of rounds.
+        frozen = world.machines[number % len(world.machines)]
+        is_in_two = harness.is_trouble() and number % 2 == 1
         sent = []
         for n in range(BURST * len(world.machines)):
             client = world.client(world.machines[n % len(world.machines)])
             await client.connect()
             path = f"/book/{random.randrange(1 << 30):x}"
             sent.append((client, *client.prepare("POST", path, 1.0, BODY)))
+        if is_in_two:
+            frozen.send(signal.SIGSTOP)
         for client, _, data in sent:
             client.writer.write(data)
-        moment = time.monotonic() + WINDOW_S * random.random()
-        while time.monotonic() < moment:
-            pass
+        if is_in_two:
+            await asyncio.sleep(SHORT_FREEZE_S)
+            frozen.send(signal.SIGCONT)
+        wait_at_most(WINDOW_S)
         if harness.is_trouble():
             frozen.send(signal.SIGSTOP)
         for client, answer, _ in sent:
             client.note_sent(answer)
         if harness.is_trouble():
-            world.record.write("freeze", frozen.name)
+            world.record.write("freeze", frozen.name, "in two" if is_in_two else "")
         work = [asyncio.ensure_future(book(client, answer)) for client, answer, _ in sent]
         await asyncio.sleep(FREEZE_S)
         if harness.is_trouble():
