sidecar: Log why a run at the backend server failed

Each failed run is logged with its request, the kind of failure and the time since it began; the cause of a changed standing names the kind as well.

--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -48,6 +48,22 @@
 
 }  // namespace
 
+std::string_view ToString(HttpFailure failure) {
+  switch (failure) {
+    case HttpFailure::kConnectRefused:
+      return "connect-refused";
+    case HttpFailure::kConnectTimeout:
+      return "connect-timeout";
+    case HttpFailure::kConnectionLost:
+      return "connection-lost";
+    case HttpFailure::kMalformedAnswer:
+      return "malformed-answer";
+    case HttpFailure::kTimeout:
+      return "timeout";
+  }
+  return "unknown";
+}
+
 HttpConnection::HttpConnection(EventLoop& loop, Tcp::endpoint endpoint,
                                Duration connect_limit)
     : socket_(loop),
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -8,10 +8,12 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/time.h"
 #include "sidecar/event_loop.h"
@@ -32,6 +34,9 @@
   kTimeout,
 };
 
+// Returns a text for logs. Thread-safe.
+std::string_view ToString(HttpFailure failure);
+
 struct HttpExchange {
   // With the line that ends it.
   std::string head;
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -193,12 +193,18 @@
 }
 
 void Receiver::OnFailure(CallId id, HttpFailure failure) {
-  const routing::Fingerprint fingerprint = calls_.at(id).call.fingerprint;
+  const Pending& pending = calls_.at(id);
+  const routing::Fingerprint fingerprint = pending.call.fingerprint;
+  logging::Log(Level::kInfo, "backend", "run failed",
+               {{"request", pending.call.request_id},
+                {"failure", ToString(failure)},
+                {"elapsed_ms",
+                 ToMilliseconds(MonotonicClock::now() - pending.started)}});
   switch (failure) {
     case HttpFailure::kConnectRefused:
     case HttpFailure::kConnectTimeout:
       backend_.RecordDown();
-      OnStandingChanged("connection refused");
+      OnStandingChanged(ToString(failure));
       Finish(id, mesh::NotRun{mesh::Reason::kConnectFailed}, false);
       RejectWaiting(mesh::Reason::kBackendServerAway);
       return;
