sidecar: Drop a timer's queued call when its purpose has ended

Cause: a connection used one timer for the limit of the connect and for that of the exchange. If both the end of the connect and its limit fall into a time in which the process stands still, the loop queues both handlers in one turn. The first one sends the request and sets the timer anew, which cannot recall the second: it ended the exchange as "not sent".

Change: Timer calls only the function of its last Start, and none after Cancel or its end, also if the call was queued. All timers of the sidecar are of this type, so no handler has to check whether it is still meant. The store's connections had the same fault: a write that was sent could be reported as not done. Two timers without an owner are members now.

--- a/libraries/sidecar/backend_client.cc
+++ b/libraries/sidecar/backend_client.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sidecar/timer.h"
+
 namespace oleandertide::sidecar {
 namespace {
 
@@ -93,16 +95,15 @@
 
 void BackendClient::CheckReachable(std::function<void(bool)> on_result) {
   auto socket = std::make_shared<Tcp::socket>(loop_);
-  auto timer = std::make_shared<Timer>(loop_, kConnectLimit);
-  timer->async_wait([socket](const boost::system::error_code& error) {
-    if (error) return;
+  auto timer = std::make_shared<Timer>(loop_);
+  timer->Start(kConnectLimit, [socket] {
     boost::system::error_code ignored;
     socket->close(ignored);
   });
   socket->async_connect(endpoint_,
                         [socket, timer, on_result = std::move(on_result)](
                             const boost::system::error_code& error) {
-                          timer->cancel();
+                          timer->Cancel();
                           on_result(!error);
                         });
 }
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -43,7 +43,8 @@
     : parts_(parts),
       self_(std::move(self)),
       on_changed_(std::move(on_changed)),
-      timer_(parts.loop) {
+      timer_(parts.loop),
+      request_timer_(parts.loop) {
   patient_until_ = MonotonicClock::now() +
                    (is_first_start ? kFirstStartPatience : kRestartPatience);
 }
@@ -51,10 +52,7 @@
 void ConfigurationSource::Start() { Tick(); }
 
 void ConfigurationSource::ScheduleTick(Duration interval) {
-  timer_.expires_after(interval);
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) Tick();
-  });
+  timer_.Start(interval, [this] { Tick(); });
 }
 
 void ConfigurationSource::Tick() {
@@ -157,13 +155,12 @@
   }
   if (is_request_scheduled_) return;
   is_request_scheduled_ = true;
-  auto timer = std::make_shared<Timer>(parts_.loop, kOtherDataCentreDelay);
-  timer->async_wait([this, timer, name = peer.name,
-                     version](const boost::system::error_code& error) {
-    is_request_scheduled_ = false;
-    if (error || requested_at_ || parts_.holder.version() >= version) return;
-    Request(name);
-  });
+  request_timer_.Start(
+      kOtherDataCentreDelay, [this, name = peer.name, version] {
+        is_request_scheduled_ = false;
+        if (requested_at_ || parts_.holder.version() >= version) return;
+        Request(name);
+      });
 }
 
 std::uint64_t ConfigurationSource::base_version() const {
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -19,6 +19,7 @@
 #include "sidecar/node_identity.h"
 #include "sidecar/node_metrics.h"
 #include "sidecar/store_client.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
@@ -75,6 +76,8 @@
   std::function<void()> on_changed_;
   LinkClient* links_ = nullptr;
   Timer timer_;
+  // Until a node of another data centre is asked.
+  Timer request_timer_;
   // Changes at the store are followed from here; unknown at first and when the
   // store has forgotten its history.
   std::optional<std::uint64_t> followed_;
--- a/libraries/sidecar/event_loop.h
+++ b/libraries/sidecar/event_loop.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "core/address.h"
 #include "core/result.h"
@@ -16,7 +15,6 @@
 // One thread runs everything: a node has a share of one core, so further
 // threads would add wake-ups and no speed.
 using EventLoop = boost::asio::io_context;
-using Timer = boost::asio::steady_timer;
 using Tcp = boost::asio::ip::tcp;
 
 // Converts an address with an IPv4 or IPv6 number. Error kInvalidArgument.
--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -103,11 +103,8 @@
 }
 
 void HttpConnection::StartTimer(Duration limit, HttpFailure failure) {
-  timer_.expires_after(limit);
-  timer_.async_wait([self = shared_from_this(),
-                     failure](const boost::system::error_code& error) {
-    if (!error && self->exchange_) self->Fail(failure);
-  });
+  timer_.Start(limit,
+               [self = shared_from_this(), failure] { self->Fail(failure); });
 }
 
 void HttpConnection::Write() {
@@ -201,7 +198,7 @@
     return;
   }
   is_first_request_ = false;
-  timer_.cancel();
+  timer_.Cancel();
   idle_since_ = MonotonicClock::now();
   keep_alive_ = ParseKeepAlive(response[http::field::keep_alive]);
   if (!response.keep_alive() || buffer_.size() > 0 || !is_written_) {
@@ -253,7 +250,7 @@
   if (is_closed_) return;
   is_closed_ = true;
   exchange_.reset();
-  timer_.cancel();
+  timer_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
   const auto self = shared_from_this();
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -17,6 +17,7 @@
 
 #include "core/time.h"
 #include "sidecar/event_loop.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -452,30 +452,25 @@
 }
 
 void HttpServer::Accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& error,
-                                Tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (error) {
-      accept_timer_.expires_after(detail::kAcceptPause);
-      accept_timer_.async_wait([this](const boost::system::error_code& failed) {
-        if (!failed) Accept();
+  acceptor_.async_accept(
+      [this](const boost::system::error_code& error, Tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) return;
+        if (error) {
+          accept_timer_.Start(detail::kAcceptPause, [this] { Accept(); });
+          return;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        const auto connection =
+            std::make_shared<detail::ServerConnection>(this, std::move(socket));
+        connections_.insert(connection);
+        connection->Start();
+        Accept();
       });
-      return;
-    }
-    boost::system::error_code ignored;
-    socket.set_option(Tcp::no_delay(true), ignored);
-    const auto connection =
-        std::make_shared<detail::ServerConnection>(this, std::move(socket));
-    connections_.insert(connection);
-    connection->Start();
-    Accept();
-  });
 }
 
 void HttpServer::Sweep() {
-  sweep_timer_.expires_after(detail::kSweepInterval);
-  sweep_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
+  sweep_timer_.Start(detail::kSweepInterval, [this] {
     const MonotonicTime now = MonotonicClock::now();
     const std::vector<std::shared_ptr<detail::ServerConnection>> connections(
         connections_.begin(), connections_.end());
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -18,6 +18,7 @@
 #include "core/result.h"
 #include "core/time.h"
 #include "sidecar/event_loop.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -9,6 +9,7 @@
 #include "core/hash.h"
 #include "logging/log.h"
 #include "platform/http_codec.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -175,12 +176,9 @@
   exchange->call.fingerprint = MakeFingerprint(exchange->call);
   retries_.RecordRequest(exchange->call.service);
   exchanges_.insert(exchange);
-  exchange->timer.expires_after(exchange->deadline - MonotonicClock::now() +
-                                kOutcomeGrace);
-  exchange->timer.async_wait(
-      [this, exchange](const boost::system::error_code& error) {
-        if (!error) OnDeadline(exchange);
-      });
+  exchange->timer.Start(
+      exchange->deadline - MonotonicClock::now() + kOutcomeGrace,
+      [this, exchange] { OnDeadline(exchange); });
   if (end_ && exchange->deadline - exchange->arrived < route->target_latency) {
     GiveUp(exchange, mesh::Reason::kStopping, kAwayRetryAfter);
     return;
@@ -361,7 +359,6 @@
 }
 
 void Ingress::OnDeadline(const ExchangePointer& exchange) {
-  if (exchange->is_finished) return;
   CancelAttempt(exchange);
   // The cancellation is not confirmed, so the request may run.
   exchange->may_have_run = true;
@@ -386,7 +383,7 @@
 
 void Ingress::Finish(const ExchangePointer& exchange) {
   exchange->is_finished = true;
-  exchange->timer.cancel();
+  exchange->timer.Cancel();
   exchanges_.erase(exchange);
 }
 
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -84,9 +84,7 @@
 }
 
 void LinkClient::ScheduleSelection(Duration delay) {
-  selection_timer_.expires_after(delay);
-  selection_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
+  selection_timer_.Start(delay, [this] {
     is_selection_due_ = false;
     Select();
     ScheduleSelection(kSelectionInterval);
@@ -131,9 +129,7 @@
   if (!endpoint) return;
   peer.is_connecting = true;
   auto socket = std::make_shared<Tcp::socket>(loop_);
-  peer.timer->expires_after(kConnectLimit);
-  peer.timer->async_wait([socket](const boost::system::error_code& error) {
-    if (error) return;
+  peer.timer->Start(kConnectLimit, [socket] {
     boost::system::error_code ignored;
     socket->close(ignored);
   });
@@ -141,7 +137,7 @@
       endpoint.value(),
       [this, &peer, socket](const boost::system::error_code& error) {
         peer.is_connecting = false;
-        peer.timer->cancel();
+        peer.timer->Cancel();
         if (error || !socket->is_open()) {
           peer.is_failing = true;
           ScheduleReconnect(peer);
@@ -169,10 +165,10 @@
 void LinkClient::ScheduleReconnect(Peer& peer) {
   peer.retry_interval = std::clamp(peer.retry_interval * 2, kFirstRetryInterval,
                                    kLastRetryInterval);
-  peer.timer->expires_after(
-      random_.Between(peer.retry_interval / 2, peer.retry_interval));
-  peer.timer->async_wait([this, &peer](const boost::system::error_code& error) {
-    if (error || !peer.is_selected) return;
+  const Duration delay =
+      random_.Between(peer.retry_interval / 2, peer.retry_interval);
+  peer.timer->Start(delay, [this, &peer] {
+    if (!peer.is_selected) return;
     if (!peer.connection && !peer.is_connecting) Connect(peer);
   });
 }
@@ -301,25 +297,22 @@
 
 void LinkClient::CheckSilence() {
   const MonotonicTime due = MonotonicClock::now() + kSilenceCheckInterval;
-  silence_timer_.expires_after(kSilenceCheckInterval);
-  silence_timer_.async_wait(
-      [this, due](const boost::system::error_code& error) {
-        if (error) return;
-        const MonotonicTime now = MonotonicClock::now();
-        if (now - due > kLateCheck) {
-          logging::Log(Level::kWarning, "node", "stood still",
-                       {{"late_ms", ToMilliseconds(now - due)}});
-          CheckSilence();
-          return;
-        }
-        for (auto& [name, peer] : peers_) {
-          if (!peer->connection) continue;
-          if (now - peer->connection->last_received() > kSilenceLimit) {
-            peer->connection->Close();
-          }
-        }
-        CheckSilence();
-      });
+  silence_timer_.Start(kSilenceCheckInterval, [this, due] {
+    const MonotonicTime now = MonotonicClock::now();
+    if (now - due > kLateCheck) {
+      logging::Log(Level::kWarning, "node", "stood still",
+                   {{"late_ms", ToMilliseconds(now - due)}});
+      CheckSilence();
+      return;
+    }
+    for (auto& [name, peer] : peers_) {
+      if (!peer->connection) continue;
+      if (now - peer->connection->last_received() > kSilenceLimit) {
+        peer->connection->Close();
+      }
+    }
+    CheckSilence();
+  });
 }
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -20,6 +20,7 @@
 #include "sidecar/framed_connection.h"
 #include "sidecar/link_codec.h"
 #include "sidecar/node_identity.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -90,10 +90,7 @@
                                 Tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
     if (error) {
-      accept_timer_.expires_after(kAcceptPause);
-      accept_timer_.async_wait([this](const boost::system::error_code& failed) {
-        if (!failed) Accept();
-      });
+      accept_timer_.Start(kAcceptPause, [this] { Accept(); });
       return;
     }
     auto session = std::make_shared<Session>();
@@ -235,9 +232,7 @@
   }
   if (schedule_.is_empty()) return;
   is_part_due_ = true;
-  part_timer_.expires_after(delay);
-  part_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
+  part_timer_.Start(delay, [this] {
     is_part_due_ = false;
     SendParts();
   });
@@ -281,13 +276,11 @@
 void LinkServer::ScheduleBroadcast() {
   const Duration scaled =
       kCheckInterval * static_cast<int>(sessions_.size()) / kLinksAtFullRate;
-  broadcast_timer_.expires_after(
-      std::clamp(scaled, kCheckInterval, kLongestCheckInterval));
-  broadcast_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
-    SendDueStatus();
-    ScheduleBroadcast();
-  });
+  broadcast_timer_.Start(
+      std::clamp(scaled, kCheckInterval, kLongestCheckInterval), [this] {
+        SendDueStatus();
+        ScheduleBroadcast();
+      });
 }
 
 void LinkServer::SendDueStatus() {
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -25,6 +25,7 @@
 #include "sidecar/link_codec.h"
 #include "sidecar/node_identity.h"
 #include "sidecar/receiver.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
--- a/libraries/sidecar/member_directory.cc
+++ b/libraries/sidecar/member_directory.cc
@@ -133,10 +133,7 @@
 }
 
 void MemberDirectory::StartAfter(Duration delay) {
-  timer_.expires_after(delay);
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) Start();
-  });
+  timer_.Start(delay, [this] { Start(); });
 }
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/member_directory.h
+++ b/libraries/sidecar/member_directory.h
@@ -11,6 +11,7 @@
 #include "sidecar/event_loop.h"
 #include "sidecar/node_identity.h"
 #include "sidecar/store_client.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -55,7 +55,8 @@
       fence_timer_(loop),
       relax_timer_(loop),
       verify_timer_(loop),
-      expiry_timer_(loop) {
+      expiry_timer_(loop),
+      gathering_timer_(loop) {
   ScheduleRelaxation();
 }
 
@@ -350,11 +351,8 @@
 void Receiver::ScheduleFence() {
   // Those that still wait when the fence falls have not run.
   const Duration interval = std::chrono::milliseconds(100);
-  fence_timer_.expires_after(interval);
-  fence_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error || backend_.standing() != mesh::BackendStanding::kDraining) {
-      return;
-    }
+  fence_timer_.Start(interval, [this] {
+    if (backend_.standing() != mesh::BackendStanding::kDraining) return;
     if (backend_.is_dispatch_allowed(MonotonicClock::now())) {
       ScheduleFence();
     } else {
@@ -366,9 +364,7 @@
 void Receiver::ScheduleExpiry() {
   if (is_expiry_scheduled_ || queue_.waiting() == 0) return;
   is_expiry_scheduled_ = true;
-  expiry_timer_.expires_after(kExpiryInterval);
-  expiry_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
+  expiry_timer_.Start(kExpiryInterval, [this] {
     is_expiry_scheduled_ = false;
     RejectDropped(queue_.DropLateRequests(MonotonicClock::now()));
     ScheduleExpiry();
@@ -376,9 +372,7 @@
 }
 
 void Receiver::ScheduleRelaxation() {
-  relax_timer_.expires_after(kRelaxInterval);
-  relax_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
+  relax_timer_.Start(kRelaxInterval, [this] {
     queue_.DecayStatistics(kRelaxInterval);
     metrics_.running.set_value(queue_.running());
     metrics_.waiting.set_value(queue_.waiting());
@@ -398,9 +392,7 @@
       return;
     }
     if (backend_.standing() == mesh::BackendStanding::kUnverified) {
-      verify_timer_.expires_after(kVerifyInterval);
-      verify_timer_.async_wait([this](const boost::system::error_code& error) {
-        if (error) return;
+      verify_timer_.Start(kVerifyInterval, [this] {
         if (backend_.standing() == mesh::BackendStanding::kUnverified) Verify();
       });
       return;
@@ -428,9 +420,7 @@
   lost_.push_back(fingerprint);
   if (is_checking_) return;
   is_checking_ = true;
-  auto timer = std::make_shared<Timer>(loop_, kCrashGathering);
-  timer->async_wait([this, timer](const boost::system::error_code& error) {
-    if (error) return;
+  gathering_timer_.Start(kCrashGathering, [this] {
     client_.CheckReachable([this](bool is_reachable) {
       is_checking_ = false;
       const auto lost = std::exchange(lost_, {});
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -20,6 +20,7 @@
 #include "sidecar/call.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/node_metrics.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
@@ -117,6 +118,7 @@
   Timer relax_timer_;
   Timer verify_timer_;
   Timer expiry_timer_;
+  Timer gathering_timer_;
   bool is_expiry_scheduled_ = false;
   bool is_stopping_ = false;
   bool is_verifying_ = false;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -21,6 +21,7 @@
 #include "sidecar/node_metrics.h"
 #include "sidecar/receiver.h"
 #include "sidecar/store_client.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -356,10 +357,7 @@
       loop_.stop();
       return;
     }
-    stop_timer_.expires_after(kStopCheckInterval);
-    stop_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) CheckStop();
-    });
+    stop_timer_.Start(kStopCheckInterval, [this] { CheckStop(); });
   }
 
   EventLoop& loop_;
--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -18,6 +18,7 @@
 #include "sidecar/event_loop.h"
 #include "sidecar/settings.h"
 #include "sidecar/sidecar.h"
+#include "sidecar/timer.h"
 
 DEFINE_string(settings, "", "INI file with the node's settings (required)");
 DEFINE_bool(check, false, "check the settings and exit");
@@ -93,9 +94,7 @@
   }
 
   void AwaitCheck() {
-    timer_.expires_after(kSettingsCheckInterval);
-    timer_.async_wait([this](const boost::system::error_code& error) {
-      if (error) return;
+    timer_.Start(kSettingsCheckInterval, [this] {
       Reload();
       AwaitCheck();
     });
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -130,12 +130,10 @@
   auto waiter = std::make_shared<Waiter>(
       Waiter{table, after, std::move(reply), std::make_shared<Timer>(loop_)});
   waiters_.push_back(waiter);
-  waiter->timer->expires_after(std::chrono::milliseconds(wait_ms));
-  waiter->timer->async_wait(
-      [this, waiter](const boost::system::error_code& error) {
-        if (error || std::erase(waiters_, waiter) == 0) return;
-        waiter->reply.Send({.body = Changes(waiter->table, waiter->after)});
-      });
+  waiter->timer->Start(std::chrono::milliseconds(wait_ms), [this, waiter] {
+    std::erase(waiters_, waiter);
+    waiter->reply.Send({.body = Changes(waiter->table, waiter->after)});
+  });
   WakeWaiters();
 }
 
@@ -144,7 +142,7 @@
   for (const auto& waiter : waiters) {
     if (!HasChanges(waiter->table, waiter->after)) continue;
     std::erase(waiters_, waiter);
-    waiter->timer->cancel();
+    waiter->timer->Cancel();
     if (failure_ != 0) {
       waiter->reply.Send({.status = failure_});
     } else {
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -14,6 +14,7 @@
 #include "core/address.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
+#include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
--- a/tests/sidecar/http_server_test.cc
+++ b/tests/sidecar/http_server_test.cc
@@ -13,6 +13,7 @@
 
 #include "sidecar/mesh_fixture.h"
 #include "sidecar/raw_client.h"
+#include "sidecar/timer.h"
 #include "support/property.h"
 
 namespace oleandertide::sidecar {
@@ -117,12 +118,11 @@
             reply.Send({.body = answer});
             return;
           }
-          const auto timer =
-              std::make_shared<Timer>(loop, microseconds(maker.Below(3000)));
-          timer->async_wait(
-              [timer, reply, answer](const boost::system::error_code&) mutable {
-                reply.Send({.body = answer});
-              });
+          const auto timer = std::make_shared<Timer>(loop);
+          timer->Start(microseconds(maker.Below(3000)),
+                       [timer, reply, answer]() mutable {
+                         reply.Send({.body = answer});
+                       });
         },
         [](const HttpRequest& request) {
           return request.method() == boost::beast::http::verb::get;
--- a/tests/sidecar/raw_server.cc
+++ b/tests/sidecar/raw_server.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "sidecar/timer.h"
+
 namespace oleandertide::sidecar {
 
 struct RawServer::Session {
@@ -98,10 +100,9 @@
   if (!is_whole && !reply.is_early) return;
   if (is_whole) session->input.erase(0, total);
   session->is_answering = true;
-  auto timer = std::make_shared<Timer>(loop_, reply.delay);
-  timer->async_wait([this, session, timer, request,
-                     reply](const boost::system::error_code& error) {
-    if (!error && session->socket.is_open()) Reply(session, request, reply);
+  auto timer = std::make_shared<Timer>(loop_);
+  timer->Start(reply.delay, [this, session, timer, request, reply] {
+    if (session->socket.is_open()) Reply(session, request, reply);
   });
 }
 
@@ -122,13 +123,10 @@
   boost::asio::write(session->socket, boost::asio::buffer(session->output),
                      ignored);
   if (!reply.late_bytes.empty()) {
-    auto timer = std::make_shared<Timer>(loop_, reply.late_delay);
-    timer->async_wait([session, timer, bytes = reply.late_bytes](
-                          const boost::system::error_code& error) {
+    auto timer = std::make_shared<Timer>(loop_);
+    timer->Start(reply.late_delay, [session, timer, bytes = reply.late_bytes] {
       boost::system::error_code closed;
-      if (!error) {
-        boost::asio::write(session->socket, boost::asio::buffer(bytes), closed);
-      }
+      boost::asio::write(session->socket, boost::asio::buffer(bytes), closed);
     });
   }
   if (!reply.endless_bytes.empty()) {
