sidecar: Bound the fields behind a chunked body

Cause: Beast's parser adds the fields behind a chunked body to those of the head, without the limit of a head, and its container throws for a value beyond 65,533 bytes. Evidence: "terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>'" in the log of each end.

Change: HttpParser wraps Beast's grammar and is the only parser of HTTP in the sidecar. It bounds and drops the fields behind a body, so that they cannot contradict the head either, and refuses fields that the container does not bear. Requests of clients had the same fault, behind a body and in heads above 64 KiB; they get 431.

Tests: a long line and a contradicting field behind an answer (faulty_backend_test), long fields of clients (http_server_test); all three failed before the change. http_parser_test runs 3,000 spoiled messages.

--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -3,7 +3,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/error.hpp>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -11,18 +10,14 @@
 namespace oleandertide::sidecar {
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
 
+constexpr std::size_t kMaxHeadBytes = std::numeric_limits<std::uint16_t>::max();
+
 // Bytes of a head, or of a chunk's line with its extensions, that may be kept
 // unparsed.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10U;
 
-// A chunked body ends with this many bytes at least. Beast asserts that it gets
-// them together.
-constexpr std::size_t kMinChunkedBytes = 5;
-
 // Informational and late answers in front of an answer.
 constexpr int kMaxSkippedAnswers = 16;
 
@@ -151,41 +146,24 @@
 }
 
 void HttpConnection::BeginAnswer() {
-  parser_.emplace();
-  parser_->body_limit(exchange_->max_body_bytes);
-  parser_->header_limit(std::numeric_limits<std::uint16_t>::max());
-  parser_->eager(true);
-  if (exchange_->is_head_request) parser_->skip(true);
+  parser_.emplace(HttpMessageLimits{.head_bytes = kMaxHeadBytes,
+                                    .body_bytes = exchange_->max_body_bytes});
+  if (exchange_->is_head_request) parser_->set_without_body();
 }
 
 void HttpConnection::Parse() {
-  while (buffer_.size() > 0 && exchange_) {
-    if (parser_->is_header_done() && parser_->chunked() &&
-        buffer_.size() < kMinChunkedBytes) {
-      return;
-    }
-    boost::system::error_code error;
-    const std::size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
-    if (error && error != http::error::need_more) {
-      Fail(HttpFailure::kMalformedAnswer);
-      return;
-    }
-    if (parser_->is_done()) {
-      FinishAnswer();
-      return;
-    }
-    if (error == http::error::need_more) {
-      if (buffer_.size() > kMaxUnparsedBytes) {
-        Fail(HttpFailure::kMalformedAnswer);
-      }
-      return;
-    }
+  boost::system::error_code error;
+  buffer_.consume(parser_->Put(buffer_.data(), error));
+  if (error ||
+      (!parser_->is_complete() && buffer_.size() > kMaxUnparsedBytes)) {
+    Fail(HttpFailure::kMalformedAnswer);
+    return;
   }
+  if (parser_->is_complete()) FinishAnswer();
 }
 
 void HttpConnection::FinishAnswer() {
-  HttpResponse response = parser_->release();
+  HttpResponse response = parser_->Release();
   if (response.result_int() >= 100 && response.result_int() < 200) {
     SkipAnswer();
     return;
@@ -200,7 +178,7 @@
   is_first_request_ = false;
   timer_.Cancel();
   idle_since_ = MonotonicClock::now();
-  keep_alive_ = ParseKeepAlive(response[http::field::keep_alive]);
+  keep_alive_ = ParseKeepAlive(response[boost::beast::http::field::keep_alive]);
   if (!response.keep_alive() || buffer_.size() > 0 || !is_written_) {
     is_reusable_ = false;
   }
@@ -227,13 +205,9 @@
   }
   is_reusable_ = false;
   // An orderly end completes an answer without length.
-  if (error == boost::asio::error::eof && parser_->is_header_done()) {
-    boost::system::error_code incomplete;
-    parser_->put_eof(incomplete);
-    if (!incomplete && parser_->is_done()) {
-      FinishAnswer();
-      if (!exchange_) return;
-    }
+  if (error == boost::asio::error::eof && parser_->PutEnd()) {
+    FinishAnswer();
+    if (!exchange_) return;
   }
   Fail(HttpFailure::kConnectionLost);
 }
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -4,9 +4,7 @@
 #define OLEANDERTIDE_SIDECAR_HTTP_CONNECTION_H_
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -17,13 +15,11 @@
 
 #include "core/time.h"
 #include "sidecar/event_loop.h"
+#include "sidecar/http_parser.h"
 #include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
-using HttpResponse =
-    boost::beast::http::response<boost::beast::http::string_body>;
-
 // Why there is no answer.
 enum class HttpFailure : std::uint8_t {
   // The request was not sent.
@@ -114,9 +110,7 @@
   const Tcp::endpoint endpoint_;
   const Duration connect_limit_;
   boost::beast::flat_buffer buffer_;
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
-      parser_;
+  std::optional<HttpResponseParser> parser_;
   std::optional<HttpExchange> exchange_;
   std::function<void()> on_closed_;
   MonotonicTime idle_since_;
--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -8,7 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/verb.hpp>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -31,10 +32,6 @@
 // client that leaves is then noticed when its answer is sent.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{256} << 10U;
 
-// A chunked body ends with this many bytes at least. Beast asserts that it gets
-// them together.
-constexpr std::size_t kMinChunkedBytes = 5;
-
 // Connections are checked for idleness this often.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
 
@@ -166,12 +163,9 @@
   }
 
   void BeginRequest() {
-    parser_.emplace();
     const HttpLimits& limits = server_->limits_;
-    parser_->header_limit(
-        static_cast<std::uint32_t>(limits.maximum_header_bytes));
-    parser_->body_limit(limits.maximum_body_bytes);
-    parser_->eager(true);
+    parser_.emplace(HttpMessageLimits{.head_bytes = limits.maximum_header_bytes,
+                                      .body_bytes = limits.maximum_body_bytes});
     has_partial_request_ = false;
     deadline_ = MonotonicClock::now() + limits.idle_timeout;
   }
@@ -249,32 +243,27 @@
         has_partial_request_ = true;
         deadline_ = MonotonicClock::now() + server_->limits_.header_timeout;
       }
-      if (parser_->is_header_done() && parser_->chunked() &&
-          bytes.size() < kMinChunkedBytes) {
-        return total;
-      }
       boost::system::error_code error;
-      const std::size_t used = parser_->put(bytes, error);
+      const std::size_t used = parser_->Put(bytes, error);
       bytes += used;
       total += used;
-      if (error && error != http::error::need_more) {
+      if (error) {
         Fail(ToFailure(error));
         return total;
       }
-      if (parser_->is_done()) {
-        OnRequest();
-        continue;
-      }
-      if (parser_->is_header_done()) {
-        deadline_ = MonotonicClock::now() + server_->limits_.idle_timeout;
+      if (!parser_->is_complete()) {
+        if (parser_->is_head_complete()) {
+          deadline_ = MonotonicClock::now() + server_->limits_.idle_timeout;
+        }
+        return total;
       }
-      if (error == http::error::need_more) return total;
+      OnRequest();
     }
     return total;
   }
 
   void OnRequest() {
-    auto request = std::make_shared<HttpRequest>(parser_->release());
+    auto request = std::make_shared<HttpRequest>(parser_->Release());
     const MonotonicTime now = MonotonicClock::now();
     if (!request->keep_alive()) is_last_parsed_ = true;
     BeginRequest();
@@ -388,7 +377,7 @@
   Tcp::socket socket_;
   // Bytes behind the requests in progress, and of a request that is not whole.
   boost::beast::flat_buffer unparsed_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<HttpRequestParser> parser_;
   // In the order of the requests.
   std::deque<Pending> pending_;
   RequestNumber first_number_ = 0;
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -4,8 +4,6 @@
 #define OLEANDERTIDE_SIDECAR_HTTP_SERVER_H_
 
 #include <array>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -18,13 +16,11 @@
 #include "core/result.h"
 #include "core/time.h"
 #include "sidecar/event_loop.h"
+#include "sidecar/http_parser.h"
 #include "sidecar/timer.h"
 
 namespace oleandertide::sidecar {
 
-using HttpRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
-
 // What a client may send, and how long it may take.
 struct HttpLimits {
   std::size_t maximum_header_bytes = std::size_t{16} << 10U;
--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -119,6 +119,47 @@
   REQUIRE(mesh.instance.backend->endless_sent() == sent);
 }
 
+// Guards against a process that ends: a line behind the last chunk is longer
+// than a field of a head may be, and the library that keeps fields throws.
+TEST_CASE("a long line behind a chunked answer ends its exchange only") {
+  const std::size_t length =
+      GENERATE(1, 65'520, 65'533, 65'534, 65'536, 70'000, 81'000);
+  OneNode mesh([&](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/once/trailer") {
+      reply.bytes =
+          "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+          "Oleandertide-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "4\r\ndone\r\n0\r\nx:" +
+          std::string(length, 'y') + "\r\n\r\n";
+    }
+    return reply;
+  });
+  const ClientAnswer answer = mesh.Send(mesh.instance, "POST", "/once/trailer");
+  // It is malformed if the line is longer than a head may be, and may have run.
+  constexpr std::size_t kMaxLine = 65'535;
+  REQUIRE(answer.status == (length < kMaxLine ? 200 : 502));
+  REQUIRE(mesh.Send(mesh.instance, "GET", "/idem/next").status == 200);
+}
+
+// Guards against answers that say one thing in their head and another one
+// behind their body: a request that has run would be taken for not run.
+TEST_CASE("a field behind a chunked answer changes nothing") {
+  OneNode mesh([](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/once/trailer") {
+      reply.bytes =
+          "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+          "Oleandertide-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "4\r\ndone\r\n0\r\nOleandertide-Not-Executed: 1\r\n\r\n";
+    }
+    return reply;
+  });
+  const ClientAnswer answer = mesh.Send(mesh.instance, "POST", "/once/trailer");
+  REQUIRE(answer.status == 200);
+  REQUIRE(answer.body == "done");
+}
+
 // Guards against a connection that is held for ever by a byte now and then.
 TEST_CASE("an answer that drips ends at the time limit") {
   OneNode mesh([](const RawRequest& request) {
--- /dev/null
+++ b/tests/sidecar/http_parser_test.cc
@@ -0,0 +1,131 @@
+// Messages that are cut, spoiled or in pieces.
+
+#include "sidecar/http_parser.h"
+
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "support/property.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+constexpr HttpMessageLimits kLimits = {.head_bytes = 65'535,
+                                       .body_bytes = 100'000};
+
+class MessageMaker {
+ public:
+  explicit MessageMaker(std::uint64_t seed) : random_(seed) {}
+
+  // Returns a number from 0 to `limit` - 1.
+  std::size_t Below(std::size_t limit) {
+    return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random_);
+  }
+
+  std::string Make(std::string_view start_line) {
+    std::string message = fmt::format("{}\r\n", start_line);
+    for (std::size_t i = Below(4); i > 0; --i) AddField(message);
+    const std::string body(Below(3000), 'b');
+    if (Below(2) == 0) {
+      return message +
+             fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+    }
+    message += "Transfer-Encoding: chunked\r\n\r\n";
+    if (!body.empty()) {
+      message += fmt::format("{:x};a=b\r\n{}\r\n", body.size(), body);
+    }
+    message += "0\r\n";
+    for (std::size_t i = Below(3); i > 0; --i) AddField(message);
+    return message + "\r\n";
+  }
+
+  // Changes, repeats or removes some of the bytes.
+  void Spoil(std::string& message) {
+    for (std::size_t i = Below(4); i > 0 && !message.empty(); --i) {
+      const std::size_t at = Below(message.size());
+      const std::size_t size = Below(20);
+      switch (Below(4)) {
+        case 0:
+          message[at] = static_cast<char>(Below(256));
+          break;
+        case 1:
+          message.erase(at, size);
+          break;
+        case 2:
+          message.insert(at, message.substr(at, size));
+          break;
+        default:
+          message.insert(at, std::string(Below(90'000), 'y'));
+          break;
+      }
+    }
+  }
+
+  // Parses in pieces; returns whether the parser kept to its contract.
+  template <typename Parser>
+  bool ParseInPieces(std::string_view message) {
+    Parser parser(kLimits);
+    std::string kept;
+    while (!message.empty() && !parser.is_complete()) {
+      const std::size_t size = std::min(message.size(), 1 + Below(20'000));
+      kept += message.substr(0, size);
+      message.remove_prefix(size);
+      boost::system::error_code error;
+      const std::size_t used =
+          parser.Put(boost::asio::buffer(kept.data(), kept.size()), error);
+      if (used > kept.size()) return false;
+      kept.erase(0, used);
+      if (error) return true;
+    }
+    if (!parser.is_complete()) parser.PutEnd();
+    if (!parser.is_complete()) return true;
+    return parser.Release().body().size() <= kLimits.body_bytes;
+  }
+
+ private:
+  void AddField(std::string& message) {
+    const std::size_t size = Below(10) == 0 ? Below(90'000) : Below(50);
+    message += fmt::format("X-{}: {}\r\n", Below(5), std::string(size, 'v'));
+  }
+
+  std::mt19937_64 random_;
+};
+
+// Guards against an exception, or an assertion of the library, by bytes that
+// any client, backend server or store may send.
+TEST_CASE("bytes that are no message end in an error") {
+  REQUIRE(testing::HoldsForSeeds("messages", 3000, [](std::uint64_t seed) {
+    MessageMaker maker(seed);
+    std::string response = maker.Make("HTTP/1.1 200 OK");
+    std::string request = maker.Make("POST /path HTTP/1.1");
+    maker.Spoil(response);
+    maker.Spoil(request);
+    return maker.ParseInPieces<HttpResponseParser>(response) &&
+           maker.ParseInPieces<HttpRequestParser>(request);
+  }));
+}
+
+// Guards against a head that is cut and taken for a whole one, with a body
+// that is empty or too short.
+TEST_CASE("the end of a connection completes no part of a message") {
+  const std::string framing =
+      GENERATE("Content-Length: 4\r\n\r\nbody",
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  const std::string message = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + framing;
+  for (std::size_t size = 0; size <= message.size(); ++size) {
+    HttpResponseParser parser(kLimits);
+    boost::system::error_code error;
+    parser.Put(boost::asio::buffer(message.data(), size), error);
+    INFO("cut after " << size << " of " << message.size());
+    REQUIRE(!error);
+    REQUIRE(parser.is_complete() == (size == message.size()));
+    REQUIRE_FALSE(parser.PutEnd());
+  }
+}
+
+}  // namespace
+}  // namespace oleandertide::sidecar
--- a/tests/sidecar/http_server_test.cc
+++ b/tests/sidecar/http_server_test.cc
@@ -212,5 +212,38 @@
   REQUIRE(last.find("HTTP/1.1 408") != std::string::npos);
 }
 
+// Guards against a process that ends, or a connection that hangs, by a field
+// that is longer than the library which keeps fields bears.
+TEST_CASE("a field that is too long is refused wherever it stands") {
+  EventLoop loop(1);
+  const Address address = UnusedAddress();
+  auto server =
+      HttpServer::Create(loop, address,
+                         [](const std::shared_ptr<HttpRequest>& /*request*/,
+                            HttpReply reply) { reply.Send({.body = "ok"}); });
+  REQUIRE(server.has_value());
+  // An operator may allow heads that are longer than any field may be.
+  server.value()->set_limits({.maximum_header_bytes = 200'000});
+  const std::size_t length = GENERATE(65'533, 65'534, 70'000, 150'000, 210'000);
+  const std::string line = "x:" + std::string(length, 'y') + "\r\n";
+  const bool is_in_head = GENERATE(true, false);
+  RawClient client(loop, address);
+  client.Send(is_in_head ? "GET /1 HTTP/1.1\r\nHost: h\r\n" + line + "\r\n"
+                         : "POST /1 HTTP/1.1\r\nHost: h\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "4\r\ndone\r\n0\r\n" +
+                               line + "\r\n");
+  const MonotonicTime end = MonotonicClock::now() + seconds(2);
+  while (client.Count("\r\n\r\n") == 0 && MonotonicClock::now() < end) {
+    loop.restart();
+    loop.run_for(milliseconds(1));
+  }
+  const bool is_accepted = length <= (is_in_head ? 65'533 : 200'000 - 1);
+  INFO(length << (is_in_head ? " in the head" : " behind the body"));
+  REQUIRE(client.received().starts_with(is_accepted ? "HTTP/1.1 200"
+                                                    : "HTTP/1.1 431"));
+  client.Close();
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
