sidecar: Check a request again when it leaves the queue

Cause: the receiver compared the services when a request arrived and not when it left the queue, and a new backend server took over the queue of its predecessor.

Change: the one function that hands a request over asks FindRefusal, as the arrival does, so that service, drain fence, quarantine, deadline and stop hold at both ends of the queue. What an announced backend server does not serve is rejected at once, as not run.

Test: "a waiting request does not move to another service" failed before (one of two waiting requests ran at the other service; neither was rejected at once).

--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -77,7 +77,8 @@
   return load;
 }
 
-std::optional<mesh::Reason> Receiver::FindRefusal(const Call& call) {
+std::optional<mesh::Reason> Receiver::FindRefusal(
+    const Call& call, MonotonicTime deadline) const {
   if (is_stopping_) return mesh::Reason::kStopping;
   const MonotonicTime now = MonotonicClock::now();
   if (!backend_.is_dispatch_allowed(now) || call.service != service()) {
@@ -86,19 +87,18 @@
   if (quarantine_.IsRefused(now, call.fingerprint)) {
     return mesh::Reason::kQuarantined;
   }
-  if (call.remaining <= Duration::zero()) {
-    return mesh::Reason::kDeadlinePassed;
-  }
+  if (deadline <= now) return mesh::Reason::kDeadlinePassed;
   return std::nullopt;
 }
 
 CallId Receiver::Submit(Call call, OnOutcome on_outcome) {
   const CallId id = next_id_++;
-  if (const auto reason = FindRefusal(call)) {
+  const MonotonicTime now = MonotonicClock::now();
+  const MonotonicTime deadline = now + call.remaining;
+  if (const auto reason = FindRefusal(call, deadline)) {
     on_outcome(mesh::NotRun{*reason});
     return id;
   }
-  const MonotonicTime now = MonotonicClock::now();
   const mesh::AdmissionQueue::Request request{
       .priority = call.priority,
       .wait_allowance = call.wait_allowance,
@@ -109,7 +109,6 @@
     on_outcome(mesh::NotRun{mesh::Reason::kNoRoom});
     return id;
   }
-  const MonotonicTime deadline = now + call.remaining;
   calls_.emplace(id, Pending{.call = std::move(call),
                              .on_outcome = std::move(on_outcome),
                              .deadline = deadline});
@@ -124,6 +123,12 @@
 void Receiver::Start(CallId id) {
   Pending& pending = calls_.at(id);
   const Call& call = pending.call;
+  // The backend server may be another one than when the call arrived.
+  if (const auto reason = FindRefusal(call, pending.deadline)) {
+    queue_.Finish(Duration::zero(), call.expected_run, false);
+    Reject(id, *reason);
+    return;
+  }
   const MonotonicTime now = MonotonicClock::now();
   const Duration remaining = pending.deadline - now;
   pending.is_running = true;
@@ -256,6 +261,8 @@
 
 void Receiver::Reject(CallId id, mesh::Reason reason) {
   auto node = calls_.extract(id);
+  // The outcome of an earlier call of a list may have cancelled this one.
+  if (node.empty()) return;
   if (node.mapped().on_outcome) node.mapped().on_outcome(mesh::NotRun{reason});
 }
 
@@ -263,6 +270,19 @@
   for (const CallId id : queue_.RemoveAll()) Reject(id, reason);
 }
 
+void Receiver::UseAnnouncement() {
+  queue_.set_slots(backend_.announcement().slots);
+  std::vector<CallId> misplaced;
+  for (const auto& [id, pending] : calls_) {
+    if (!pending.is_running && pending.call.service != service()) {
+      misplaced.push_back(id);
+    }
+  }
+  for (const CallId id : misplaced) {
+    if (queue_.Remove(id)) Reject(id, mesh::Reason::kBackendServerAway);
+  }
+}
+
 void Receiver::Cancel(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
@@ -298,7 +318,7 @@
     case mesh::LocalBackend::Effect::kRefreshed:
       break;
   }
-  queue_.set_slots(announcement.slots);
+  UseAnnouncement();
   if (backend_.needs_verification()) Verify();
   return true;
 }
@@ -387,8 +407,8 @@
     is_verifying_ = false;
     const auto before = backend_.standing();
     if (backend_.RecordVerification(id, is_healthy, MonotonicClock::now())) {
-      queue_.set_slots(backend_.announcement().slots);
       OnReplaced("health check");
+      UseAnnouncement();
       return;
     }
     if (backend_.standing() == mesh::BackendStanding::kUnverified) {
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -83,13 +83,19 @@
     BackendClient::ExchangeId exchange = 0;
   };
 
-  std::optional<mesh::Reason> FindRefusal(const Call& call);
+  // Returns why a call may not be handed over now, if so.
+  std::optional<mesh::Reason> FindRefusal(const Call& call,
+                                          MonotonicTime deadline) const;
+  // Hands a call over that the queue counts as running, or rejects it.
   void Start(CallId id);
   void StartWaiting();
   void Finish(CallId id, mesh::Outcome outcome, bool is_sample);
   void Reject(CallId id, mesh::Reason reason);
   void RejectDropped(const mesh::AdmissionQueue::Dropped& dropped);
   void RejectWaiting(mesh::Reason reason);
+  // Takes over slots and service from the last announcement. Calls to another
+  // service that wait cannot be served here any more.
+  void UseAnnouncement();
   void OnAnswer(CallId id, HttpResponse response);
   void OnFailure(CallId id, HttpFailure failure);
   void LogIgnored(const mesh::Announcement& announcement, std::string_view why);
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -1,7 +1,10 @@
 // Configuration, departures, crashes and stops of nodes.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -160,6 +163,49 @@
   REQUIRE(mesh.second.backend->requests().size() == seen);
 }
 
+// Guards against a request that runs at another service: its backend server
+// ends while it waits, and the address goes to a backend server of that
+// service.
+TEST_CASE("a waiting request does not move to another service") {
+  MeshFixture mesh;
+  std::vector<std::string> wrong;
+  Instance& instance = mesh.AddInstance("booking", [&](const auto& request) {
+    if (request.header("Oleandertide-Expect-Instance") == "i-other") {
+      wrong.push_back(request.target());
+    }
+    RawReply reply = Ok(request);
+    reply.delay = milliseconds(100);
+    return reply;
+  });
+  REQUIRE(mesh.Announce(instance) == 200);
+  mesh.AwaitService(instance, "/idem/0");
+  // Two run and two wait.
+  std::vector<std::shared_ptr<std::optional<ClientAnswer>>> answers;
+  for (int i = 0; i < 4; ++i) {
+    answers.push_back(mesh.Begin(instance, "GET", "/idem/1"));
+  }
+  mesh.RunFor(milliseconds(50));
+  instance.backend_id = "i-other";
+  const std::string announcement =
+      R"({"service":"rooms","address":")" +
+      instance.settings.backend.address.ToString() +
+      R"(","zone":"z","version":"v1","slots":2,"state":"ready",)"
+      R"("cold_remaining_ms":0,"seq":1,"born":2000})";
+  REQUIRE(mesh.AnnounceText(instance, announcement) == 200);
+  // They have not run and cannot be served, which is told at once.
+  mesh.RunFor(milliseconds(20));
+  int refused = 0;
+  for (const auto& answer : answers) {
+    if (*answer && (*answer)->status == 503) ++refused;
+  }
+  CHECK(refused == 2);
+  mesh.RunUntil([&] {
+    return std::ranges::all_of(
+        answers, [](const auto& answer) { return answer->has_value(); });
+  });
+  REQUIRE(wrong.empty());
+}
+
 // Guards against a restarted node that uses a backend server which has left.
 TEST_CASE("a restarted node does not use a backend server that drains") {
   Pair mesh;
