core: Read the JSON of other programs in one bounded way

- The row of a job, nested deeply, ends oleandertide-node: its decoder copied the value, which takes stack for each level (SIGSEGV at 100,000 levels in a run of the decoder alone).
- Rows of nodes with port 70000 or 0, without an address or with a bandwidth of 2^32 were taken for nodes, and passed on.
- A row whose key has a space, "&" or "%" at the end of one answer of several made the next read fail for good: the node found nobody.

Cause: each decoder called the JSON library in its own way, one row that could not be read made its list unreadable, an address was a text until the connect, and keys were written into a target as they are.

Change: core/json.h bounds the depth and reads integers as integers within a range; all decoders use it. A damaged row is marked, the others hold. A node's address has the type Address, and a factory refuses what cannot be reached. Keys are percent-encoded, and a further answer begins with the last key.

Tests: node_test, "odd rows among those of the nodes do not hide the others", failed before with one answer (rows taken for nodes) and with several (nobody found). The new heartbeats of codec_test were accepted before, in a run of the decoder alone.

--- a/libraries/acceptance/environment_record.cc
+++ b/libraries/acceptance/environment_record.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "core/json.h"
+
 namespace oleandertide::acceptance {
 namespace {
 
@@ -30,26 +32,25 @@
 }
 
 Result<EnvironmentRecord> ParseEnvironmentRecord(std::string_view text) {
-  try {
-    const Json body = Json::parse(text);
-    EnvironmentRecord record;
-    body.at("sequence").get_to(record.sequence);
-    body.at("digest").get_to(record.digest);
-    body.at("parent").get_to(record.parent);
-    body.at("base").get_to(record.base);
-    body.at("nonce").get_to(record.nonce);
-    body.at("operator").get_to(record.operator_name);
-    // A negative number would otherwise be converted to a huge sequence.
-    const bool is_unsigned = body.at("sequence").is_number_unsigned() &&
-                             body.at("base").is_number_unsigned();
-    if (!is_unsigned || record.sequence == 0 ||
-        !IsContentDigest(record.digest)) {
-      return Error::kDataDamaged;
-    }
-    return record;
-  } catch (const Json::exception&) {
+  const auto body = ParseJson(text);
+  if (!body) return Error::kDataDamaged;
+  OLEANDERTIDE_TRY(sequence, ReadUnsigned(*body, "sequence"));
+  OLEANDERTIDE_TRY(digest, ReadText(*body, "digest"));
+  OLEANDERTIDE_TRY(parent, ReadText(*body, "parent"));
+  OLEANDERTIDE_TRY(base, ReadUnsigned(*body, "base"));
+  OLEANDERTIDE_TRY(nonce, ReadText(*body, "nonce"));
+  OLEANDERTIDE_TRY(operator_name, ReadText(*body, "operator"));
+  EnvironmentRecord record;
+  record.sequence = sequence;
+  record.digest = digest;
+  record.parent = parent;
+  record.base = base;
+  record.nonce = nonce;
+  record.operator_name = operator_name;
+  if (record.sequence == 0 || !IsContentDigest(record.digest)) {
     return Error::kDataDamaged;
   }
+  return record;
 }
 
 std::string FormatRetirement(Sequence sequence) {
--- a/libraries/backend_servers/announcement.cc
+++ b/libraries/backend_servers/announcement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "core/json.h"
+
 namespace oleandertide::backend_servers {
 namespace {
 
@@ -31,14 +33,13 @@
   }
 
   int Number(const char* name, std::int64_t low, std::int64_t high) {
-    const auto found = object_.find(name);
-    if (found == object_.end() || !found->is_number_integer() ||
-        found->get<std::int64_t>() < low || found->get<std::int64_t>() > high) {
+    const auto number = ReadInteger(object_, name, low, high);
+    if (!number) {
       Fail(name, "must be an integer from " + std::to_string(low) + " to " +
                      std::to_string(high));
       return 0;
     }
-    return found->get<int>();
+    return static_cast<int>(number.value());
   }
 
   bool Flag(const char* name) {
@@ -66,12 +67,12 @@
 
 Result<Announcement> Announcement::Parse(std::string_view json,
                                          std::string* explanation) {
-  const auto object = nlohmann::json::parse(json, nullptr, false);
-  if (!object.is_object()) {
+  const auto object = ParseJson(json);
+  if (!object || !object->is_object()) {
     *explanation = "the body must be a JSON object";
     return Error::kInvalidArgument;
   }
-  FieldReader fields(object, explanation);
+  FieldReader fields(*object, explanation);
   Announcement announcement;
   announcement.service = fields.Text("service", true);
   const auto address = Address::Parse(fields.Text("address", true));
--- a/libraries/idempotency/claim_record.cc
+++ b/libraries/idempotency/claim_record.cc
@@ -6,12 +6,16 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "core/json.h"
 
 namespace oleandertide::idempotency {
 namespace {
 
 using Json = nlohmann::json;
 
+// The end of the year 9999, in seconds since the Unix epoch.
+constexpr std::int64_t kMaxSeconds = 253'402'300'799;
+
 constexpr std::string_view kStateNames[] = {"claimed", "completed", "released"};
 
 std::string_view StateName(ClaimState state) {
@@ -47,7 +51,8 @@
 
 Result<Answered> DecodeAnswer(const Json& json) {
   Answered answer;
-  answer.status = json.at("status").get<int>();
+  OLEANDERTIDE_TRY(status, ReadInteger(json, "status", 100, 999));
+  answer.status = static_cast<int>(status);
   for (const Json& header : json.at("headers")) {
     OLEANDERTIDE_TRY(name, UnescapeText(header.at(0).get<std::string>()));
     OLEANDERTIDE_TRY(value, UnescapeText(header.at(1).get<std::string>()));
@@ -64,13 +69,16 @@
   ClaimRecord record;
   OLEANDERTIDE_TRY(key, UnescapeText(json.at("key").get<std::string>()));
   record.key = std::move(key);
-  record.fingerprint = json.at("fingerprint").get<std::uint64_t>();
-  record.token = json.at("token").get<std::uint64_t>();
-  record.claimant = json.at("claimant").get<std::uint64_t>();
+  OLEANDERTIDE_TRY(fingerprint, ReadUnsigned(json, "fingerprint"));
+  record.fingerprint = fingerprint;
+  OLEANDERTIDE_TRY(token, ReadUnsigned(json, "token"));
+  record.token = token;
+  OLEANDERTIDE_TRY(claimant, ReadUnsigned(json, "claimant"));
+  record.claimant = claimant;
   OLEANDERTIDE_TRY(state, ParseState(json.at("state").get<std::string>()));
   record.state = state;
-  record.changed =
-      WallTime(std::chrono::seconds(json.at("changed").get<std::int64_t>()));
+  OLEANDERTIDE_TRY(changed, ReadInteger(json, "changed", 0, kMaxSeconds));
+  record.changed = WallTime(std::chrono::seconds(changed));
   if (json.contains("answer")) {
     OLEANDERTIDE_TRY(answer, DecodeAnswer(json.at("answer")));
     record.answer = std::move(answer);
@@ -113,10 +121,10 @@
 }
 
 Result<ClaimRecord> DecodeClaimRecord(std::string_view value) {
-  const Json json = Json::parse(value, nullptr, /*allow_exceptions=*/false);
-  if (!json.is_object()) return Error::kDataDamaged;
+  const auto json = ParseJson(value);
+  if (!json || !json->is_object()) return Error::kDataDamaged;
   try {
-    return DecodeFields(json);
+    return DecodeFields(*json);
   } catch (const Json::exception&) {
     return Error::kDataDamaged;
   }
--- a/libraries/jobs/job_row.cc
+++ b/libraries/jobs/job_row.cc
@@ -2,15 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json.h"
+
 namespace oleandertide::jobs {
 namespace {
 
 using Json = nlohmann::json;
 
-Json ParseObject(std::string_view value) {
-  Json json = Json::parse(value, nullptr, /*allow_exceptions=*/false);
-  return json.is_object() ? json : Json::object();
-}
+// The end of the year 9999, in seconds since the Unix epoch.
+constexpr std::int64_t kMaxDueSeconds = 253'402'300'799;
 
 }  // namespace
 
@@ -36,24 +36,22 @@
 }
 
 Result<JobRow> DecodeJobRow(std::string_view value) {
-  try {
-    const Json json = ParseObject(value);
-    return JobRow{.due = WallTime(
-                      std::chrono::seconds(json.at("due").get<std::int64_t>())),
-                  .holder = json.at("holder").get<std::string>(),
-                  .token = json.at("token").get<std::uint64_t>(),
-                  .sequence = json.at("sequence").get<std::uint64_t>()};
-  } catch (const Json::exception&) {
-    return Error::kDataDamaged;
-  }
+  const auto json = ParseJson(value);
+  if (!json) return Error::kDataDamaged;
+  OLEANDERTIDE_TRY(due, ReadInteger(*json, "due", 0, kMaxDueSeconds));
+  OLEANDERTIDE_TRY(holder, ReadText(*json, "holder"));
+  OLEANDERTIDE_TRY(token, ReadUnsigned(*json, "token"));
+  OLEANDERTIDE_TRY(sequence, ReadUnsigned(*json, "sequence"));
+  return JobRow{.due = WallTime(std::chrono::seconds(due)),
+                .holder = std::string(holder),
+                .token = token,
+                .sequence = sequence};
 }
 
 Result<std::uint64_t> DecodeEnvironmentSequence(std::string_view value) {
-  try {
-    return ParseObject(value).at("sequence").get<std::uint64_t>();
-  } catch (const Json::exception&) {
-    return Error::kDataDamaged;
-  }
+  const auto json = ParseJson(value);
+  if (!json) return Error::kDataDamaged;
+  return ReadUnsigned(*json, "sequence");
 }
 
 ClaimTransaction BuildClaim(std::string_view environment,
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -74,7 +74,7 @@
       !peer->identity.name.empty() && peer->identity.address != node.address;
   peer->identity = node;
   logging::Log(Level::kInfo, "link", is_moved ? "node moved" : "node learnt",
-               {{"node", node.name}, {"address", node.address}});
+               {{"node", node.name}, {"address", node.address.ToString()}});
   if (is_moved && peer->connection) peer->connection->Close();
   if (!is_selection_due_) {
     is_selection_due_ = true;
@@ -118,15 +118,16 @@
 }
 
 void LinkClient::Connect(Peer& peer) {
-  const auto address = Address::Parse(peer.identity.address);
-  if (!address) {
-    logging::Log(
-        Level::kError, "link", "address is not readable",
-        {{"node", peer.identity.name}, {"address", peer.identity.address}});
+  const auto endpoint = ToEndpoint(peer.identity.address);
+  if (!endpoint) {
+    logging::Log(Level::kError, "link", "address cannot be used",
+                 {{"node", peer.identity.name},
+                  {"address", peer.identity.address.ToString()}});
+    // Other nodes take its place among the links meanwhile.
+    peer.is_failing = true;
+    ScheduleReconnect(peer);
     return;
   }
-  const auto endpoint = ToEndpoint(address.value());
-  if (!endpoint) return;
   peer.is_connecting = true;
   auto socket = std::make_shared<Tcp::socket>(loop_);
   peer.timer->Start(kConnectLimit, [socket] {
@@ -200,7 +201,13 @@
       return;
     case wire::Frame::MEMBERS:
       for (const auto member : frame.getMembers().getMembers()) {
-        callbacks_.on_member(Decode(member));
+        if (const auto node = Decode(member)) {
+          callbacks_.on_member(node.value());
+        } else {
+          logging::Log(Level::kWarning, "link",
+                       "told of a node without address",
+                       {{"by", peer.identity.name}});
+        }
       }
       return;
     default:
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -107,19 +107,23 @@
 
 void Encode(const NodeIdentity& node, wire::Hello::Builder builder) {
   builder.setNode(node.name);
-  builder.setAddress(node.address);
+  builder.setAddress(node.address.ToString());
   builder.setDataCentre(node.data_centre);
   builder.setService(node.service);
   builder.setLinkMbps(node.link_mbps);
   builder.setAcceptsPacked(true);
 }
 
-NodeIdentity Decode(wire::Hello::Reader reader) {
-  return {.name = ToString(reader.getNode()),
-          .data_centre = ToString(reader.getDataCentre()),
-          .address = ToString(reader.getAddress()),
-          .service = ToString(reader.getService()),
-          .link_mbps = reader.getLinkMbps()};
+Result<NodeIdentity> Decode(wire::Hello::Reader reader) {
+  const std::string name = ToString(reader.getNode());
+  const std::string data_centre = ToString(reader.getDataCentre());
+  const std::string address = ToString(reader.getAddress());
+  const std::string service = ToString(reader.getService());
+  return NodeIdentity::Create({.name = name,
+                               .data_centre = data_centre,
+                               .address = address,
+                               .service = service,
+                               .link_mbps = reader.getLinkMbps()});
 }
 
 void Encode(const mesh::ConfigurationUpdate& update,
--- a/libraries/sidecar/link_codec.h
+++ b/libraries/sidecar/link_codec.h
@@ -31,7 +31,8 @@
 };
 
 void Encode(const NodeIdentity& node, wire::Hello::Builder builder);
-NodeIdentity Decode(wire::Hello::Reader reader);
+// An error if it names no node that could be reached.
+Result<NodeIdentity> Decode(wire::Hello::Reader reader);
 
 void Encode(const mesh::ConfigurationUpdate& update,
             wire::ConfigurationUpdate::Builder builder);
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -117,7 +117,15 @@
                          wire::Frame::Reader frame, std::string_view body) {
   switch (frame.which()) {
     case wire::Frame::HELLO: {
-      const NodeIdentity node = Decode(frame.getHello());
+      const auto hello = Decode(frame.getHello());
+      if (!hello) {
+        logging::Log(logging::Level::kWarning, "link",
+                     "node that opened a link does not say who it is",
+                     {{"error", hello.error().message()}});
+        session->connection->Close();
+        return;
+      }
+      const NodeIdentity& node = hello.value();
       session->is_in_own_data_centre = node.data_centre == data_centre_;
       session->connection->set_packs(frame.getHello().getAcceptsPacked());
       callbacks_.on_hello(node);
--- a/libraries/sidecar/member_directory.cc
+++ b/libraries/sidecar/member_directory.cc
@@ -1,9 +1,10 @@
 #include "sidecar/member_directory.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <utility>
 
+#include "core/json.h"
 #include "logging/log.h"
 
 namespace oleandertide::sidecar {
@@ -23,33 +24,32 @@
 constexpr Duration kFirstStartDelay = std::chrono::milliseconds(1500);
 
 std::string EncodeMember(const NodeIdentity& node) {
-  return json{{"address", node.address},
+  return json{{"address", node.address.ToString()},
               {"data-centre", node.data_centre},
               {"service", node.service},
               {"link-mbps", node.link_mbps}}
       .dump();
 }
 
-std::optional<NodeIdentity> DecodeMember(const platform::Row& row) {
-  const json value = json::parse(row.value, nullptr, false);
-  if (!value.is_object()) return std::nullopt;
-  for (const char* key : {"address", "data-centre", "service"}) {
-    if (!value.contains(key) || !value[key].is_string()) return std::nullopt;
-  }
-  if (!value.contains("link-mbps") ||
-      !value["link-mbps"].is_number_unsigned()) {
-    return std::nullopt;
-  }
-  return NodeIdentity{.name = row.key,
-                      .data_centre = value["data-centre"],
-                      .address = value["address"],
-                      .service = value["service"],
-                      .link_mbps = value.value("link-mbps", 0U)};
+// An error for a row that names no node that could be reached.
+Result<NodeIdentity> DecodeMember(const platform::Row& row) {
+  constexpr std::int64_t kMaxLinkMbps =
+      std::numeric_limits<std::uint32_t>::max();
+  const auto value = ParseJson(row.value);
+  if (!value || row.is_damaged) return Error::kDataDamaged;
+  OLEANDERTIDE_TRY(address, ReadText(*value, "address"));
+  OLEANDERTIDE_TRY(data_centre, ReadText(*value, "data-centre"));
+  OLEANDERTIDE_TRY(service, ReadText(*value, "service"));
+  OLEANDERTIDE_TRY(link_mbps,
+                   ReadInteger(*value, "link-mbps", 1, kMaxLinkMbps));
+  return NodeIdentity::Create(
+      {.name = row.key,
+       .data_centre = data_centre,
+       .address = address,
+       .service = service,
+       .link_mbps = static_cast<std::uint32_t>(link_mbps)});
 }
 
-// The first key after `key` in the store's order.
-std::string KeyAfter(const std::string& key) { return key + "!"; }
-
 }  // namespace
 
 MemberDirectory::MemberDirectory(EventLoop& loop, StoreClient& store,
@@ -76,10 +76,13 @@
 
 void MemberDirectory::Read(std::string_view first_key) {
   store_.ReadRows(kTable, first_key,
-                  [this](const auto& rows) { OnRows(rows); });
+                  [this, first = std::string(first_key)](const auto& rows) {
+                    OnRows(first, rows);
+                  });
 }
 
-void MemberDirectory::OnRows(const Result<platform::RowList>& rows) {
+void MemberDirectory::OnRows(const std::string& first_key,
+                             const Result<platform::RowList>& rows) {
   if (!rows) {
     logging::Log(Level::kWarning, "members", "read failed",
                  {{"error", rows.error().message()}});
@@ -93,15 +96,19 @@
       own_version_ = row.version;
       continue;
     }
+    // A further answer begins with the last row of the one before.
+    if (row.key == first_key) continue;
     if (const auto member = DecodeMember(row)) {
-      on_member_(*member);
+      on_member_(member.value());
     } else {
       logging::Log(Level::kWarning, "members", "row is not readable",
                    {{"node", row.key}});
     }
   }
-  if (rows.value().has_more && !rows.value().rows.empty()) {
-    Read(KeyAfter(rows.value().rows.back().key));
+  const auto& list = rows.value();
+  if (list.has_more && !list.rows.empty() &&
+      list.rows.back().key != first_key) {
+    Read(list.rows.back().key);
     return;
   }
   if (!is_own_row_seen_ || own_value_ != EncodeMember(self_)) {
--- a/libraries/sidecar/member_directory.h
+++ b/libraries/sidecar/member_directory.h
@@ -32,7 +32,9 @@
 
  private:
   void Read(std::string_view first_key);
-  void OnRows(const Result<platform::RowList>& rows);
+  // Takes in the rows of a table from `first_key` on.
+  void OnRows(const std::string& first_key,
+              const Result<platform::RowList>& rows);
   void Write();
   void StartAfter(Duration delay);
 
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -71,6 +71,8 @@
           "configuration_confirmation_age_seconds",
           "Time since the store confirmed the configuration")),
       links(registry.RegisterGauge("links", "Open links to other nodes")),
+      known_nodes(registry.RegisterGauge(
+          "known_nodes", "Other nodes that are known, reached or not")),
       store_calls(
           registry.RegisterCounter("store_calls_total", "Calls to the store")),
       store_failures(registry.RegisterCounter(
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -44,6 +44,7 @@
   metrics::Gauge& configuration_version;
   metrics::Gauge& confirmation_age;
   metrics::Gauge& links;
+  metrics::Gauge& known_nodes;
   metrics::Counter& store_calls;
   metrics::Counter& store_failures;
 
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -75,12 +75,12 @@
       : loop_(loop),
         settings_(settings),
         random_(MakeSeed()),
-        identity_{
-            .name = settings.node.name,
-            .data_centre = settings.node.data_centre,
-            .address = AdvertisedAddress(settings.listen).ToString(),
-            .service = settings.node.service,
-            .link_mbps = static_cast<std::uint32_t>(settings.node.link_mbps)},
+        identity_{.name = settings.node.name,
+                  .data_centre = settings.node.data_centre,
+                  .address = AdvertisedAddress(settings.listen),
+                  .service = settings.node.service,
+                  .link_mbps = std::max<std::uint32_t>(
+                      1, static_cast<std::uint32_t>(settings.node.link_mbps))},
         started_at_(MonotonicClock::now()),
         receiver_(loop,
                   {.backend_server = std::move(backend_server),
@@ -250,6 +250,7 @@
   // Of what changes more often than it is asked for.
   void UpdateGauges() {
     metrics_.links.set_value(static_cast<double>(links_.connected().size()));
+    metrics_.known_nodes.set_value(static_cast<double>(links_.known_count()));
     metrics_.backend_serving.set_value(receiver_.load().accepts_requests ? 1
                                                                          : 0);
   }
--- a/libraries/store/http_store.cc
+++ b/libraries/store/http_store.cc
@@ -9,6 +9,8 @@
 #include <set>
 #include <utility>
 
+#include "core/json.h"
+
 namespace oleandertide::store {
 namespace {
 
@@ -148,10 +150,10 @@
 }
 
 Result<TransactionOutcome> ParseCommitted(std::string_view text) {
-  const Json body = Json::parse(text, nullptr, false);
-  if (!body.is_object()) return Error::kOutcomeUnknown;
-  const auto versions = body.find("versions");
-  if (versions == body.end() || !versions->is_object()) {
+  const auto body = ParseJson(text);
+  if (!body || !body->is_object()) return Error::kOutcomeUnknown;
+  const auto versions = body->find("versions");
+  if (versions == body->end() || !versions->is_object()) {
     return Error::kOutcomeUnknown;
   }
   Committed committed;
@@ -165,10 +167,10 @@
 // The status alone says that nothing was written; the keys only explain it.
 TransactionOutcome ParseRefused(std::string_view text) {
   Refused refused;
-  const Json body = Json::parse(text, nullptr, false);
-  if (!body.is_object()) return refused;
-  const auto failed = body.find("failed");
-  if (failed == body.end() || !failed->is_array()) return refused;
+  const auto body = ParseJson(text);
+  if (!body || !body->is_object()) return refused;
+  const auto failed = body->find("failed");
+  if (failed == body->end() || !failed->is_array()) return refused;
   for (const Json& key : *failed) {
     if (key.is_string()) refused.failed_keys.push_back(key.get<std::string>());
   }
@@ -263,10 +265,12 @@
   if (answer.status == kNotFoundStatus) return ReadOutcome(Absent{});
   if (answer.status != kOk) return StatusError(answer.status);
   const auto version = ParseEntityTag(answer.entity_tag);
-  const Json body = Json::parse(answer.body, nullptr, false);
-  if (!version.has_value() || !body.is_object()) return Error::kDataDamaged;
-  const auto value = body.find("value");
-  if (value == body.end() || !value->is_string()) return Error::kDataDamaged;
+  const auto body = ParseJson(answer.body);
+  if (!version.has_value() || !body || !body->is_object()) {
+    return Error::kDataDamaged;
+  }
+  const auto value = body->find("value");
+  if (value == body->end() || !value->is_string()) return Error::kDataDamaged;
   return ReadOutcome(Row{value->get<std::string>(), *version});
 }
 
@@ -412,3 +416,11 @@
 }
 
 }  // namespace oleandertide::store
+#include <arpa/inet.h>
+#include <httplib.h>
+
+#include <charconv>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
--- a/programs/command/report.cc
+++ b/programs/command/report.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <variant>
 
+#include "core/json.h"
+
 namespace oleandertide::command {
 namespace {
 
@@ -144,9 +146,10 @@
 std::string DescribeNode(const NodeStatus& node) {
   std::string text = "node " + node.address + ':';
   if (!node.is_reachable) return text + " not reachable\n";
-  const Json body = Json::parse(node.body, nullptr, false);
-  if (!body.is_object()) return text + " the answer is not a JSON object\n";
-  for (const auto& [name, value] : body.items()) {
+  const auto body = ParseJson(node.body);
+  if (!body || !body->is_object())
+    return text + " the answer is not a JSON object\n";
+  for (const auto& [name, value] : body->items()) {
     if (value.is_structured()) continue;
     text += ' ' + name + '=' +
             (value.is_string() ? value.get<std::string>() : Dump(value));
@@ -155,10 +158,10 @@
 }
 
 Json ToJson(const NodeStatus& node) {
-  const Json body = Json::parse(node.body, nullptr, false);
+  const auto body = ParseJson(node.body);
   return {{"address", node.address},
           {"reachable", node.is_reachable},
-          {"status", body.is_object() ? body : Json()}};
+          {"status", body && body->is_object() ? *body : Json()}};
 }
 
 }  // namespace
@@ -270,3 +273,9 @@
 }
 
 }  // namespace oleandertide::command
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <variant>
+
+#include "command/report.h"
--- a/programs/node/control.cc
+++ b/programs/node/control.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "acceptance/environment_record.h"
+#include "core/json.h"
 #include "logging/log.h"
 
 namespace oleandertide::node {
@@ -331,9 +332,9 @@
   if (!outcome) return addresses;
   const auto* row = std::get_if<store::Row>(&outcome.value());
   if (row == nullptr) return addresses;
-  const auto list = nlohmann::json::parse(row->value, nullptr, false);
-  if (!list.is_array()) return addresses;
-  for (const auto& item : list) {
+  const auto list = ParseJson(row->value);
+  if (!list || !list->is_array()) return addresses;
+  for (const auto& item : *list) {
     if (item.is_string() && addresses.size() < kMaximumContacts) {
       addresses.push_back(item.get<std::string>());
     }
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "core/hash.h"
+#include "core/json.h"
 #include "core/random.h"
 #include "core/result.h"
 
@@ -36,5 +39,36 @@
   }
 }
 
+// Guards against a stack that overflows, and against numbers that lose digits,
+// by what another program wrote.
+TEST_CASE("JSON of other programs is bounded in depth and in its numbers") {
+  const auto nested = [](std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+  };
+  REQUIRE(ParseJson(nested(kMaxJsonDepth)).has_value());
+  REQUIRE_FALSE(ParseJson(nested(kMaxJsonDepth + 1)).has_value());
+  REQUIRE_FALSE(ParseJson(nested(1'000'000)).has_value());
+  REQUIRE(ParseJson("\"" + std::string(100, '[') + "\\\"[\"").has_value());
+  for (const char* text : {"", "{", "nul", "1e999", "\"\xff\"", "[1,]"}) {
+    REQUIRE_FALSE(ParseJson(text).has_value());
+  }
+  const auto value = ParseJson(
+      R"({"a":5,"b":-5,"c":1.5,"d":18446744073709551615,"e":"5","f":1e300})");
+  REQUIRE(ReadInteger(*value, "a", 0, 5).value() == 5);
+  REQUIRE(ReadInteger(*value, "b", -5, 0).value() == -5);
+  REQUIRE_FALSE(ReadInteger(*value, "a", 0, 4));
+  for (const char* name : {"c", "d", "e", "f", "g"}) {
+    REQUIRE_FALSE(ReadInteger(*value, name, INT64_MIN, INT64_MAX));
+  }
+  REQUIRE(ReadUnsigned(*value, "d").value() == UINT64_MAX);
+  REQUIRE_FALSE(ReadUnsigned(*value, "b"));
+  REQUIRE_FALSE(ReadUnsigned(*value, "f"));
+  REQUIRE(ReadNumber(*value, "c", 0, 2).value() == 1.5);
+  REQUIRE_FALSE(ReadNumber(*value, "f", 0, 2));
+  REQUIRE(ReadText(*value, "e").value() == "5");
+  REQUIRE_FALSE(ReadText(*value, "a"));
+  REQUIRE_FALSE(ReadText(*ParseJson("[]"), "a"));
+}
+
 }  // namespace
 }  // namespace oleandertide
--- a/tests/jobs/job_scheduler_test.cc
+++ b/tests/jobs/job_scheduler_test.cc
@@ -1,8 +1,10 @@
 #include "jobs/job_scheduler.h"
 
 #include <catch2/catch.hpp>
+#include <string>
 #include <utility>
 
+#include "jobs/job_row.h"
 #include "support/fake_table.h"
 
 namespace oleandertide::jobs {
@@ -285,5 +287,26 @@
   }
 }
 
+// Guards against a process that ends each time it reads the row of a job: it is
+// nested so deeply that a copy of it exceeds the stack, or its numbers
+// overflow.
+TEST_CASE("an odd row of a job is damaged") {
+  const std::string row =
+      R"({"due":5,"holder":"node-1","token":7,"sequence":1})";
+  REQUIRE(DecodeJobRow(row).has_value());
+  const auto replace = [&](const std::string& from, const std::string& to) {
+    return std::string(row).replace(row.find(from), from.size(), to);
+  };
+  constexpr std::size_t kDepth = 1'000'000;
+  for (const std::string& odd :
+       {replace("5", std::string(kDepth, '[') + std::string(kDepth, ']')),
+        replace("5", "9223372036854775807"), replace("5", "1e300"),
+        replace("7", "-1"), replace("7", "1.5"),
+        replace("1}", "18446744073709551616}"), std::string("[]")}) {
+    INFO(odd.substr(0, 100));
+    REQUIRE(DecodeJobRow(odd).error() == Error::kDataDamaged);
+  }
+}
+
 }  // namespace
 }  // namespace oleandertide::jobs
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -91,12 +91,56 @@
            {"\"service\":\"rooms\",", ""},
            {"\"seq\":4,", ""},
            {"1700000000123", "\"today\""},
+           // Numbers that are no integers, or too large for one.
+           {"\"seq\":4", "\"seq\":-1"},
+           {"\"seq\":4", "\"seq\":1.5"},
+           {"\"seq\":4", "\"seq\":1e300"},
+           {"\"seq\":4", "\"seq\":1e999"},
+           {"\"seq\":4", "\"seq\":18446744073709551615"},
+           {"1700000000123", "-1"},
+           {"1700000000123", "1e300"},
+           {"1700000000123", "9223372036854775807"},
+           {"1700000000123", "18446744073709551615"},
+           {"\"slots\":12", "\"slots\":1.5"},
+           {"\"slots\":12", "\"slots\":4294967297"},
+           {"\"cold_remaining_ms\":500", "\"cold_remaining_ms\":-1"},
+           {"\"cold_remaining_ms\":500", "\"cold_remaining_ms\":1e300"},
+           {"\"cold_remaining_ms\":500",
+            "\"cold_remaining_ms\":18446744073709551615"},
+           {"\"v1\"", std::string(1'000'000, '[')},
+           {"\"v1\"",
+            std::string(1'000'000, '[') + std::string(1'000'000, ']')},
            {"}", ""}}) {
     std::string text = kHeartbeat;
     text.replace(text.find(from), from.size(), to);
-    INFO(text);
+    INFO(text.substr(0, 300));
     REQUIRE_FALSE(DecodeAnnouncement("i-1", text));
   }
+  REQUIRE_FALSE(DecodeDeparture("i-1", R"({"born":18446744073709551615})"));
+  REQUIRE_FALSE(DecodeDeparture("i-1", "[]"));
+}
+
+// Guards against a list that is not read any more because of one of its rows.
+TEST_CASE("a damaged row does not hide the others") {
+  const auto rows = DecodeRows(
+      R"({"rows":[{"key":"a","value":"!","ver":1},{"key":"b","value":7,"ver":2},
+      {"key":"c","ver":3},{"key":"d","value":"bm9kZS0x","ver":4}],
+      "has_more":false,"ver":9,"now_ms":1})");
+  REQUIRE(rows.has_value());
+  REQUIRE(rows.value().rows.size() == 4);
+  for (std::size_t i = 0; i < 3; ++i) {
+    REQUIRE(rows.value().rows[i].is_damaged);
+    REQUIRE(rows.value().rows[i].value.empty());
+  }
+  REQUIRE_FALSE(rows.value().rows[3].is_damaged);
+  REQUIRE(rows.value().rows[3].value == "node-1");
+}
+
+// Guards against a key that ends the line of a request, or its parameter.
+TEST_CASE("keys are written so that they may stand in a target") {
+  REQUIRE(RowsTarget("t", "a b&c=%\r\n/\xc3") ==
+          "/oleandertide/rows-get?table=t&part=&from="
+          "a%20b%26c%3D%25%0D%0A%2F%C3");
 }
 
 // Guards against headers of one connection, or of the system, that pass
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -14,6 +14,20 @@
 
 using nlohmann::json;
 
+// Replaces `%` and two hexadecimal digits by the character.
+std::string DecodePercent(const std::string& text) {
+  std::string plain;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      plain += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      plain += text[i];
+    }
+  }
+  return plain;
+}
+
 // Values of a query by name.
 std::map<std::string, std::string> ParseQuery(const std::string& target) {
   std::map<std::string, std::string> values;
@@ -22,7 +36,7 @@
     const std::size_t next = target.find('&', at + 1);
     const std::string pair = target.substr(at + 1, next - at - 1);
     const std::size_t equals = pair.find('=');
-    values[pair.substr(0, equals)] = pair.substr(equals + 1);
+    values[pair.substr(0, equals)] = DecodePercent(pair.substr(equals + 1));
     at = next;
   }
   return values;
@@ -80,8 +94,13 @@
                           HttpReply reply) {
   ++reads_[table];
   json rows = json::array();
+  bool has_more = false;
   for (const auto& [key, row] : tables_[table]) {
     if (key < from) continue;
+    if (rows.size() == rows_per_answer_) {
+      has_more = true;
+      break;
+    }
     rows.push_back({{"table", table},
                     {"part", ""},
                     {"key", key},
@@ -89,7 +108,7 @@
                     {"ver", row.version}});
   }
   reply.Send(JsonAnswer(200, {{"rows", rows},
-                              {"has_more", false},
+                              {"has_more", has_more},
                               {"ver", version_},
                               {"now_ms", NowMs()}}));
 }
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -36,6 +36,8 @@
   void set_loses_answers(bool loses) { loses_answers_ = loses; }
   // Answers calls that wait for changes as if there were none.
   void set_hides_changes(bool hides) { hides_changes_ = hides; }
+  // Tells at most this many rows in an answer.
+  void set_rows_per_answer(std::size_t rows) { rows_per_answer_ = rows; }
   // Forgets all changes up to now.
   void ForgetHistory() { forgotten_ = version_; }
 
@@ -77,6 +79,7 @@
   std::uint64_t version_ = 1;
   std::uint64_t forgotten_ = 0;
   std::map<std::string, int> reads_;
+  std::size_t rows_per_answer_ = 500;
   int failure_ = 0;
   bool loses_answers_ = false;
   bool hides_changes_ = false;
--- a/tests/sidecar/link_status_test.cc
+++ b/tests/sidecar/link_status_test.cc
@@ -35,7 +35,7 @@
     capnp::MallocMessageBuilder message;
     Encode(NodeIdentity{.name = "listener-" + data_centre,
                         .data_centre = data_centre,
-                        .address = "127.0.0.1:1",
+                        .address = {.ip = "127.0.0.1", .port = 1},
                         .service = "rooms",
                         .link_mbps = 1000},
            message.initRoot<wire::Frame>().initHello());
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -133,6 +133,54 @@
   REQUIRE(mesh.Send(mesh.first, "POST", "/once/1").status == 200);
 }
 
+// Guards against nodes that find nobody, or try in vain for ever to reach nodes
+// that do not exist, because of rows that another writer left among theirs.
+TEST_CASE("odd rows among those of the nodes do not hide the others") {
+  const std::string row =
+      R"({"address":"127.0.0.1:9","data-centre":"dc-1","service":"booking",)"
+      R"("link-mbps":1000})";
+  const auto replace = [&](const std::string& from, const std::string& to) {
+    return std::string(row).replace(row.find(from), from.size(), to);
+  };
+  const std::vector<std::string> odd = {
+      "",
+      "[]",
+      row.substr(0, 40),
+      replace("127.0.0.1:9", "127.0.0.1:70000"),
+      replace("127.0.0.1:9", "127.0.0.1:0"),
+      replace("127.0.0.1:9", "somewhere"),
+      replace("\"127.0.0.1:9\"", "9"),
+      replace("1000", "0"),
+      replace("1000", "-1"),
+      replace("1000", "1.5"),
+      replace("1000", "1e300"),
+      replace("1000", "1e999"),
+      replace("1000", "4294967296"),
+      replace("1000", "18446744073709551616"),
+      replace("1000", std::string(30'000, '[') + std::string(30'000, ']')),
+      replace("\"dc-1\"", "null"),
+      replace("\"booking\"", "{}")};
+  MeshFixture mesh;
+  mesh.store().set_rows_per_answer(GENERATE(20, 500));
+  for (int copy = 0; copy < 4; ++copy) {
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+      // Before and behind the nodes' own rows, with any characters.
+      mesh.store().Put("oleandertide-nodes",
+                       (copy % 2 == 0 ? "a &%+" : "z &%+") +
+                           std::to_string(copy) + "-" + std::to_string(i),
+                       odd[i]);
+    }
+  }
+  Instance& first = mesh.AddInstance("rooms", Ok);
+  Instance& second = mesh.AddInstance("booking", Ok);
+  REQUIRE(mesh.Announce(second) == 200);
+  mesh.AwaitService(first, "/idem/1");
+  mesh.RunFor(milliseconds(1200));
+  REQUIRE(mesh.Send(first, "GET", "/idem/2").status == 200);
+  // Rows that name no node are not taken for nodes.
+  REQUIRE(mesh.ReadMetrics(first).find("known_nodes 1\n") != std::string::npos);
+}
+
 // Guards against a member row that is written again and again because the
 // answers to the writes are lost.
 TEST_CASE("a write whose answer is lost is not repeated blindly") {
