sidecar: Take a refusal only for the request that it names

Report of another operator: a faulty backend server wrote an earlier refusal once more, and clients were told "not run" for requests that ran. It could happen here in one form: on the first request of a connection a refusal without id was accepted, and the request, which ran, was answered 503.

Cause: an answer without id was taken for the first request of a connection, whatever it said. A refusal is a promise, and holds only for the request that it names.

Change: a refusal without the request's id is skipped like an answer to another request, and the connection is not used again.

Test: "a repeated refusal refuses nothing" runs four forms on new and kept connections, before and within the run. The two forms without id on a new connection failed before the change (503 instead of the answer); the others passed. With the change all pass.

--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -149,8 +149,11 @@
   exchange.is_answer = [request_id = call.request_id](const auto& fields,
                                                       bool is_first_request) {
     const std::string_view answered = platform::FindRequestId(fields);
-    // Without id it may be a late copy of the answer to an earlier request.
-    if (answered.empty()) return is_first_request;
+    // Without id it may be a late copy of the answer to an earlier request, and
+    // a refusal is a promise only for the request that it names.
+    if (answered.empty()) {
+      return is_first_request && !platform::IsNotExecuted(fields);
+    }
     return answered == request_id;
   };
   exchange.on_answer = [this, id](HttpResponse response) {
--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -66,6 +66,53 @@
           "body of /idem/last");
 }
 
+std::string RefusalWithHead(const std::string& id_line) {
+  return "HTTP/1.1 503 Full\r\n" + id_line +
+         "Oleandertide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Guards against "not run" for a request that runs: a backend server writes an
+// earlier refusal once more, before, within or instead of the answer.
+TEST_CASE("a repeated refusal refuses nothing") {
+  const std::string copy =
+      GENERATE(RefusalWithHead("Oleandertide-Request-Id: earlier\r\n"),
+               // Without an id it is no promise for this request.
+               RefusalWithHead(""),
+               RefusalWithHead("Oleandertide-Request-Id: earlier\r\n"
+                               "Oleandertide-Request-Id: other\r\n"),
+               "HTTP/1.1 100 Continue\r\n\r\n" + RefusalWithHead(""));
+  // On the first request of a connection, and on a later one.
+  const bool is_connection_new = GENERATE(true, false);
+  const Duration delay = GENERATE(milliseconds(20), milliseconds(120));
+  int runs = 0;
+  OneNode mesh([&](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/once/refused") {
+      reply.bytes = RefusalWithHead("Oleandertide-Request-Id: {id}\r\n");
+      if (!is_connection_new) {
+        reply.late_bytes = copy;
+        reply.late_delay = delay;
+      }
+      reply.closes = is_connection_new;
+    }
+    if (request.target() == "/once/next") {
+      ++runs;
+      if (is_connection_new) reply.bytes = copy + reply.bytes;
+      reply.delay = milliseconds(150);
+    }
+    return reply;
+  });
+  REQUIRE(mesh.Send(mesh.instance, "POST", "/once/refused").status == 503);
+  if (is_connection_new) {
+    // An idle connection is too old for a request that must run once.
+    mesh.RunFor(milliseconds(550));
+  }
+  const ClientAnswer next = mesh.Send(mesh.instance, "POST", "/once/next");
+  REQUIRE(runs == 1);
+  REQUIRE(next.status == 200);
+  REQUIRE(next.body == "body of /once/next");
+}
+
 // Guards against memory and slots that are lost to a backend server which sends
 // without end, in a head or a body, until its connection is closed.
 TEST_CASE("bytes without end are cut off") {
