http: Take a chunked answer for whole only at its end

Report of another operator: an answer that was cut reached clients as a 200 with an empty or short body. In the product's own interface a chunked answer that ended within the line end behind its data was a success.

Cause: cpp-httplib ends a chunked body at any line that it does not expect behind the data of a chunk, and reports success. Evidence: the answer cut after 64 of 70 bytes ("...body" and CR).

Change: CheckedClient watches the bytes that the library takes. A chunked answer whose bytes do not end with the last chunk and an empty line is a lost connection, so its outcome is unknown.

Tests: "an answer that is cut at any byte is a lost connection" (http, failed before) and "an answer that is cut at any byte is no success" (sidecar).

--- a/libraries/http/client_pool.cc
+++ b/libraries/http/client_pool.cc
@@ -10,6 +10,8 @@
 #include <cerrno>
 #include <utility>
 
+#include "http/checked_client.h"
+
 namespace oleandertide::http {
 namespace {
 
@@ -75,7 +77,7 @@
 
 class ClientPool::Connection {
  public:
-  explicit Connection(const Address& server) : client_(server.ip, server.port) {
+  explicit Connection(const Address& server) : client_(server) {
     client_.set_keep_alive(true);
     client_.set_tcp_nodelay(true);
     client_.set_decompress(false);
@@ -91,14 +93,13 @@
   // Prepares the limits of the next request. Precondition: remaining > 0.
   void set_remaining(Duration remaining) {
     client_.set_connection_timeout(std::min(remaining, kMaximumConnectTime));
-    client_.set_read_timeout(remaining);
-    client_.set_write_timeout(remaining);
+    client_.set_limit(remaining);
   }
 
-  httplib::Client& client() { return client_; }
+  CheckedClient& client() { return client_; }
 
  private:
-  httplib::Client client_;
+  CheckedClient client_;
   MonotonicTime last_used_;
 };
 
@@ -115,7 +116,7 @@
 
   std::unique_ptr<Connection> connection = Take();
   connection->set_remaining(remaining);
-  httplib::Client& client = connection->client();
+  CheckedClient& client = connection->client();
 
   httplib::Request outgoing;
   outgoing.method = request.method;
@@ -137,7 +138,7 @@
   bool is_answered = false;
   {
     const std::stop_callback stop(cancelled, [&client] { client.stop(); });
-    is_answered = client.send(outgoing, answer, error);
+    is_answered = client.SendChecked(outgoing, answer, error);
   }
 
   if (!is_answered) {
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -1,9 +1,16 @@
 #include "http/server.h"
 
 #include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <variant>
 
 #include "http/client_pool.h"
 
@@ -157,5 +164,56 @@
           Error::kUnavailable);
 }
 
+// Answers one request on each connection with the given bytes and closes it.
+class CuttingServer {
+ public:
+  CuttingServer()
+      : acceptor_(context_, boost::asio::ip::tcp::endpoint(
+                                boost::asio::ip::address_v4::loopback(), 0)) {}
+
+  Address address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+  void Answer(std::string_view bytes, bool is_reset) {
+    boost::asio::ip::tcp::socket socket = acceptor_.accept();
+    std::string request;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                            "\r\n\r\n");
+    boost::asio::write(socket, boost::asio::buffer(bytes.data(), bytes.size()));
+    if (is_reset) socket.set_option(boost::asio::socket_base::linger(true, 0));
+  }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+// Guards against an answer that is cut in its head or body and taken for a
+// whole one.
+TEST_CASE("an answer that is cut at any byte is a lost connection") {
+  const std::string whole = GENERATE(
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody",
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nbody\r\n0\r\n\r\n");
+  const bool is_reset = GENERATE(false, true);
+  CuttingServer server;
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    std::thread answering(
+        [&] { server.Answer(whole.substr(0, size), is_reset); });
+    ClientPool pool(server.address(), kMaximumAnswerBytes);
+    Request request;
+    request.method = "GET";
+    request.target = "/";
+    const SendOutcome outcome =
+        pool.Send(request, In(std::chrono::seconds(5)), {});
+    answering.join();
+    INFO("cut after " << size << " of " << whole.size());
+    const auto* failure = std::get_if<Failure>(&outcome);
+    REQUIRE(failure != nullptr);
+    REQUIRE(*failure == Failure::kConnectionLost);
+  }
+}
+
 }  // namespace
 }  // namespace oleandertide::http
--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -113,6 +113,48 @@
   REQUIRE(next.body == "body of /once/next");
 }
 
+// Guards against a head that is cut and passed on as a whole answer with an
+// empty or short body: a backend server stops within its answer and closes.
+TEST_CASE("an answer that is cut at any byte is no success") {
+  const std::string framing =
+      GENERATE("Content-Length: 4\r\n\r\nbody",
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+      "Oleandertide-Server-Stamp: s\r\n" +
+      framing;
+  const bool is_reset = GENERATE(false, true);
+  std::size_t size = 0;
+  OneNode mesh([&](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/once/cut") {
+      reply.bytes = whole.substr(0, size);
+      reply.closes = !is_reset;
+      reply.resets_after = is_reset;
+    }
+    return reply;
+  });
+  // The node passes the answer of another one's backend server on as well.
+  Instance& other =
+      mesh.AddInstance("rooms", [](const RawRequest& /*request*/) {
+        return RawReply{.bytes = StampedAnswer("room")};
+      });
+  REQUIRE(mesh.Announce(other) == 200);
+  mesh.AwaitService(other, "/idem/0");
+  const std::size_t id_mark = whole.find("{id}");
+  for (size = 0; size < whole.size(); ++size) {
+    // The mark of the id is replaced as a whole.
+    if (size > id_mark && size < id_mark + 4) continue;
+    Instance& from = size % 2 == 0 ? mesh.instance : other;
+    const ClientAnswer answer = mesh.Send(from, "POST", "/once/cut");
+    INFO("cut after " << size << " of " << whole.size());
+    REQUIRE(answer.status == 502);
+    REQUIRE(answer.stamp.empty());
+    REQUIRE(answer.body.empty());
+  }
+  REQUIRE(mesh.Send(mesh.instance, "GET", "/idem/next").status == 200);
+}
+
 // Guards against memory and slots that are lost to a backend server which sends
 // without end, in a head or a body, until its connection is closed.
 TEST_CASE("bytes without end are cut off") {
--- a/tests/sidecar/raw_server.cc
+++ b/tests/sidecar/raw_server.cc
@@ -133,6 +133,10 @@
     SendEndlessly(session, std::make_shared<std::string>(reply.endless_bytes));
     return;
   }
+  if (reply.resets_after) {
+    session->Reset();
+    return;
+  }
   if (reply.closes) {
     session->socket.shutdown(Tcp::socket::shutdown_both, ignored);
     session->socket.close(ignored);
--- a/tests/sidecar/raw_server.h
+++ b/tests/sidecar/raw_server.h
@@ -33,6 +33,8 @@
   // Close after the bytes; a reset loses what was not read.
   bool closes = false;
   bool resets = false;
+  // The same behind the bytes.
+  bool resets_after = false;
   // Answer as soon as the head is in.
   bool is_early = false;
   // Sent once more after this time, if not empty, whatever the connection does
