--- a/libraries/http/checked_client.cc
+++ b/libraries/http/checked_client.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <utility>
 
+#include "http/server.h"
 #include "http/socket_stream.h"
 
 namespace oleandertide::http {
