--- a/libraries/core/json.cc
+++ b/libraries/core/json.cc
@@ -51,7 +51,8 @@
                                   std::string_view name) {
   const nlohmann::json* member = Find(value, name);
   if (member == nullptr || !member->is_string()) return Error::kDataDamaged;
-  return std::string_view(member->get_ref<const std::string&>());
+  const std::string_view text = member->get_ref<const std::string&>();
+  return text;
 }
 
 Result<std::int64_t> ReadInteger(const nlohmann::json& value,
