--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -45,8 +45,7 @@
 
 Receiver::Receiver(EventLoop& loop, const Options& options,
                    routing::Quarantine& quarantine, NodeMetrics& metrics)
-    : loop_(loop),
-      backend_address_(options.backend_address),
+    : backend_address_(options.backend_address),
       quarantine_(quarantine),
       metrics_(metrics),
       max_answer_bytes_(options.max_answer_bytes),
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -108,7 +108,6 @@
   void ScheduleRelaxation();
   void ScheduleExpiry();
 
-  EventLoop& loop_;
   const std::string backend_address_;
   routing::Quarantine& quarantine_;
   NodeMetrics& metrics_;
--- a/tests/sidecar/node_test.cc
+++ b/tests/sidecar/node_test.cc
@@ -229,7 +229,9 @@
   mesh.AwaitService(instance, "/idem/0");
   // Two run and two wait.
   std::vector<std::shared_ptr<std::optional<ClientAnswer>>> answers;
-  for (int i = 0; i < 4; ++i) {
+  constexpr std::size_t kRequests = 4;
+  answers.reserve(kRequests);
+  while (answers.size() < kRequests) {
     answers.push_back(mesh.Begin(instance, "GET", "/idem/1"));
   }
   mesh.RunFor(milliseconds(50));
--- a/tests/sidecar/timer_test.cc
+++ b/tests/sidecar/timer_test.cc
@@ -64,7 +64,8 @@
   std::thread thread_;
 };
 
-HttpExchange MakeExchange(Duration limit, std::function<void(int)> on_end) {
+HttpExchange MakeExchange(Duration limit,
+                          const std::function<void(int)>& on_end) {
   HttpExchange exchange;
   exchange.head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
   exchange.limit = limit;
