mesh: Take a request at a stopping node only if it can end there

What callers saw: a request that came late in the grace time of a stopping node, from a caller that stayed, was passed on with a deadline shortened to 250 ms before the node's end and cut there: 504 at 5.3 s while its backend server was at work, orders that must not be repeated among them.

Cause: a request was taken as long as the rest of the time exceeded the target latency of its route, which many runs exceed.

Change: mesh::StopPolicy decides. After the announce time (2.5 s) a request is taken only if its whole time limit ends before the node does; any other one is refused at once as not run. During the announce time all are taken as before, since clients learn of the stop only then.

--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -20,10 +20,6 @@
 // may take.
 constexpr Duration kOutcomeGrace = std::chrono::milliseconds(110);
 
-// A request that a stopping node takes is to be answered this long before its
-// end.
-constexpr Duration kEndMargin = std::chrono::milliseconds(250);
-
 // Repeats that a node gets when it stops: a request that it has taken is to be
 // answered although its first run was cut. Nodes stop one after the other, so
 // this fits into the allowance of the fleet.
@@ -97,8 +93,8 @@
          kFreshLimit;
 }
 
-void Ingress::set_end(MonotonicTime end) {
-  end_ = end;
+void Ingress::Stop(const mesh::StopPolicy& policy) {
+  stop_ = policy;
   retries_.AddReserve(kStopReserve);
 }
 
@@ -161,8 +157,12 @@
   const Duration limit =
       std::min(head.remaining.value_or(route->timeout), route->timeout);
   exchange->deadline = exchange->arrived + limit;
-  if (end_) {
-    exchange->deadline = std::min(exchange->deadline, *end_ - kEndMargin);
+  bool is_too_late = false;
+  if (stop_) {
+    const auto deadline = stop_->ChooseDeadline(exchange->arrived, limit,
+                                                route->target_latency);
+    is_too_late = !deadline.has_value();
+    exchange->deadline = deadline.value_or(exchange->deadline);
   }
   exchange->call = {.request_id = std::move(head.request_id),
                     .method = std::string(View(request->method_string())),
@@ -176,10 +176,8 @@
   exchange->call.fingerprint = MakeFingerprint(exchange->call);
   retries_.RecordRequest(exchange->call.service);
   exchanges_.insert(exchange);
-  exchange->timer.Start(
-      exchange->deadline - MonotonicClock::now() + kOutcomeGrace,
-      [this, exchange] { OnDeadline(exchange); });
-  if (end_ && exchange->deadline - exchange->arrived < route->target_latency) {
+  StartDeadlineTimer(exchange);
+  if (is_too_late) {
     GiveUp(exchange, mesh::Reason::kStopping, kAwayRetryAfter);
     return;
   }
@@ -194,6 +192,12 @@
       [this, exchange] { OnClientLeft(exchange); });
 }
 
+void Ingress::StartDeadlineTimer(const ExchangePointer& exchange) {
+  exchange->timer.Start(
+      exchange->deadline - MonotonicClock::now() + kOutcomeGrace,
+      [this, exchange] { OnDeadline(exchange); });
+}
+
 void Ingress::Attempt(const ExchangePointer& exchange) {
   const MonotonicTime now = MonotonicClock::now();
   const mesh::Route& route = *exchange->route;
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -20,6 +20,7 @@
 #include "mesh/placement.h"
 #include "mesh/retry_allowance.h"
 #include "mesh/service_choice.h"
+#include "mesh/stop_policy.h"
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
@@ -70,9 +71,9 @@
 
   void set_service(std::string service) { service_ = std::move(service); }
 
-  // The node ends at `end`: requests from now on are taken only if they can be
-  // answered before.
-  void set_end(MonotonicTime end);
+  // The node stops: from now on `policy` decides which requests are taken, and
+  // all are answered before the end.
+  void Stop(const mesh::StopPolicy& policy);
 
   // Whether no request waits for its answer.
   bool is_idle() const { return exchanges_.empty(); }
@@ -89,6 +90,7 @@
     mesh::ExponentialAverage answer_bytes{kWindow};
   };
 
+  void StartDeadlineTimer(const ExchangePointer& exchange);
   void Attempt(const ExchangePointer& exchange);
   void Send(const ExchangePointer& exchange, const std::string& node);
   void OnOutcome(const ExchangePointer& exchange, mesh::Outcome outcome);
@@ -106,7 +108,7 @@
   const std::string node_;
   const std::string data_centre_;
   std::string service_;
-  std::optional<MonotonicTime> end_;
+  std::optional<mesh::StopPolicy> stop_;
   mesh::Placement placement_;
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -9,6 +9,7 @@
 #include "logging/log.h"
 #include "mesh/configuration_holder.h"
 #include "mesh/link_backlog.h"
+#include "mesh/stop_policy.h"
 #include "platform/announcement_codec.h"
 #include "platform/names.h"
 #include "routing/quarantine.h"
@@ -198,7 +199,10 @@
     if (stopping_since_) return;
     stopping_since_ = MonotonicClock::now();
     clients_->set_closing(true);
-    ingress_.set_end(*stopping_since_ + settings_.drain.deadline);
+    ingress_.Stop(
+        mesh::StopPolicy(*stopping_since_,
+                         {.announce_time = settings_.drain.announce_time,
+                          .deadline = settings_.drain.deadline}));
     logging::Log(Level::kInfo, "node", "stopping",
                  {{"standing", mesh::ToString(receiver_.standing())}});
     CheckStop();
