sidecar: Answer requests that outlast a stopping node

What callers saw: a request that a node took before its SIGTERM, with more time than the node had left, ended with its connection and without an answer when the process ended (stock lookups with a timeout of 8 s, end at 5.5 s).

Cause: only requests from after the signal had their deadline moved before the end.

Change: the deadlines of all requests in progress are moved as well, so that what does not end in time gets an answer (504, outcome unknown).

Result: PlannedStopTest.test_long_run_gets_an_answer_at_the_end failed before (connection closed without an answer) and passes.

--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -96,6 +96,11 @@
 void Ingress::Stop(const mesh::StopPolicy& policy) {
   stop_ = policy;
   retries_.AddReserve(kStopReserve);
+  for (const ExchangePointer& exchange : exchanges_) {
+    if (exchange->deadline <= policy.last_answer()) continue;
+    exchange->deadline = policy.last_answer();
+    StartDeadlineTimer(exchange);
+  }
 }
 
 bool Ingress::IsRepeatable(const HttpRequest& request) const {
