--- a/libraries/mesh/stop_policy.h
+++ b/libraries/mesh/stop_policy.h
@@ -35,9 +35,9 @@
   MonotonicTime last_answer() const;
 
   // Returns the deadline of a client's request that may take `limit`, or
-  // nothing if it is to be refused. A request that is sure to be answered before
-  // the end is always taken. Another one is taken only during the announce time,
-  // and if its target latency fits.
+  // nothing if it is to be refused. A request that is sure to be answered
+  // before the end is always taken. Another one is taken only during the
+  // announce time, and if its target latency fits.
   std::optional<MonotonicTime> ChooseDeadline(MonotonicTime arrived,
                                               Duration limit,
                                               Duration target_latency) const;
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -164,8 +164,8 @@
   exchange->deadline = exchange->arrived + limit;
   bool is_too_late = false;
   if (stop_) {
-    const auto deadline = stop_->ChooseDeadline(exchange->arrived, limit,
-                                                route->target_latency);
+    const auto deadline =
+        stop_->ChooseDeadline(exchange->arrived, limit, route->target_latency);
     is_too_late = !deadline.has_value();
     exchange->deadline = deadline.value_or(exchange->deadline);
   }
