sidecar: Begin no run that may outlast its node

What callers saw: two nodes that stop one after the other.

Cause: the receiver of a stopping node did not compare the time limit of a call with its own end.

Change: such a call is refused as not run, so that it goes elsewhere at once; waiting ones are given back when the stop begins. The check stands where all others do (FindRefusal), so it holds at both ends of the queue.

A run that began before the SIGTERM and lasts longer than the stop is still cut.

--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -78,7 +78,9 @@
 
 std::optional<mesh::Reason> Receiver::FindRefusal(
     const Call& call, MonotonicTime deadline) const {
-  if (is_stopping_) return mesh::Reason::kStopping;
+  if (is_stopping_ || (stop_ && !stop_->MayRun(deadline))) {
+    return mesh::Reason::kStopping;
+  }
   const MonotonicTime now = MonotonicClock::now();
   if (!backend_.is_dispatch_allowed(now) || call.service != service()) {
     return mesh::Reason::kBackendServerAway;
@@ -272,19 +274,25 @@
   for (const CallId id : queue_.RemoveAll()) Reject(id, reason);
 }
 
-void Receiver::UseAnnouncement() {
-  queue_.set_slots(backend_.announcement().slots);
-  std::vector<CallId> misplaced;
+void Receiver::RejectUnservable() {
+  std::vector<std::pair<CallId, mesh::Reason>> unservable;
   for (const auto& [id, pending] : calls_) {
-    if (!pending.is_running && pending.call.service != service()) {
-      misplaced.push_back(id);
+    if (pending.is_running) continue;
+    if (const auto reason = FindRefusal(pending.call, pending.deadline)) {
+      unservable.emplace_back(id, *reason);
     }
   }
-  for (const CallId id : misplaced) {
-    if (queue_.Remove(id)) Reject(id, mesh::Reason::kBackendServerAway);
+  for (const auto& [id, reason] : unservable) {
+    if (queue_.Remove(id)) Reject(id, reason);
   }
 }
 
+void Receiver::UseAnnouncement() {
+  queue_.set_slots(backend_.announcement().slots);
+  // The service may be another one.
+  RejectUnservable();
+}
+
 void Receiver::Cancel(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
@@ -342,6 +350,11 @@
   return effect != mesh::LocalBackend::Effect::kAmbiguous;
 }
 
+void Receiver::Stop(const mesh::StopPolicy& policy) {
+  stop_ = policy;
+  RejectUnservable();
+}
+
 void Receiver::set_stopping() {
   is_stopping_ = true;
   RejectWaiting(mesh::Reason::kStopping);
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -15,6 +15,7 @@
 #include "core/time.h"
 #include "mesh/admission_queue.h"
 #include "mesh/local_backend.h"
+#include "mesh/stop_policy.h"
 #include "routing/quarantine.h"
 #include "sidecar/backend_client.h"
 #include "sidecar/call.h"
@@ -55,6 +56,10 @@
   // Path of health checks, from the configuration.
   void set_health_path(std::string path) { health_path_ = std::move(path); }
 
+  // The node stops: from now on only those calls are run that `policy` lets
+  // run.
+  void Stop(const mesh::StopPolicy& policy);
+
   // Stops taking calls, since the node is about to end.
   void set_stopping();
 
@@ -93,8 +98,9 @@
   void Reject(CallId id, mesh::Reason reason);
   void RejectDropped(const mesh::AdmissionQueue::Dropped& dropped);
   void RejectWaiting(mesh::Reason reason);
-  // Takes over slots and service from the last announcement. Calls to another
-  // service that wait cannot be served here any more.
+  // Rejects the waiting calls that could not be handed over now.
+  void RejectUnservable();
+  // Takes over slots and service from the last announcement.
   void UseAnnouncement();
   void OnAnswer(CallId id, HttpResponse response);
   void OnFailure(CallId id, HttpFailure failure);
@@ -125,6 +131,7 @@
   Timer expiry_timer_;
   Timer gathering_timer_;
   bool is_expiry_scheduled_ = false;
+  std::optional<mesh::StopPolicy> stop_;
   bool is_stopping_ = false;
   bool is_verifying_ = false;
   // Requests whose connections were lost together, until it is known whether
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -199,9 +199,11 @@
     if (stopping_since_) return;
     stopping_since_ = MonotonicClock::now();
     clients_->set_closing(true);
-    ingress_.Stop(mesh::StopPolicy(
+    const mesh::StopPolicy policy(
         *stopping_since_, {.announce_time = settings_.drain.announce_time,
-                           .deadline = settings_.drain.deadline}));
+                           .deadline = settings_.drain.deadline});
+    ingress_.Stop(policy);
+    receiver_.Stop(policy);
     logging::Log(Level::kInfo, "node", "stopping",
                  {{"standing", mesh::ToString(receiver_.standing())}});
     CheckStop();
