sidecar: End the links of a stopping node in order

What callers saw: 502 for requests whose answers a stopping node held, and for orders that it had not run. - The last answer was lost when the end of the process came between its arrival from the backend server and its transmission: the end was decided when no call waited or ran, and answers that were queued on a link, or sent in parts, did not count. With a share of a processor the two events often fall into one turn of the event loop. - A call that crossed the end of the link was of unknown outcome, so an order got 502 although it had not run and another node could have run it. A node that was idle at 2.5 s ended in the moment in which it stopped taking calls, before it had told anyone.

Cause: a process ended its links by ending. The other node cannot tell which of its calls were taken.

The other nodes close their links, so that no unread bytes reset them; the node waits 200 ms for that. The line "stopped" says what was left.

--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDERTIDE_SIDECAR_INGRESS_H_
 #define OLEANDERTIDE_SIDECAR_INGRESS_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -75,7 +76,8 @@
   // all are answered before the end.
   void Stop(const mesh::StopPolicy& policy);
 
-  // Whether no request waits for its answer.
+  // Requests that wait for their answers.
+  std::size_t request_count() const { return exchanges_.size(); }
   bool is_idle() const { return exchanges_.empty(); }
 
  private:
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -177,5 +177,8 @@
     # Nodes that the sender has learnt of.
     members @7 :Members;
     bodyPart @8 :BodyPart;
+    # The sender ends and closes the link. Calls with a greater id than this one
+    # were not taken and never will be; 0 if none was.
+    goodbye @9 :UInt64;
   }
 }
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -290,6 +290,7 @@
     CONFIGURATION,
     MEMBERS,
     BODY_PART,
+    GOODBYE,
   };
 
   struct _capnpPrivate {
@@ -1978,6 +1979,9 @@
   inline bool hasBodyPart() const;
   inline  ::oleandertide::sidecar::wire::BodyPart::Reader getBodyPart() const;
 
+  inline bool isGoodbye() const;
+  inline  ::uint64_t getGoodbye() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2075,6 +2079,10 @@
   inline void adoptBodyPart(::capnp::Orphan< ::oleandertide::sidecar::wire::BodyPart>&& value);
   inline ::capnp::Orphan< ::oleandertide::sidecar::wire::BodyPart> disownBodyPart();
 
+  inline bool isGoodbye();
+  inline  ::uint64_t getGoodbye();
+  inline void setGoodbye( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4319,6 +4327,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isGoodbye() const {
+  return which() == Frame::GOODBYE;
+}
+inline bool Frame::Builder::isGoodbye() {
+  return which() == Frame::GOODBYE;
+}
+inline  ::uint64_t Frame::Reader::getGoodbye() const {
+  KJ_IREQUIRE((which() == Frame::GOODBYE),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Frame::Builder::getGoodbye() {
+  KJ_IREQUIRE((which() == Frame::GOODBYE),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setGoodbye( ::uint64_t value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::GOODBYE);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -196,6 +196,10 @@
       if (peer.calls.contains(id)) peer.parts[id].append(body);
       return;
     }
+    case wire::Frame::GOODBYE:
+      peer.last_taken = frame.getGoodbye();
+      peer.connection->Close();
+      return;
     case wire::Frame::CONFIGURATION:
       callbacks_.on_configuration(Decode(frame.getConfiguration()));
       return;
@@ -233,16 +237,20 @@
   const std::uint64_t submitted = peer.connection->submitted_bytes();
   peer.connection = nullptr;
   auto calls = std::exchange(peer.calls, {});
+  const auto last_taken = std::exchange(peer.last_taken, std::nullopt);
   peer.parts.clear();
   if (peer.is_selected) peer.is_failing = true;
   if (std::exchange(peer.is_open, false)) {
-    logging::Log(Level::kWarning, "link", "lost",
+    logging::Log(last_taken ? Level::kInfo : Level::kWarning, "link",
+                 last_taken ? "ended by the other node" : "lost",
                  {{"node", peer.identity.name}, {"calls", calls.size()}});
   }
   ScheduleReconnect(peer);
   if (callbacks_.on_lost) callbacks_.on_lost(peer.identity.name);
   for (auto& [id, call] : calls) {
-    if (submitted <= call.first_byte) {
+    if (last_taken && id > *last_taken) {
+      call.on_outcome(mesh::NotRun{mesh::Reason::kStopping});
+    } else if (submitted <= call.first_byte) {
       call.on_outcome(mesh::NotRun{mesh::Reason::kLinkLost});
     } else {
       call.on_outcome(mesh::Unknown{mesh::Reason::kLinkLost});
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -78,6 +79,8 @@
     NodeIdentity identity;
     std::shared_ptr<FramedConnection> connection;
     std::unordered_map<CallId, PendingCall> calls;
+    // Last call that the node took before it ended the link, if it did.
+    std::optional<CallId> last_taken;
     // Parts of bodies whose answers have not arrived.
     std::unordered_map<CallId, std::string> parts;
     std::unique_ptr<Timer> timer;
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -163,7 +163,9 @@
 
 void LinkServer::OnCall(const std::shared_ptr<Session>& session,
                         wire::Call::Reader reader, std::string_view body) {
+  if (is_shutting_down_) return;
   const CallId id = reader.getId();
+  session->last_call = std::max(session->last_call, id);
   Call call = Decode(reader, body);
   // Entered first, since the outcome may come before Submit returns.
   session->calls[id] = {.expected_bytes = call.expected_bytes};
@@ -335,6 +337,25 @@
   for (const auto& session : sessions) session->connection->Send(message);
 }
 
+bool LinkServer::has_unsent_answers() const {
+  return !bulk_.empty() ||
+         std::ranges::any_of(sessions_, [](const auto& session) {
+           return session->connection->unsent_bytes() > 0;
+         });
+}
+
+void LinkServer::Shutdown() {
+  if (std::exchange(is_shutting_down_, true)) return;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  const auto sessions = sessions_;
+  for (const auto& session : sessions) {
+    capnp::MallocMessageBuilder message;
+    message.initRoot<wire::Frame>().setGoodbye(session->last_call);
+    session->connection->Send(message);
+  }
+}
+
 void LinkServer::Broadcast() {
   announced_load_ = MakeLoad();
   // A failing link removes itself from the set.
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -61,6 +61,16 @@
   // Tells all links of another node.
   void Forward(const NodeIdentity& node);
 
+  // Whether an answer has not been handed to the system in full.
+  bool has_unsent_answers() const;
+
+  // Takes no further links and calls, and tells each node which of its calls
+  // were taken. The nodes then close their links.
+  void Shutdown();
+
+  // Whether all links are closed.
+  bool is_shut_down() const { return is_shutting_down_ && sessions_.empty(); }
+
  private:
   struct PendingCall {
     // Id at the receiver.
@@ -74,6 +84,8 @@
     MonotonicTime told_at;
     // By the id that the other node gave.
     std::unordered_map<CallId, PendingCall> calls;
+    // Ids grow; 0 if no call has come.
+    CallId last_call = 0;
   };
   // A large answer that is sent in parts.
   struct BulkAnswer {
@@ -122,6 +134,7 @@
   std::size_t promised_bytes_ = 0;
   Callbacks callbacks_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
+  bool is_shutting_down_ = false;
   // What nodes of the own data centre were last told.
   mesh::BackendLoad announced_load_;
 };
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -75,7 +75,8 @@
 
   mesh::BackendStanding standing() const { return backend_.standing(); }
 
-  // Whether no call waits or runs.
+  // Calls that wait or run.
+  std::size_t call_count() const { return calls_.size(); }
   bool is_idle() const { return calls_.empty(); }
 
  private:
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -36,6 +36,9 @@
 // How often a stopping node looks whether it may end.
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
+// How long a stopping node waits for others to close their connections.
+constexpr Duration kCloseLimit = std::chrono::milliseconds(200);
+
 // A node that has just started learns of others by the store, and so do those
 // that start with it.
 constexpr Duration kJoinTime = std::chrono::seconds(3);
@@ -348,24 +351,44 @@
                  {{"id", id}, {"why", why}});
   }
 
+  // Whether nothing that was taken waits for its answer to leave the node.
+  bool is_idle() const {
+    return is_receiver_stopped_ && receiver_.is_idle() && ingress_.is_idle() &&
+           !clients_->has_unsent_answers() &&
+           !link_server_->has_unsent_answers();
+  }
+
   void CheckStop() {
     const Duration elapsed = MonotonicClock::now() - *stopping_since_;
     if (elapsed >= settings_.drain.announce_time && !is_receiver_stopped_) {
       is_receiver_stopped_ = true;
       receiver_.set_stopping();
     }
-    const bool is_done = is_receiver_stopped_ && receiver_.is_idle() &&
-                         ingress_.is_idle() && !clients_->has_unsent_answers();
-    if (is_done || elapsed >= settings_.drain.deadline) {
-      logging::Log(
-          Level::kInfo, "node", "stopped",
-          {{"elapsed_ms", ToMilliseconds(elapsed)}, {"complete", is_done}});
+    const bool is_late = elapsed >= settings_.drain.deadline;
+    if (!closing_since_ && (is_idle() || is_late)) {
+      closing_since_ = MonotonicClock::now();
+      link_server_->Shutdown();
+    }
+    if (closing_since_ && has_closed(is_late)) {
+      logging::Log(Level::kInfo, "node", "stopped",
+                   {{"elapsed_ms", ToMilliseconds(elapsed)},
+                    {"complete", is_idle()},
+                    {"requests", ingress_.request_count()},
+                    {"calls", receiver_.call_count()},
+                    {"links_closed", link_server_->is_shut_down()}});
       loop_.stop();
       return;
     }
     stop_timer_.Start(kStopCheckInterval, [this] { CheckStop(); });
   }
 
+  // Whether other nodes have closed their links, or have had the time for it.
+  bool has_closed(bool is_late) const {
+    if (!is_idle() && !is_late) return false;
+    return link_server_->is_shut_down() ||
+           MonotonicClock::now() - *closing_since_ >= kCloseLimit;
+  }
+
   EventLoop& loop_;
   SidecarSettings settings_;
   RandomSource random_;
@@ -387,6 +410,8 @@
   std::unique_ptr<HttpServer> announcements_;
   std::unique_ptr<HttpServer> metrics_server_;
   std::optional<MonotonicTime> stopping_since_;
+  // When the node began to end its connections.
+  std::optional<MonotonicTime> closing_since_;
   bool is_receiver_stopped_ = false;
   Timer stop_timer_;
 };
