sidecar: Close connections of clients behind what has arrived

What callers saw: connections reset without an answer when a stopping node ended. A new connection that waited to be accepted was reset with the order that its client had sent on it, here up to 550 ms before.

Cause: the process ended as soon as the event loop found nothing in progress, without looking at what had arrived meanwhile. The later a process comes to run, the more that is.

Change: before the end, the node takes in all connections that wait and all bytes that have arrived, stops listening, and closes each connection behind its last answer.

Result: PlannedStopTest.test_waiting_connection_gets_an_answer failed before (reset) and passes.

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -123,6 +123,19 @@
     DropPending();
   }
 
+  // Handles what has arrived, and ends the connection if nothing is in
+  // progress.
+  void Shutdown() {
+    while (!is_lingering_ && unparsed_.size() < kMaxUnparsedBytes &&
+           ReadBytes()) {
+    }
+    if (is_closed_ || is_lingering_ || is_writing_ || !pending_.empty() ||
+        has_partial_request_) {
+      return;
+    }
+    End();
+  }
+
   void Detach() {
     server_ = nullptr;
     for (Pending& pending : pending_) pending.on_client_left = nullptr;
@@ -182,24 +195,25 @@
         });
   }
 
-  void ReadBytes() {
-    if (is_closed_ || server_ == nullptr) return;
+  // Returns whether bytes were read.
+  bool ReadBytes() {
+    if (is_closed_ || server_ == nullptr) return false;
     auto& area = server_->read_area_;
     boost::system::error_code error;
     const std::size_t size =
         socket_.read_some(boost::asio::buffer(area), error);
     if (error == boost::asio::error::would_block) {
       AwaitBytes();
-      return;
+      return false;
     }
     if (error) {
       // A client that shuts down its side has no use for an answer.
       Close();
-      return;
+      return false;
     }
     if (is_lingering_) {
       AwaitBytes();
-      return;
+      return true;
     }
     if (unparsed_.size() == 0) {
       const std::size_t used = Parse(boost::asio::buffer(area.data(), size));
@@ -209,6 +223,7 @@
       ParseKept();
     }
     AwaitBytes();
+    return true;
   }
 
   void Keep(const char* bytes, std::size_t size) {
@@ -343,12 +358,10 @@
     head_.clear();
     body_ = std::string();
     if (closes_after_write_) {
-      boost::system::error_code ignored;
-      socket_.shutdown(Tcp::socket::shutdown_send, ignored);
       if (is_end_agreed) {
         Close();
       } else {
-        Linger();
+        End();
       }
       return;
     }
@@ -364,8 +377,10 @@
     AwaitBytes();
   }
 
-  // Drops what the client still sends.
-  void Linger() {
+  // Tells the client that no answer follows, and drops what it still sends.
+  void End() {
+    boost::system::error_code ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
     is_lingering_ = true;
     deadline_ = MonotonicClock::now() + kLingerTime;
     unparsed_.clear();
@@ -448,16 +463,36 @@
           accept_timer_.Start(detail::kAcceptPause, [this] { Accept(); });
           return;
         }
-        boost::system::error_code ignored;
-        socket.set_option(Tcp::no_delay(true), ignored);
-        const auto connection =
-            std::make_shared<detail::ServerConnection>(this, std::move(socket));
-        connections_.insert(connection);
-        connection->Start();
-        Accept();
+        Add(std::move(socket));
+        if (acceptor_.is_open()) Accept();
       });
 }
 
+void HttpServer::Add(Tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const auto connection =
+      std::make_shared<detail::ServerConnection>(this, std::move(socket));
+  connections_.insert(connection);
+  connection->Start();
+}
+
+void HttpServer::Shutdown() {
+  is_closing_ = true;
+  accept_timer_.Cancel();
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) Add(std::move(socket));
+  }
+  acceptor_.close(error);
+  const std::vector<std::shared_ptr<detail::ServerConnection>> connections(
+      connections_.begin(), connections_.end());
+  for (const auto& connection : connections) connection->Shutdown();
+}
+
 void HttpServer::Sweep() {
   sweep_timer_.Start(detail::kSweepInterval, [this] {
     const MonotonicTime now = MonotonicClock::now();
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -103,6 +103,16 @@
   // Asks each client to open a new connection for its next request.
   void set_closing(bool is_closing) { is_closing_ = is_closing; }
 
+  // Ends the server: takes in the connections and requests that have already
+  // arrived, accepts no more, and closes each connection behind its last
+  // answer.
+  void Shutdown();
+
+  // Whether all connections are closed.
+  bool is_shut_down() const {
+    return !acceptor_.is_open() && connections_.empty();
+  }
+
   std::size_t connection_count() const { return connections_.size(); }
 
   // Whether an answer has not been handed to the system in full.
@@ -117,6 +127,7 @@
   HttpServer(EventLoop& loop, Tcp::acceptor acceptor, Handler handler,
              IsRepeatable is_repeatable);
   void Accept();
+  void Add(Tcp::socket socket);
   void Sweep();
 
   Tcp::acceptor acceptor_;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -368,6 +368,7 @@
     if (!closing_since_ && (is_idle() || is_late)) {
       closing_since_ = MonotonicClock::now();
       link_server_->Shutdown();
+      clients_->Shutdown();
     }
     if (closing_since_ && has_closed(is_late)) {
       logging::Log(Level::kInfo, "node", "stopped",
@@ -375,17 +376,19 @@
                     {"complete", is_idle()},
                     {"requests", ingress_.request_count()},
                     {"calls", receiver_.call_count()},
-                    {"links_closed", link_server_->is_shut_down()}});
+                    {"links_closed", link_server_->is_shut_down()},
+                    {"connections", clients_->connection_count()}});
       loop_.stop();
       return;
     }
     stop_timer_.Start(kStopCheckInterval, [this] { CheckStop(); });
   }
 
-  // Whether other nodes have closed their links, or have had the time for it.
+  // Whether clients and other nodes have closed their connections, or have had
+  // the time for it.
   bool has_closed(bool is_late) const {
     if (!is_idle() && !is_late) return false;
-    return link_server_->is_shut_down() ||
+    return (link_server_->is_shut_down() && clients_->is_shut_down()) ||
            MonotonicClock::now() - *closing_since_ >= kCloseLimit;
   }
 
