sidecar: Read what arrived on a link before it broke

What callers saw: 502 for requests whose answers had arrived. When a process had ended and the other node sent a call before it had read all of the last answers, the failed write closed the link and dropped what was unread.

Cause: FramedConnection closed itself at a failed write.

Change: a failed write ends writing only; the read finds the end of the connection behind the last byte that arrived, as in HttpConnection.

--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -172,7 +172,7 @@
 }
 
 void FramedConnection::Flush() {
-  if (is_closed_ || is_writing_) return;
+  if (is_closed_ || is_writing_ || is_broken_) return;
   if (pending_.empty()) return;
   is_writing_ = true;
   std::swap(writing_, pending_);
@@ -183,7 +183,8 @@
                                   std::size_t /*size*/) {
         self->is_writing_ = false;
         if (error) {
-          self->Close();
+          // The read finds the end behind what has arrived before it.
+          self->is_broken_ = true;
           return;
         }
         self->writing_.clear();
--- a/libraries/sidecar/framed_connection.h
+++ b/libraries/sidecar/framed_connection.h
@@ -85,6 +85,8 @@
   bool packs_ = false;
   bool is_flush_scheduled_ = false;
   bool is_writing_ = false;
+  // A write failed; nothing more is sent.
+  bool is_broken_ = false;
   bool is_closed_ = false;
 };
 
--- a/tests/sidecar/framed_connection_test.cc
+++ b/tests/sidecar/framed_connection_test.cc
@@ -123,6 +123,41 @@
   pair.loop.run_for(milliseconds(10));
 }
 
+// Guards against answers that have arrived and are dropped: the other process
+// has ended, and a call is sent before they are read.
+TEST_CASE("what arrived before a reset is read") {
+  SocketPair pair;
+  // More than a few reads take.
+  constexpr std::size_t kAnswers = 12;
+  const std::string body(10'000, 'x');
+  const auto sender =
+      std::make_shared<FramedConnection>(std::move(pair.second));
+  sender->Start([](auto, auto) {}, [] {});
+  capnp::MallocMessageBuilder answer;
+  answer.initRoot<wire::Frame>().initAnswer().setId(1);
+  for (std::size_t i = 0; i < kAnswers; ++i) sender->Send(answer, body);
+  pair.loop.run_for(milliseconds(50));
+  // Bytes that the sender has not read when it closes reset the connection.
+  boost::asio::write(pair.first, boost::asio::buffer("unread", 6));
+  sender->Close();
+  pair.loop.restart();
+  pair.loop.run_for(milliseconds(20));
+  pair.loop.restart();
+  const auto receiver =
+      std::make_shared<FramedConnection>(std::move(pair.first));
+  std::size_t received = 0;
+  bool is_closed = false;
+  receiver->Start([&](wire::Frame::Reader /*frame*/,
+                      std::string_view bytes) { received += bytes.size(); },
+                  [&] { is_closed = true; });
+  capnp::MallocMessageBuilder call;
+  call.initRoot<wire::Frame>().initCall().setId(2);
+  receiver->Send(call);
+  pair.loop.run_for(milliseconds(100));
+  REQUIRE(received == kAnswers * body.size());
+  REQUIRE(is_closed);
+}
+
 // Guards against packed messages that are cut, claim more words than they have,
 // or expand without end.
 TEST_CASE("malformed packed messages end the connection") {
