--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -75,7 +75,9 @@
         "1500ms"},
        Assign<&Settings::drain, &Settings::Drain::fence>::To},
       {{"drain", "announce-time", DurationRule{milliseconds(0), seconds(60)},
-        "time after SIGTERM for which the node takes requests", "2500ms"},
+        "time after SIGTERM for which the node takes requests that may outlast "
+        "it; later ones are taken if they end before the deadline",
+        "2500ms"},
        Assign<&Settings::drain, &Settings::Drain::announce_time>::To},
       {{"drain", "deadline", DurationRule{seconds(1), seconds(3600)},
         "time after SIGTERM at which the node ends with requests in flight",
