--- a/libraries/mesh/attempt_policy.h
+++ b/libraries/mesh/attempt_policy.h
@@ -18,7 +18,8 @@
   int maximum_attempts = 1;
   // Number of backend servers that it reached or may have reached.
   int reached = 0;
-  // Number of nodes that it was sent to.
+  // Number of nodes that it was sent to, without those that refused because
+  // they are stopping: in a rolling restart several may do so at a time.
   int hops = 0;
   // Time left until the deadline of the request.
   Duration remaining{};
--- a/libraries/mesh/stop_policy.h
+++ b/libraries/mesh/stop_policy.h
@@ -30,21 +30,22 @@
       : announced_at_(begin + options.announce_time),
         end_(begin + options.deadline) {}
 
-  // Latest time at which a request is answered, also one that was taken before
+  // Latest deadline of a client's request, also of one that was taken before
   // the stop.
-  MonotonicTime last_answer() const;
+  MonotonicTime last_deadline() const;
 
-  // Returns the deadline of a client's request that may take `limit`, or
+  // Returns the deadline of a client's request that arrived at `arrived`, is
+  // handled at `now` and may take `limit` from its arrival, or
   // nothing if it is to be refused. A request that is sure to be answered
   // before the end is always taken. Another one is taken only during the
   // announce time, and if its target latency fits.
   std::optional<MonotonicTime> ChooseDeadline(MonotonicTime arrived,
-                                              Duration limit,
+                                              MonotonicTime now, Duration limit,
                                               Duration target_latency) const;
 
   // Whether a request with this deadline may begin to run at the backend server
   // beside the node.
-  bool MayRun(MonotonicTime deadline) const { return deadline <= end_; }
+  bool MayRun(MonotonicTime deadline) const;
 
  private:
   MonotonicTime announced_at_;
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -68,6 +68,8 @@
   std::vector<std::string> tried;
   int reached = 0;
   int hops = 0;
+  // Of these, nodes that refused because they are stopping.
+  int stopping_hops = 0;
   bool may_have_run = false;
   // Answer of a backend server that failed, in case no other one does better.
   std::optional<mesh::Completed> failure;
@@ -93,12 +95,12 @@
          kFreshLimit;
 }
 
-void Ingress::Stop(const mesh::StopPolicy& policy) {
+void Ingress::BeginStop(const mesh::StopPolicy& policy) {
   stop_ = policy;
   retries_.AddReserve(kStopReserve);
   for (const ExchangePointer& exchange : exchanges_) {
-    if (exchange->deadline <= policy.last_answer()) continue;
-    exchange->deadline = policy.last_answer();
+    if (exchange->deadline <= policy.last_deadline()) continue;
+    exchange->deadline = policy.last_deadline();
     StartDeadlineTimer(exchange);
   }
 }
@@ -164,8 +166,8 @@
   exchange->deadline = exchange->arrived + limit;
   bool is_too_late = false;
   if (stop_) {
-    const auto deadline =
-        stop_->ChooseDeadline(exchange->arrived, limit, route->target_latency);
+    const auto deadline = stop_->ChooseDeadline(
+        exchange->arrived, MonotonicClock::now(), limit, route->target_latency);
     is_too_late = !deadline.has_value();
     exchange->deadline = deadline.value_or(exchange->deadline);
   }
@@ -272,11 +274,14 @@
       not_run == nullptr || not_run->has_reached_backend_server;
   if (has_reached) ++exchange->reached;
   if (not_run == nullptr) exchange->may_have_run = true;
+  if (not_run != nullptr && not_run->reason == mesh::Reason::kStopping) {
+    ++exchange->stopping_hops;
+  }
   const mesh::AttemptHistory history{
       .kind = exchange->route->kind,
       .maximum_attempts = exchange->route->maximum_attempts,
       .reached = exchange->reached,
-      .hops = exchange->hops,
+      .hops = exchange->hops - exchange->stopping_hops,
       .remaining = exchange->deadline - MonotonicClock::now(),
       .expected_run = exchange->call.expected_run};
   auto step = mesh::DecideNextStep(history, outcome);
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -74,7 +74,7 @@
 
   // The node stops: from now on `policy` decides which requests are taken, and
   // all are answered before the end.
-  void Stop(const mesh::StopPolicy& policy);
+  void BeginStop(const mesh::StopPolicy& policy);
 
   // Requests that wait for their answers.
   std::size_t request_count() const { return exchanges_.size(); }
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -350,12 +350,12 @@
   return effect != mesh::LocalBackend::Effect::kAmbiguous;
 }
 
-void Receiver::Stop(const mesh::StopPolicy& policy) {
+void Receiver::BeginStop(const mesh::StopPolicy& policy) {
   stop_ = policy;
   RejectUnservable();
 }
 
-void Receiver::set_stopping() {
+void Receiver::RefuseCalls() {
   is_stopping_ = true;
   RejectWaiting(mesh::Reason::kStopping);
   if (on_standing_changed_) on_standing_changed_();
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -58,10 +58,10 @@
 
   // The node stops: from now on only those calls are run that `policy` lets
   // run.
-  void Stop(const mesh::StopPolicy& policy);
+  void BeginStop(const mesh::StopPolicy& policy);
 
-  // Stops taking calls, since the node is about to end.
-  void set_stopping();
+  // Takes no calls from now on, since the node is about to end.
+  void RefuseCalls();
 
   // Called when the standing of the backend server changed.
   void set_on_standing_changed(std::function<void()> on_changed) {
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -205,8 +205,8 @@
     const mesh::StopPolicy policy(
         *stopping_since_, {.announce_time = settings_.drain.announce_time,
                            .deadline = settings_.drain.deadline});
-    ingress_.Stop(policy);
-    receiver_.Stop(policy);
+    ingress_.BeginStop(policy);
+    receiver_.BeginStop(policy);
     logging::Log(Level::kInfo, "node", "stopping",
                  {{"standing", mesh::ToString(receiver_.standing())}});
     CheckStop();
@@ -362,7 +362,7 @@
     const Duration elapsed = MonotonicClock::now() - *stopping_since_;
     if (elapsed >= settings_.drain.announce_time && !is_receiver_stopped_) {
       is_receiver_stopped_ = true;
-      receiver_.set_stopping();
+      receiver_.RefuseCalls();
     }
     const bool is_late = elapsed >= settings_.drain.deadline;
     if (!closing_since_ && (is_idle() || is_late)) {
