sidecar: Let nothing begin on a link that ends

From the review: a link that was accepted in the turn in which the node shut its links down was kept, told its status and never ended, and the accept loop went on at a closed acceptor; a connection whose write had failed kept queueing frames. Both end now. The check of a stopping node counts all frames, so it is named after them.

--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -149,7 +149,7 @@
 
 void FramedConnection::Send(capnp::MessageBuilder& message,
                             std::string_view body) {
-  if (is_closed_) return;
+  if (is_closed_ || is_broken_) return;
   const std::size_t before = pending_.size();
   AppendFrame(pending_, message, body, packs_);
   const std::size_t added = pending_.size() - before;
@@ -185,6 +185,8 @@
         if (error) {
           // The read finds the end behind what has arrived before it.
           self->is_broken_ = true;
+          self->pending_.clear();
+          self->writing_.clear();
           return;
         }
         self->writing_.clear();
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -88,7 +88,9 @@
 void LinkServer::Accept() {
   acceptor_.async_accept([this](const boost::system::error_code& error,
                                 Tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
+    if (error == boost::asio::error::operation_aborted || is_shutting_down_) {
+      return;
+    }
     if (error) {
       accept_timer_.Start(kAcceptPause, [this] { Accept(); });
       return;
@@ -165,7 +167,7 @@
                         wire::Call::Reader reader, std::string_view body) {
   if (is_shutting_down_) return;
   const CallId id = reader.getId();
-  session->last_call = std::max(session->last_call, id);
+  session->last_taken = std::max(session->last_taken, id);
   Call call = Decode(reader, body);
   // Entered first, since the outcome may come before Submit returns.
   session->calls[id] = {.expected_bytes = call.expected_bytes};
@@ -337,7 +339,7 @@
   for (const auto& session : sessions) session->connection->Send(message);
 }
 
-bool LinkServer::has_unsent_answers() const {
+bool LinkServer::has_unsent_frames() const {
   return !bulk_.empty() ||
          std::ranges::any_of(sessions_, [](const auto& session) {
            return session->connection->unsent_bytes() > 0;
@@ -346,12 +348,13 @@
 
 void LinkServer::Shutdown() {
   if (std::exchange(is_shutting_down_, true)) return;
+  accept_timer_.Cancel();
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   const auto sessions = sessions_;
   for (const auto& session : sessions) {
     capnp::MallocMessageBuilder message;
-    message.initRoot<wire::Frame>().setGoodbye(session->last_call);
+    message.initRoot<wire::Frame>().setGoodbye(session->last_taken);
     session->connection->Send(message);
   }
 }
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -61,8 +61,9 @@
   // Tells all links of another node.
   void Forward(const NodeIdentity& node);
 
-  // Whether an answer has not been handed to the system in full.
-  bool has_unsent_answers() const;
+  // Whether an answer or another frame has not been handed to the system in
+  // full.
+  bool has_unsent_frames() const;
 
   // Takes no further links and calls, and tells each node which of its calls
   // were taken. The nodes then close their links.
@@ -85,7 +86,7 @@
     // By the id that the other node gave.
     std::unordered_map<CallId, PendingCall> calls;
     // Ids grow; 0 if no call has come.
-    CallId last_call = 0;
+    CallId last_taken = 0;
   };
   // A large answer that is sent in parts.
   struct BulkAnswer {
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -355,7 +355,7 @@
   bool is_idle() const {
     return is_receiver_stopped_ && receiver_.is_idle() && ingress_.is_idle() &&
            !clients_->has_unsent_answers() &&
-           !link_server_->has_unsent_answers();
+           !link_server_->has_unsent_frames();
   }
 
   void CheckStop() {
