sidecar: Answer all that a stopping node has read

What callers saw: - An order whose body was on its way when the node ended was reset, although the node had three seconds left. - Pipelined requests that had been read behind one in progress at SIGTERM were dropped when the answer before them closed the connection.

Cause: a request that is read in part did not count when the node looked whether it may end, and the last answer of a closing connection was decided without the bytes behind it.

Change: requests read in part count; whatever has been read is handled one by one, and the last answer closes. The node looks for what has arrived at each check, and the time for others to close begins anew when it finds something.

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -106,10 +106,12 @@
     }
   }
 
-  bool has_unsent_answer() const {
-    return std::ranges::any_of(pending_, [](const Pending& pending) {
-      return pending.answer.has_value();
-    });
+  // Whether no request has been read in part and no answer is unsent.
+  bool is_idle() const {
+    return (!has_partial_request_ || is_lingering_) &&
+           std::ranges::none_of(pending_, [](const Pending& pending) {
+             return pending.answer.has_value();
+           });
   }
 
   void Close() {
@@ -272,11 +274,18 @@
         }
         return total;
       }
+      left_to_parse_ = bytes.size();
       OnRequest();
+      left_to_parse_.reset();
     }
     return total;
   }
 
+  // Whether bytes have been read behind the requests that were parsed.
+  bool has_unparsed_bytes() const {
+    return left_to_parse_.value_or(unparsed_.size()) > 0;
+  }
+
   void OnRequest() {
     auto request = std::make_shared<HttpRequest>(parser_->Release());
     const MonotonicTime now = MonotonicClock::now();
@@ -313,8 +322,9 @@
     if (pending_.empty() || !pending_.front().answer) return;
     const Pending& pending = pending_.front();
     HttpAnswer& answer = *pending_.front().answer;
-    // What was read before the server began to close is answered as well.
-    const bool is_last_read = pending_.size() == 1 && !held_;
+    // Whatever has been read is answered as well.
+    const bool is_last_read =
+        pending_.size() == 1 && !held_ && !has_unparsed_bytes();
     const bool closes =
         answer.closes_connection || !pending.keeps_alive ||
         (is_last_read && (server_ == nullptr || server_->is_closing_));
@@ -392,6 +402,9 @@
   Tcp::socket socket_;
   // Bytes behind the requests in progress, and of a request that is not whole.
   boost::beast::flat_buffer unparsed_;
+  // While a request is handled that was just parsed, the bytes behind it: they
+  // are not in unparsed_ yet, or still with those before them.
+  std::optional<std::size_t> left_to_parse_;
   std::optional<HttpRequestParser> parser_;
   // In the order of the requests.
   std::deque<Pending> pending_;
@@ -444,9 +457,9 @@
       handler_(std::move(handler)),
       is_repeatable_(std::move(is_repeatable)) {}
 
-bool HttpServer::has_unsent_answers() const {
-  return std::ranges::any_of(connections_, [](const auto& connection) {
-    return connection->has_unsent_answer();
+bool HttpServer::is_idle() const {
+  return std::ranges::all_of(connections_, [](const auto& connection) {
+    return connection->is_idle();
   });
 }
 
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -79,8 +79,9 @@
 // number for each connection; their answers go out in the order of the
 // requests. Any other request is handled when all answers before it have been
 // sent: clients repeat what they sent behind an answer that closes the
-// connection. Nothing is read behind a malformed request, behind one that ends
-// the connection, or once the server is closing and a request is in progress.
+// connection. Nothing is read behind a malformed request, or behind one that
+// ends the connection. Once the server is closing, what has been read is
+// handled one by one, and the last answer ends the connection.
 //
 // Not thread-safe.
 class HttpServer {
@@ -105,7 +106,7 @@
 
   // Ends the server: takes in the connections and requests that have already
   // arrived, accepts no more, and closes each connection behind its last
-  // answer.
+  // answer. May be called again to take in what has arrived since.
   void Shutdown();
 
   // Whether all connections are closed.
@@ -115,8 +116,9 @@
 
   std::size_t connection_count() const { return connections_.size(); }
 
-  // Whether an answer has not been handed to the system in full.
-  bool has_unsent_answers() const;
+  // Whether no request has been read in part, and each answer that was given
+  // has been handed to the system in full.
+  bool is_idle() const;
 
  private:
   friend class detail::ServerConnection;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -354,23 +354,30 @@
   // Whether nothing that was taken waits for its answer to leave the node.
   bool is_idle() const {
     return is_receiver_stopped_ && receiver_.is_idle() && ingress_.is_idle() &&
-           !clients_->has_unsent_answers() &&
-           !link_server_->has_unsent_frames();
+           clients_->is_idle() && !link_server_->has_unsent_frames();
   }
 
+  // See "A planned stop" in docs/platform.md.
   void CheckStop() {
-    const Duration elapsed = MonotonicClock::now() - *stopping_since_;
-    if (elapsed >= settings_.drain.announce_time && !is_receiver_stopped_) {
+    const MonotonicTime now = MonotonicClock::now();
+    const Duration elapsed = now - *stopping_since_;
+    const bool is_late = elapsed >= settings_.drain.deadline;
+    if ((elapsed >= settings_.drain.announce_time || is_late) &&
+        !is_receiver_stopped_) {
       is_receiver_stopped_ = true;
       receiver_.RefuseCalls();
     }
-    const bool is_late = elapsed >= settings_.drain.deadline;
-    if (!closing_since_ && (is_idle() || is_late)) {
-      closing_since_ = MonotonicClock::now();
+    if (is_idle() || is_late) {
+      // Each time, this takes in what has arrived since the last one.
       link_server_->Shutdown();
       clients_->Shutdown();
     }
-    if (closing_since_ && has_closed(is_late)) {
+    if (!is_idle() && !is_late) {
+      closing_since_.reset();
+    } else if (!closing_since_) {
+      closing_since_ = now;
+    }
+    if (closing_since_ && may_end(now)) {
       logging::Log(Level::kInfo, "node", "stopped",
                    {{"elapsed_ms", ToMilliseconds(elapsed)},
                     {"complete", is_idle()},
@@ -386,10 +393,9 @@
 
   // Whether clients and other nodes have closed their connections, or have had
   // the time for it.
-  bool has_closed(bool is_late) const {
-    if (!is_idle() && !is_late) return false;
+  bool may_end(MonotonicTime now) const {
     return (link_server_->is_shut_down() && clients_->is_shut_down()) ||
-           MonotonicClock::now() - *closing_since_ >= kCloseLimit;
+           now - *closing_since_ >= kCloseLimit;
   }
 
   EventLoop& loop_;
@@ -413,7 +419,7 @@
   std::unique_ptr<HttpServer> announcements_;
   std::unique_ptr<HttpServer> metrics_server_;
   std::optional<MonotonicTime> stopping_since_;
-  // When the node began to end its connections.
+  // Since when only the other sides of connections are waited for.
   std::optional<MonotonicTime> closing_since_;
   bool is_receiver_stopped_ = false;
   Timer stop_timer_;
--- a/tests/sidecar/pipeline_test.cc
+++ b/tests/sidecar/pipeline_test.cc
@@ -213,11 +213,11 @@
   client.Send(Get("/idem/4"));
   mesh.RunUntil([&] { return client.is_ended(); });
   REQUIRE_FALSE(client.is_reset());
-  REQUIRE(
-      StandInOrder(client.received(),
-                   {"HTTP/1.1 200", "body of /idem/slow1", "HTTP/1.1 200",
-                    "body of /idem/slow2", "HTTP/1.1 ", "Connection: close"}));
-  REQUIRE(client.Count("HTTP/1.1 ") == 3);
+  REQUIRE(StandInOrder(
+      client.received(),
+      {"HTTP/1.1 200", "body of /idem/slow1", "HTTP/1.1 200",
+       "body of /idem/slow2", "HTTP/1.1 ", "HTTP/1.1 ", "Connection: close"}));
+  REQUIRE(client.Count("HTTP/1.1 ") == 4);
   REQUIRE(client.Count("Connection: close") == 1);
 }
 
--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -412,6 +412,21 @@
         await pause
         connection[1].transport.abort()
 
+    # An order whose body was on its way when the node ended was reset.
+    async def test_request_in_progress_gets_an_answer(self):
+        (node,) = await self.start("orders")
+        reader, writer = await self.open(node)
+        node.send(signal.SIGTERM)
+        await asyncio.sleep(ANNOUNCE_TIME - 0.2)
+        headers = {"Host": "a.example", wire.REQUEST_ID: "half", wire.DEADLINE: 5000}
+        request = wire.encode("POST /once/half HTTP/1.1", headers, b"order")
+        writer.write(request[:-3])
+        await asyncio.sleep(0.5)
+        writer.write(request[-3:])
+        answer = await wire.read_message(reader, is_answer=True)
+        self.assertIn(answer.status, (200, 503))
+        writer.transport.abort()
+
     async def open_and_use(self, node):
         connection = await self.open(node)
         first = await self.request(node, "GET", "/idem/kept", connection=connection)
