--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -85,8 +85,9 @@
         # Run times in seconds by the beginning of the path; others take none.
         self.run_times = {}
         self.answer_bytes = 10
-        # Requests that began to run, by id; their targets.
+        # Requests that began to run, by id; their targets and calling services.
         self.started = {}
+        self.callers = {}
         self.held = asyncio.Event()
         self.held.set()
         self.sequence = 0
@@ -118,21 +119,24 @@
             await asyncio.sleep(0.3)
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                request = await wire.read_message(reader)
-                identifier = request.header(wire.REQUEST_ID)
-                headers = {wire.REQUEST_ID: identifier, wire.STAMP: "stamp"}
-                body = b""
-                if request.start[1] != wire.HEALTH:
-                    self.started[identifier] = request.start[1]
-                    await asyncio.sleep(self.run_time(request.start[1]))
-                    if request.start[1].startswith(("/long/", "/order/")):
-                        await self.held.wait()
-                    body = b"x" * self.answer_bytes
-                writer.write(wire.encode("HTTP/1.1 200 OK", headers, body))
-                await writer.drain()
-        writer.transport.abort()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    request = await wire.read_message(reader)
+                    identifier = request.header(wire.REQUEST_ID)
+                    headers = {wire.REQUEST_ID: identifier, wire.STAMP: "stamp"}
+                    body = b""
+                    if request.start[1] != wire.HEALTH:
+                        self.started[identifier] = request.start[1]
+                        self.callers[identifier] = request.header(wire.CALLER_SERVICE)
+                        await asyncio.sleep(self.run_time(request.start[1]))
+                        if request.start[1].startswith(("/long/", "/order/")):
+                            await self.held.wait()
+                        body = b"x" * self.answer_bytes
+                    writer.write(wire.encode("HTTP/1.1 200 OK", headers, body))
+                    await writer.drain()
+        finally:
+            writer.transport.abort()
 
     def run_time(self, target):
         return next(
@@ -196,8 +200,9 @@
 class Answer:
     """How a request ended: its status, or 0 for a connection without answer."""
 
-    def __init__(self, status=0, stamp="", body=b"", error=""):
+    def __init__(self, status=0, stamp="", body=b"", error="", closes=False):
         self.status = status
+        self.closes = closes
         self.stamp = stamp
         self.body = body
         self.error = error
@@ -206,7 +211,8 @@
         return f"status {self.status}, {len(self.body)} bytes, {self.error!r}"
 
 
-class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+class NodesTest(unittest.IsolatedAsyncioTestCase):
+    """Starts nodes with their backend servers and sends requests to them."""
 
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
@@ -263,7 +269,16 @@
     async def open(self, node):
         return await asyncio.open_connection(*node.listen["clients"])
 
-    async def request(self, node, method, target, deadline=15.0, connection=None):
+    async def request(
+        self,
+        node,
+        method,
+        target,
+        deadline=15.0,
+        connection=None,
+        body=b"order",
+        more_headers=(),
+    ):
         """Sends a request on a connection, or on a new one."""
         self.next_request += 1
         identifier = f"q{self.next_request}"
@@ -271,17 +286,23 @@
             "Host": "a.example",
             wire.REQUEST_ID: identifier,
             wire.DEADLINE: int(deadline * 1000),
+            **dict(more_headers),
         }
         try:
             reader, writer = connection or await self.open(node)
         except OSError as error:
             return Answer(error=f"not connected: {error}")
         try:
-            writer.write(wire.encode(f"{method} {target} HTTP/1.1", headers, b"order"))
+            writer.write(wire.encode(f"{method} {target} HTTP/1.1", headers, body))
             answer = await asyncio.wait_for(
                 wire.read_message(reader, is_answer=True), deadline + 1
             )
-            return Answer(answer.status, answer.header(wire.STAMP), answer.body)
+            return Answer(
+                answer.status,
+                answer.header(wire.STAMP),
+                answer.body,
+                closes=answer.header("Connection") == "close",
+            )
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
             return Answer(error=repr(error))
         finally:
@@ -330,6 +351,15 @@
         failed = {target: end for target, end in ends.items() if end.status != 200}
         self.assertEqual({}, failed)
 
+    async def open_and_use(self, node):
+        connection = await self.open(node)
+        first = await self.request(node, "GET", "/idem/kept", connection=connection)
+        self.assertEqual(200, first.status)
+        return connection
+
+
+class PlannedStopTest(NodesTest):
+
     # A request that may outlast the node was passed on, and cut shortly before
     # the end: callers may stay at a stopping node.
     async def test_late_request_is_refused_or_ends(self):
@@ -412,12 +442,6 @@
         await pause
         connection[1].transport.abort()
 
-    async def open_and_use(self, node):
-        connection = await self.open(node)
-        first = await self.request(node, "GET", "/idem/kept", connection=connection)
-        self.assertEqual(200, first.status)
-        return connection
-
     # An order that crossed the end of the node that was to run it counted as of
     # unknown outcome and was answered 502, though it had not run.
     async def test_call_that_crosses_the_end_runs_elsewhere(self):
