sidecar: Apply the limits in force to kept connections

What callers saw, after a new configuration with larger limits: 413 to a body, or 431 to a head, that the configuration allows, on a connection that was kept from before; an idle connection that was closed after 1.2 s with 4 s allowed, as their next order was on its way. Without any change: 408 to a request whose body was still arriving when the request before it on the connection was answered.

Cause: the parser of the next request took its limits when the previous one had been read, and the end of a wait was computed when the wait began, once with the limit of a head for a body.

Change: the parser is made at the first byte of a request; a connection keeps since when it waits, and the limit follows from what it waits for and from the limits in force.

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -62,7 +62,6 @@
       : server_(server), socket_(std::move(socket)) {
     boost::system::error_code ignored;
     socket_.non_blocking(true, ignored);
-    BeginRequest();
   }
 
   void Start() { AwaitBytes(); }
@@ -93,7 +92,7 @@
       if (now >= write_deadline_) Close();
       return;
     }
-    if (now < deadline_) return;
+    if (now < waiting_since_ + WaitLimit()) return;
     if (is_lingering_) {
       Close();
       return;
@@ -177,12 +176,28 @@
     }
   }
 
+  // How long the client may take for what is waited for, by the limits in
+  // force.
+  Duration WaitLimit() const {
+    if (is_lingering_) return kLingerTime;
+    const HttpLimits& limits = server_->limits_;
+    return has_partial_request_ && !parser_->is_head_complete()
+               ? limits.header_timeout
+               : limits.idle_timeout;
+  }
+
+  // The first bytes of a request have arrived.
   void BeginRequest() {
     const HttpLimits& limits = server_->limits_;
     parser_.emplace(HttpMessageLimits{.head_bytes = limits.maximum_header_bytes,
                                       .body_bytes = limits.maximum_body_bytes});
+    has_partial_request_ = true;
+    waiting_since_ = MonotonicClock::now();
+  }
+
+  void EndRequest() {
     has_partial_request_ = false;
-    deadline_ = MonotonicClock::now() + limits.idle_timeout;
+    waiting_since_ = MonotonicClock::now();
   }
 
   void AwaitBytes() {
@@ -256,10 +271,7 @@
   std::size_t Parse(boost::asio::const_buffer bytes) {
     std::size_t total = 0;
     while (bytes.size() > 0 && may_parse()) {
-      if (!has_partial_request_) {
-        has_partial_request_ = true;
-        deadline_ = MonotonicClock::now() + server_->limits_.header_timeout;
-      }
+      if (!has_partial_request_) BeginRequest();
       boost::system::error_code error;
       const std::size_t used = parser_->Put(bytes, error);
       bytes += used;
@@ -269,9 +281,7 @@
         return total;
       }
       if (!parser_->is_complete()) {
-        if (parser_->is_head_complete()) {
-          deadline_ = MonotonicClock::now() + server_->limits_.idle_timeout;
-        }
+        if (parser_->is_head_complete()) waiting_since_ = MonotonicClock::now();
         return total;
       }
       left_to_parse_ = bytes.size();
@@ -290,7 +300,7 @@
     auto request = std::make_shared<HttpRequest>(parser_->Release());
     const MonotonicTime now = MonotonicClock::now();
     if (!request->keep_alive()) is_last_parsed_ = true;
-    BeginRequest();
+    EndRequest();
     if (!pending_.empty() &&
         !(server_->is_repeatable_ && server_->is_repeatable_(*request))) {
       held_ = HeldRequest{std::move(request), now};
@@ -375,9 +385,7 @@
       }
       return;
     }
-    deadline_ = MonotonicClock::now() + (has_partial_request_
-                                             ? server_->limits_.header_timeout
-                                             : server_->limits_.idle_timeout);
+    waiting_since_ = MonotonicClock::now();
     if (held_ && pending_.empty()) {
       const HeldRequest held = *std::exchange(held_, std::nullopt);
       Handle(held.request, held.received_at);
@@ -392,7 +400,7 @@
     boost::system::error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
     is_lingering_ = true;
-    deadline_ = MonotonicClock::now() + kLingerTime;
+    waiting_since_ = MonotonicClock::now();
     unparsed_.clear();
     DropPending();
     AwaitBytes();
@@ -415,9 +423,9 @@
   // The answer that is being written, that of the first request.
   std::string head_;
   std::string body_;
-  // Of the answer that is being written, and of everything else.
   MonotonicTime write_deadline_;
-  MonotonicTime deadline_;
+  // Since when the client's next bytes are waited for.
+  MonotonicTime waiting_since_ = MonotonicClock::now();
   bool is_awaiting_ = false;
   bool has_partial_request_ = false;
   // No further request is parsed.
