sidecar: Take settings only when their file has settled

What backend servers saw: requests with a part of the service's name (Oleandertide-Caller-Service: sto) while the settings file was being written and the node was told by SIGHUP, or looked by itself: a file that is cut within its last value is valid.

Cause: any text that parsed was taken at once.

Change: a changed file is taken when it reads the same 100 ms later; SIGHUP in between does not shorten that.

--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -35,6 +35,9 @@
 
 // The settings file may change without a signal.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
+// A changed file is taken when it reads the same after this time: one that is
+// being written may be valid although it is cut.
+constexpr Duration kSettingsSettleTime = std::chrono::milliseconds(100);
 
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path);
@@ -74,7 +77,8 @@
         path_(std::move(path)),
         text_(std::move(text)),
         signals_(loop, SIGTERM, SIGINT, SIGHUP),
-        timer_(loop) {
+        timer_(loop),
+        settle_timer_(loop) {
     AwaitSignal();
     AwaitCheck();
   }
@@ -108,7 +112,20 @@
                    {{"path", path_}});
       return;
     }
-    if (*text == text_) return;
+    if (*text == text_) {
+      unsettled_.reset();
+      return;
+    }
+    const MonotonicTime now = MonotonicClock::now();
+    if (text != unsettled_) {
+      unsettled_ = text;
+      unsettled_since_ = now;
+    }
+    if (now - unsettled_since_ < kSettingsSettleTime) {
+      settle_timer_.Start(kSettingsSettleTime, [this] { Reload(); });
+      return;
+    }
+    unsettled_.reset();
     text_ = *text;
     const auto settings = SidecarSettings::Parse(*text, path_);
     if (settings) {
@@ -125,8 +142,12 @@
   Sidecar& sidecar_;
   const std::string path_;
   std::string text_;
+  // Content of the file that has not been taken yet, and since when it is so.
+  std::optional<std::string> unsettled_;
+  MonotonicTime unsettled_since_;
   boost::asio::signal_set signals_;
   Timer timer_;
+  Timer settle_timer_;
 };
 
 int Serve(const SidecarSettings& settings, const std::string& text) {
