sidecar: Close no connection whose client still takes an answer

What callers saw: a large answer that ended with a reset (of 6 MiB, 3.6 to 4.7 MB arrived), when the caller read slowly and sent further bytes, such as an empty line: at a planned stop, and without one behind a request with Connection: close.

Cause: an answer counted as sent when the system had taken it. The connection was then closed at once (Connection: close), after 1 s (other closes) or 200 ms (stop), and a system resets a closed connection, with all that it has not sent, when bytes are unread or arrive.

Change: both closes go through End(), which drops what the client sends until the client closes; it closes by itself only when the client's system has acknowledged all answers, or at the time limit of writing. A stopping node waits for these connections up to its deadline.

A new connection without a request stays open while a stopping node closes, up to the 200 ms: its first request is likely to be on its way.

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -1,6 +1,8 @@
 #include "sidecar/http_server.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -94,7 +96,7 @@
     }
     if (now < waiting_since_ + WaitLimit()) return;
     if (is_lingering_) {
-      Close();
+      if (!has_unacknowledged_bytes() || now >= write_deadline_) Close();
       return;
     }
     if (!pending_.empty()) return;
@@ -105,9 +107,10 @@
     }
   }
 
-  // Whether no request has been read in part and no answer is unsent.
-  bool is_idle() const {
-    return (!has_partial_request_ || is_lingering_) &&
+  // Whether no request has been read in part and no answer is on its way.
+  bool is_idle() {
+    if (is_lingering_) return !has_unacknowledged_bytes();
+    return !has_partial_request_ &&
            std::ranges::none_of(pending_, [](const Pending& pending) {
              return pending.answer.has_value();
            });
@@ -125,13 +128,14 @@
   }
 
   // Handles what has arrived, and ends the connection if nothing is in
-  // progress.
+  // progress. A new connection is left open for its first request, which is
+  // likely to be on its way.
   void Shutdown() {
     while (!is_lingering_ && unparsed_.size() < kMaxUnparsedBytes &&
            ReadBytes()) {
     }
     if (is_closed_ || is_lingering_ || is_writing_ || !pending_.empty() ||
-        has_partial_request_) {
+        has_partial_request_ || first_number_ == 0) {
       return;
     }
     End();
@@ -291,6 +295,13 @@
     return total;
   }
 
+  // Whether the client's system has not taken all answers. Closing would lose
+  // them if further bytes of the client have arrived or arrive later.
+  bool has_unacknowledged_bytes() {
+    int count = 0;
+    return ioctl(socket_.native_handle(), SIOCOUTQ, &count) == 0 && count > 0;
+  }
+
   // Whether bytes have been read behind the requests that were parsed.
   bool has_unparsed_bytes() const {
     return left_to_parse_.value_or(unparsed_.size()) > 0;
@@ -372,17 +383,12 @@
       Close();
       return;
     }
-    const bool is_end_agreed = !pending_.front().keeps_alive;
     pending_.pop_front();
     ++first_number_;
     head_.clear();
     body_ = std::string();
     if (closes_after_write_) {
-      if (is_end_agreed) {
-        Close();
-      } else {
-        End();
-      }
+      End();
       return;
     }
     waiting_since_ = MonotonicClock::now();
