sidecar: Skip empty lines before a request

What callers saw: 400 and the end of a kept connection when an empty line stood before their request, as some clients send it behind a body. RFC 9112, section 2.2, asks servers to ignore it.

Change: line ends between requests are skipped; they do not count as the begin of a request.

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -58,6 +58,13 @@
   return {400};
 }
 
+// Returns the number of bytes of line ends at the beginning.
+std::size_t CountLineEnds(boost::asio::const_buffer bytes) {
+  const std::string_view text(static_cast<const char*>(bytes.data()),
+                              bytes.size());
+  return std::min(text.find_first_not_of("\r\n"), text.size());
+}
+
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(HttpServer* server, Tcp::socket socket)
@@ -275,7 +282,14 @@
   std::size_t Parse(boost::asio::const_buffer bytes) {
     std::size_t total = 0;
     while (bytes.size() > 0 && may_parse()) {
-      if (!has_partial_request_) BeginRequest();
+      if (!has_partial_request_) {
+        // Some clients send an empty line behind a body.
+        const std::size_t skipped = CountLineEnds(bytes);
+        bytes += skipped;
+        total += skipped;
+        if (bytes.size() == 0) return total;
+        BeginRequest();
+      }
       boost::system::error_code error;
       const std::size_t used = parser_->Put(bytes, error);
       bytes += used;
