sidecar: Tell pipelining clients of a stop

What callers would have seen at a stopping node: - A request of which a part had been read behind one in progress was dropped when the answer before it closed the connection. - A client that sends an empty line behind a body got no 'Connection: close', and neither did one that always has a further request on the way, so their connections ended unannounced. - Bytes or connections without end at the last look could keep the event loop from its timers, and so the process from its end (found by reading; no test). - A client that had vanished held up each stop until 5.5 s, since the end of its connection was not acknowledged.

Change: a request read in part is awaited, line ends do not count, and once the node has stopped listening each answer that can closes. The looks are bounded. Refusals of stopping nodes do not lengthen the wait that is allowed at the next node.

Result: pipeline_test, 'a node that stops answers a request that it has read in part' and 'an empty line behind a request does not hide the end', failed before and pass.

--- a/libraries/mesh/attempt_policy.cc
+++ b/libraries/mesh/attempt_policy.cc
@@ -6,8 +6,9 @@
 namespace oleandertide::mesh {
 namespace {
 
-// Maximum number of nodes that a request is sent to before it is refused. More
-// would delay the client longer than a retry of its own.
+// Maximum number of nodes that a request is sent to before it is refused,
+// without those that are stopping. More would delay the client longer than a
+// retry of its own.
 constexpr int kMaxHops = 4;
 
 // Number of first nodes that must run a request at once or refuse it.
--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -41,9 +41,16 @@
 constexpr Duration kWriteTimeout = std::chrono::seconds(30);
 
 // Closing a connection with unread bytes resets it, and the client may lose the
-// last answer. What the client still sends is read and dropped for this long.
+// last answer. What the client still sends is read and dropped for this long,
+// and then until its system has taken the answer (kWriteTimeout at most).
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
+// Reads of a connection, and connections that are accepted, at one look of a
+// server that shuts down. A client that sends or connects without end must not
+// hold up the node.
+constexpr int kMaxReadsAtShutdown = 32;
+constexpr int kMaxAcceptsAtShutdown = 1024;
+
 // Pause after a failure to accept, e.g. for want of descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -138,8 +145,11 @@
   // progress. A new connection is left open for its first request, which is
   // likely to be on its way.
   void Shutdown() {
-    while (!is_lingering_ && unparsed_.size() < kMaxUnparsedBytes &&
-           ReadBytes()) {
+    for (int reads = 0; reads < kMaxReadsAtShutdown; ++reads) {
+      if (is_lingering_ || unparsed_.size() >= kMaxUnparsedBytes ||
+          !ReadBytes()) {
+        break;
+      }
     }
     if (is_closed_ || is_lingering_ || is_writing_ || !pending_.empty() ||
         has_partial_request_ || first_number_ == 0) {
@@ -302,7 +312,7 @@
         if (parser_->is_head_complete()) waiting_since_ = MonotonicClock::now();
         return total;
       }
-      left_to_parse_ = bytes.size();
+      left_to_parse_ = bytes.size() - CountLineEnds(bytes);
       OnRequest();
       left_to_parse_.reset();
     }
@@ -312,13 +322,21 @@
   // Whether the client's system has not taken all answers. Closing would lose
   // them if further bytes of the client have arrived or arrive later.
   bool has_unacknowledged_bytes() {
+    // The end of the connection counts as a byte.
+    const int least = is_lingering_ ? 2 : 1;
     int count = 0;
-    return ioctl(socket_.native_handle(), SIOCOUTQ, &count) == 0 && count > 0;
+    return ioctl(socket_.native_handle(), SIOCOUTQ, &count) == 0 &&
+           count >= least;
   }
 
-  // Whether bytes have been read behind the requests that were parsed.
-  bool has_unparsed_bytes() const {
-    return left_to_parse_.value_or(unparsed_.size()) > 0;
+  // Whether part of a request has been read behind those that were handled: it
+  // is answered as well, unless the server shuts down. Clients may send without
+  // end, and repeat what stands behind an answer that closes the connection.
+  bool is_further_request_awaited() const {
+    if (server_ == nullptr || !server_->acceptor_.is_open()) return false;
+    if (has_partial_request_) return true;
+    const std::size_t line_ends = CountLineEnds(unparsed_.data());
+    return left_to_parse_.value_or(unparsed_.size() - line_ends) > 0;
   }
 
   void OnRequest() {
@@ -357,9 +375,8 @@
     if (pending_.empty() || !pending_.front().answer) return;
     const Pending& pending = pending_.front();
     HttpAnswer& answer = *pending_.front().answer;
-    // Whatever has been read is answered as well.
     const bool is_last_read =
-        pending_.size() == 1 && !held_ && !has_unparsed_bytes();
+        pending_.size() == 1 && !held_ && !is_further_request_awaited();
     const bool closes =
         answer.closes_connection || !pending.keeps_alive ||
         (is_last_read && (server_ == nullptr || server_->is_closing_));
@@ -422,6 +439,8 @@
     is_lingering_ = true;
     waiting_since_ = MonotonicClock::now();
     unparsed_.clear();
+    parser_.reset();
+    has_partial_request_ = false;
     DropPending();
     AwaitBytes();
   }
@@ -430,8 +449,8 @@
   Tcp::socket socket_;
   // Bytes behind the requests in progress, and of a request that is not whole.
   boost::beast::flat_buffer unparsed_;
-  // While a request is handled that was just parsed, the bytes behind it: they
-  // are not in unparsed_ yet, or still with those before them.
+  // Number of bytes behind the request that is being handled right after it was
+  // parsed, without line ends. unparsed_ does not show it then.
   std::optional<std::size_t> left_to_parse_;
   std::optional<HttpRequestParser> parser_;
   // In the order of the requests.
@@ -443,6 +462,8 @@
   // The answer that is being written, that of the first request.
   std::string head_;
   std::string body_;
+  // Of the last answer, also for the client to take it in when the connection
+  // has ended.
   MonotonicTime write_deadline_;
   // Since when the client's next bytes are waited for.
   MonotonicTime waiting_since_ = MonotonicClock::now();
@@ -501,6 +522,7 @@
       [this](const boost::system::error_code& error, Tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted) return;
         if (error) {
+          if (!acceptor_.is_open()) return;
           accept_timer_.Start(detail::kAcceptPause, [this] { Accept(); });
           return;
         }
@@ -523,7 +545,7 @@
   accept_timer_.Cancel();
   boost::system::error_code error;
   acceptor_.non_blocking(true, error);
-  while (!error) {
+  for (int i = 0; !error && i < detail::kMaxAcceptsAtShutdown; ++i) {
     Tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
     if (!error) Add(std::move(socket));
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -236,8 +236,9 @@
   const auto decision =
       placement_.Choose(request, exchange->tried, parts_.random);
   if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
-    call.wait_allowance = mesh::ChooseWaitAllowance(
-        exchange->hops, choice->expected_wait, call.wait_allowance);
+    call.wait_allowance =
+        mesh::ChooseWaitAllowance(exchange->hops - exchange->stopping_hops,
+                                  choice->expected_wait, call.wait_allowance);
     Send(exchange, choice->node);
   } else if (const auto* no_room =
                  std::get_if<mesh::Placement::NoRoom>(&decision)) {
--- a/tests/sidecar/pipeline_test.cc
+++ b/tests/sidecar/pipeline_test.cc
@@ -221,5 +221,32 @@
   REQUIRE(client.Count("Connection: close") == 1);
 }
 
+// Guards against a stop that drops a request of which a part has been read: the
+// answer before it closed the connection.
+TEST_CASE("a node that stops answers a request that it has read in part") {
+  PipelineFixture mesh;
+  RawClient client(mesh.loop(), mesh.instance.settings.listen.clients);
+  const std::string second = Request("POST", "/once/2", {}, "a body");
+  client.Send(Get("/idem/slow1") + second.substr(0, second.size() - 3));
+  mesh.RunUntil([&] { return mesh.Targets().size() == 1; }, kSlowRun / 2);
+  mesh.instance.node->Stop();
+  mesh.RunUntil([&] { return client.Count("HTTP/1.1 ") == 1; });
+  client.Send(second.substr(second.size() - 3));
+  mesh.RunUntil([&] { return client.is_ended(); });
+  REQUIRE(client.Count("HTTP/1.1 ") == 2);
+  REQUIRE(client.Count("Connection: close") == 1);
+}
+
+// Guards against a client that does not learn of a stop because it sends an
+// empty line behind its body.
+TEST_CASE("an empty line behind a request does not hide the end") {
+  PipelineFixture mesh;
+  RawClient client(mesh.loop(), mesh.instance.settings.listen.clients);
+  mesh.instance.node->Stop();
+  client.Send(Request("POST", "/once/1", {}, "a body") + "\r\n");
+  mesh.RunUntil([&] { return client.Count("HTTP/1.1 ") == 1; });
+  REQUIRE(client.Count("Connection: close") == 1);
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
