--- a/libraries/config/settings_reader.h
+++ b/libraries/config/settings_reader.h
@@ -29,15 +29,31 @@
   return text;
 }
 
+// A section whose keys are not known beforehand. It must not be in `fields`.
+struct OpenSection {
+  std::string_view kind;
+  // Its entries, in the order of the text.
+  std::vector<IniEntry> entries;
+};
+
 // Reads all sections that `fields` names; a missing section is read as an
-// empty one. Precondition: the fields of a section follow each other.
+// empty one. The entries of `open`, if given, are left as they are.
+// Precondition: the fields of a section follow each other.
 template <typename Settings>
 Checked<Settings> ReadSettings(std::span<const Field<Settings>> fields,
                                std::string_view text,
-                               std::string_view file_name) {
+                               std::string_view file_name,
+                               OpenSection* open = nullptr) {
   DiagnosticList diagnostics(file_name);
   std::vector<IniSection> sections = ReadIni(text, diagnostics);
   if (text.size() > kMaximumTextBytes) return diagnostics.Take();
+  if (open != nullptr) {
+    std::erase_if(sections, [open](IniSection& section) {
+      if (section.kind != open->kind || !section.name.empty()) return false;
+      open->entries = std::move(section.entries);
+      return true;
+    });
+  }
   const auto has_fields = [&](const IniSection& section) {
     return section.name.empty() &&
            std::ranges::any_of(fields, [&](const Field<Settings>& field) {
--- /dev/null
+++ b/libraries/coordination/election.cc
@@ -0,0 +1,163 @@
+#include "coordination/election.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/json.h"
+
+namespace oleandertide::coordination {
+namespace {
+
+// Pause after a failure at the store: short enough to take over within a
+// fraction of the lease, and spread, since many nodes may have failed together.
+constexpr Duration kShortestPause = std::chrono::milliseconds(200);
+constexpr Duration kPauseRange = std::chrono::milliseconds(400);
+
+Duration ChoosePause(double random_fraction) {
+  return kShortestPause +
+         Duration(static_cast<std::int64_t>(
+             static_cast<double>(kPauseRange.count()) * random_fraction));
+}
+
+}  // namespace
+
+std::string EncodeLease(const LeaseRow& row) {
+  return nlohmann::json{{"node", row.holder.node},
+                        {"term", row.holder.term},
+                        {"lease-end-ms", row.holder.lease_end_ms},
+                        {"incarnation", row.incarnation}}
+      .dump();
+}
+
+Result<LeaseRow> DecodeLease(std::string_view value, std::uint64_t version) {
+  const auto json = ParseJson(value);
+  if (!json) return Error::kDataDamaged;
+  OLEANDERTIDE_TRY(node, ReadText(*json, "node"));
+  OLEANDERTIDE_TRY(term, ReadUnsigned(*json, "term"));
+  OLEANDERTIDE_TRY(lease_end, ReadUnsigned(*json, "lease-end-ms"));
+  OLEANDERTIDE_TRY(incarnation, ReadText(*json, "incarnation"));
+  return LeaseRow{.holder = {.node = std::string(node),
+                             .term = term,
+                             .lease_end_ms = lease_end},
+                  .incarnation = std::string(incarnation),
+                  .version = version};
+}
+
+bool Election::is_holder(const StoreClock& clock, BootTime now) const {
+  if (!own_ || is_released_) return false;
+  const auto latest = clock.LatestNow(now);
+  return latest &&
+         *latest + static_cast<std::uint64_t>(ToMilliseconds(options_.margin)) <
+             own_->holder.lease_end_ms;
+}
+
+Election::Effect Election::Claim(std::uint64_t term,
+                                 std::uint64_t expected_version,
+                                 const StoreClock& clock, BootTime now) {
+  const auto store_now = clock.EarliestNow(now);
+  if (!store_now) return {};
+  pending_ =
+      LeaseRow{.holder = {.node = options_.node,
+                          .term = term,
+                          .lease_end_ms =
+                              *store_now + static_cast<std::uint64_t>(
+                                               ToMilliseconds(options_.lease))},
+               .incarnation = options_.incarnation};
+  is_busy_ = true;
+  next_at_ = now + options_.renewal;
+  return WriteRow{EncodeLease(*pending_), expected_version};
+}
+
+Election::Effect Election::Tick(const StoreClock& clock, BootTime now,
+                                Duration delay) {
+  if (is_busy_ || is_released_ || now < next_at_) return {};
+  if (own_ && !is_row_uncertain_) {
+    return Claim(own_->holder.term, own_->version, clock, now);
+  }
+  if (own_) {
+    is_busy_ = true;
+    return ReadRow{};
+  }
+  const bool is_own_earlier_life = holder_.node == options_.node;
+  if (holder_.term > 0 && !is_own_earlier_life) {
+    const auto store_now = clock.EarliestNow(now);
+    if (!store_now || *store_now < holder_.lease_end_ms) {
+      ended_since_.reset();
+      return {};
+    }
+  }
+  if (!ended_since_) ended_since_ = now;
+  if (!is_own_earlier_life && now - *ended_since_ < delay) return {};
+  is_busy_ = true;
+  return ReadRow{};
+}
+
+Election::Effect Election::OnRow(const std::optional<LeaseRow>& row,
+                                 std::uint64_t store_time_ms,
+                                 const StoreClock& clock, BootTime now) {
+  is_busy_ = false;
+  is_row_uncertain_ = false;
+  if (is_released_) return {};
+  if (!row) return Claim(1, 0, clock, now);
+  const Holder& holder = row->holder;
+  if (holder.node == options_.node &&
+      row->incarnation == options_.incarnation) {
+    // A write whose answer was lost.
+    own_ = *row;
+    holder_ = holder;
+    return Claim(holder.term, row->version, clock, now);
+  }
+  own_.reset();
+  if (holder.node == options_.node || store_time_ms >= holder.lease_end_ms) {
+    return Claim(std::max(holder.term, holder_.term) + 1, row->version, clock,
+                 now);
+  }
+  Learn(holder);
+  return {};
+}
+
+void Election::OnReadFailed(BootTime now, double random_fraction) {
+  is_busy_ = false;
+  next_at_ = now + ChoosePause(random_fraction);
+}
+
+void Election::OnWritten(const Result<std::uint64_t>& version, BootTime now,
+                         double random_fraction) {
+  is_busy_ = false;
+  auto written = std::exchange(pending_, std::nullopt);
+  if (!written) return;
+  if (version) {
+    written->version = version.value();
+    own_ = std::move(written);
+    holder_ = own_->holder;
+    ended_since_.reset();
+    return;
+  }
+  // The write may have been performed, or be performed later: the row tells. A
+  // lease that is held stays valid until its end.
+  is_row_uncertain_ = own_.has_value();
+  next_at_ = now + (own_ ? kShortestPause : ChoosePause(random_fraction));
+}
+
+void Election::Learn(const Holder& holder) {
+  if (holder.term < holder_.term) return;
+  if (holder.term == holder_.term &&
+      holder.lease_end_ms <= holder_.lease_end_ms) {
+    return;
+  }
+  if (own_ && holder.term > own_->holder.term) own_.reset();
+  holder_ = holder;
+  ended_since_.reset();
+}
+
+Election::Effect Election::Release() {
+  is_released_ = true;
+  if (!own_) return {};
+  LeaseRow row = *std::exchange(own_, std::nullopt);
+  row.holder = {.term = row.holder.term + 1};
+  holder_ = row.holder;
+  return WriteRow{EncodeLease(row), row.version};
+}
+
+}  // namespace oleandertide::coordination
--- a/libraries/core/time.h
+++ b/libraries/core/time.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace oleandertide {
 
@@ -29,6 +30,28 @@
 
 using MonotonicTime = MonotonicClock::time_point;
 
+// Time of one process that goes on while its machine is suspended, unlike
+// MonotonicClock. For ages that bound what a node may still act on.
+struct BootClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<BootClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): required by the standard.
+  static constexpr bool is_steady = true;
+
+  // Thread-safe.
+  static time_point now() {
+    std::timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) +
+        std::chrono::nanoseconds(time.tv_nsec)));
+  }
+};
+
+using BootTime = BootClock::time_point;
+
 // Time of day, used only for due times of scheduled jobs and for display.
 using WallTime =
     std::chrono::time_point<std::chrono::system_clock, std::chrono::seconds>;
--- a/libraries/mesh/announcement.h
+++ b/libraries/mesh/announcement.h
@@ -15,6 +15,8 @@
   // Identifies the backend server; a restart may keep it.
   std::string id{};
   std::string service{};
+  // Version of the backend server's software; empty if it does not tell.
+  std::string version{};
   // IP:port of the backend server.
   std::string address{};
   bool is_draining = false;
--- a/libraries/mesh/configuration.cc
+++ b/libraries/mesh/configuration.cc
@@ -23,6 +23,19 @@
   return nullptr;
 }
 
+KeyIndex::KeyIndex(const OrganisationMap& organisations) {
+  for (const auto& [name, organisation] : organisations) {
+    for (const std::string& key : organisation->keys) {
+      by_key_.emplace(key, organisation);
+    }
+  }
+}
+
+const Organisation* KeyIndex::Find(std::string_view key) const {
+  const auto found = by_key_.find(std::string(key));
+  return found == by_key_.end() ? nullptr : found->second.get();
+}
+
 std::string ToLowerCase(std::string_view text) {
   std::string lower(text);
   for (char& c : lower) {
--- a/libraries/mesh/configuration.h
+++ b/libraries/mesh/configuration.h
@@ -8,8 +8,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "core/time.h"
@@ -53,10 +55,28 @@
   int maximum_attempts = 1;
   // Not empty.
   std::vector<WeightedService> services{};
+  // Whether requests need no key although the configuration has organisations.
+  bool is_public = false;
 
   bool operator==(const Route&) const = default;
 };
 
+// A group of callers that share keys and a limit.
+struct Organisation {
+  std::string name{};
+  std::vector<std::string> keys{};
+  // Takes precedence over the priority of the route.
+  std::optional<int> priority{};
+  // Requests per second of the whole fleet; 0 is no limit.
+  double rate = 0;
+  // Requests that may come at once beyond the rate.
+  double burst = 0;
+
+  bool is_limited() const { return rate > 0; }
+
+  bool operator==(const Organisation&) const = default;
+};
+
 struct Service {
   std::string name{};
   std::string health_path{};
@@ -81,6 +101,25 @@
     std::map<std::string, std::shared_ptr<const Route>, std::less<>>;
 using HostMap = std::map<std::string, RouteMap, std::less<>>;
 
+// Organisations by name. Versions share unchanged ones.
+using OrganisationMap =
+    std::map<std::string, std::shared_ptr<const Organisation>, std::less<>>;
+
+// Immutable index of the keys of a configuration's organisations.
+class KeyIndex {
+ public:
+  KeyIndex() = default;
+  // Precondition: no key belongs to two organisations.
+  explicit KeyIndex(const OrganisationMap& organisations);
+
+  // Returns the holder of `key`, or nullptr, with one hash look-up.
+  // Thread-safe.
+  const Organisation* Find(std::string_view key) const;
+
+ private:
+  std::unordered_map<std::string, std::shared_ptr<const Organisation>> by_key_;
+};
+
 // One version of the configuration, complete and checked. Immutable once it is
 // shared.
 struct Configuration {
@@ -90,6 +129,9 @@
   ClientLimits limits;
   // Routes by host in lower case.
   HostMap hosts;
+  // If empty, requests need no key.
+  OrganisationMap organisations;
+  KeyIndex keys;
 
   // Returns the route with the longest prefix of `target` (path and query)
   // among those of `host` (with or without port), or nullptr. Thread-safe.
--- a/libraries/mesh/configuration_update.cc
+++ b/libraries/mesh/configuration_update.cc
@@ -39,6 +39,19 @@
     hasher.Add(weighted_service.service);
     hasher.Add(std::bit_cast<std::uint64_t>(weighted_service.weight));
   }
+  // Added only if set: nodes of an earlier build do not know the field.
+  if (route.is_public) hasher.Add("public");
+  return hasher.value();
+}
+
+std::uint64_t HashOrganisation(const Organisation& organisation) {
+  Hasher hasher;
+  hasher.Add(organisation.name);
+  for (const std::string& key : organisation.keys) hasher.Add(key);
+  hasher.Add(static_cast<std::uint64_t>(organisation.priority.has_value()));
+  hasher.Add(static_cast<std::uint64_t>(organisation.priority.value_or(0)));
+  hasher.Add(std::bit_cast<std::uint64_t>(organisation.rate));
+  hasher.Add(std::bit_cast<std::uint64_t>(organisation.burst));
   return hasher.value();
 }
 
@@ -73,6 +86,9 @@
       hasher.Add(HashRoute(host, *route));
     }
   }
+  for (const auto& [name, organisation] : configuration.organisations) {
+    hasher.Add(HashOrganisation(*organisation));
+  }
   return hasher.value();
 }
 
@@ -92,7 +108,22 @@
       update.put.push_back({host, route});
     }
   }
+  for (const auto& [name, organisation] : target.organisations) {
+    if (base != nullptr) {
+      const auto found = base->organisations.find(name);
+      if (found != base->organisations.end() &&
+          *found->second == *organisation) {
+        continue;
+      }
+    }
+    update.put_organisations.push_back(organisation);
+  }
   if (base == nullptr) return update;
+  for (const auto& [name, organisation] : base->organisations) {
+    if (!target.organisations.contains(name)) {
+      update.removed_organisations.push_back(name);
+    }
+  }
   for (const auto& [host, routes] : base->hosts) {
     const RouteMap& after = FindRoutes(&target, host);
     for (const auto& [prefix, route] : routes) {
@@ -110,6 +141,7 @@
       return make_error_code(Error::kConflict);
     }
     result.hosts = base->hosts;
+    result.organisations = base->organisations;
   }
   result.version = update.version;
   result.services = update.services;
@@ -123,6 +155,13 @@
   for (const auto& put : update.put) {
     result.hosts[put.host][put.route->path_prefix] = put.route;
   }
+  for (const std::string& name : update.removed_organisations) {
+    result.organisations.erase(name);
+  }
+  for (const auto& organisation : update.put_organisations) {
+    result.organisations[organisation->name] = organisation;
+  }
+  result.keys = KeyIndex(result.organisations);
   if (Digest(result) != update.digest) {
     return make_error_code(Error::kDataDamaged);
   }
--- a/libraries/mesh/configuration_update.h
+++ b/libraries/mesh/configuration_update.h
@@ -35,6 +35,8 @@
   ClientLimits limits{};
   std::vector<RemovedRoute> removed{};
   std::vector<PutRoute> put{};
+  std::vector<std::string> removed_organisations{};
+  std::vector<std::shared_ptr<const Organisation>> put_organisations{};
 };
 
 // Returns a hash of everything but the version, the same at every node.
--- /dev/null
+++ b/libraries/mesh/deployment.h
@@ -0,0 +1,43 @@
+// What a deployment asks for beside its configuration.
+
+#ifndef OLEANDERTIDE_MESH_DEPLOYMENT_H_
+#define OLEANDERTIDE_MESH_DEPLOYMENT_H_
+
+#include "core/time.h"
+
+namespace oleandertide::mesh {
+
+// Features in force and their bounds. Each feature is off by default.
+struct Deployment {
+  // Limits of organisations hold over the whole fleet.
+  bool has_limits = false;
+  // Operators order roll-outs of new versions of a service.
+  bool has_rollouts = false;
+  // Whether nodes that cannot know of a withdrawn key refuse all keys.
+  bool closes_stale_keys = false;
+
+  // After the acknowledgement of a configuration without a key, no node may
+  // run a later request with it.
+  Duration revocation_limit = std::chrono::seconds(5);
+  // A configuration is in force at all nodes in touch.
+  Duration configuration_limit = std::chrono::milliseconds(2500);
+
+  // In each window, an organisation's requests that run are at most
+  // (rate * window + burst) * (1 + overage) + slack.
+  Duration limit_window = std::chrono::seconds(5);
+  double limit_overage = 0.1;
+  double limit_slack = 20;
+
+  // A version on trial gets at most this share of the requests that reach its
+  // service, and this many more.
+  double exposure_share = 0.1;
+  double exposure_slack = 50;
+  // Time within which a bad version gets no more requests.
+  Duration rollback_limit = std::chrono::seconds(5);
+
+  bool operator==(const Deployment&) const = default;
+};
+
+}  // namespace oleandertide::mesh
+
+#endif  // OLEANDERTIDE_MESH_DEPLOYMENT_H_
--- a/libraries/sidecar/call.h
+++ b/libraries/sidecar/call.h
@@ -23,6 +23,8 @@
   std::string body{};
   // Service on whose instance the request began.
   std::string caller_service{};
+  // Organisation of the client; empty if there is none.
+  std::string organisation{};
   // Service that is to run the request.
   std::string service{};
   // Time left until the answer is of no use.
@@ -34,7 +36,10 @@
   // Mean size of the route's answers in bytes; zero if unknown.
   std::size_t expected_bytes = 0;
   routing::Fingerprint fingerprint = 0;
+  // Rank; 0 is the most urgent.
   int priority = 0;
+  // Whether a backend server made the call while it ran another request.
+  bool is_backend_server_call = false;
   // Whether the request may run more than once.
   bool is_repeatable = false;
 };
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -92,6 +92,7 @@
 
 void ConfigurationSource::ReadAll() {
   is_reading_ = true;
+  asked_at_ = BootClock::now();
   parts_.store.ReadRows(platform::kOperatorTable, platform::kConfigurationKey,
                         [this](const Result<platform::RowList>& rows) {
                           if (rows) followed_ = rows.value().store_version;
@@ -101,6 +102,7 @@
 
 void ConfigurationSource::Follow() {
   is_reading_ = true;
+  asked_at_ = BootClock::now();
   parts_.store.AwaitChanges(
       platform::kOperatorTable, *followed_, kWait,
       [this](const Result<platform::RowList>& rows) { OnRows(rows); });
@@ -125,6 +127,8 @@
     return;
   }
   failures_ = 0;
+  parts_.clock.ObserveAnswer(rows.value().store_time_ms, asked_at_,
+                             BootClock::now());
   for (const platform::Row& row : rows.value().rows) {
     // Only a row that was seen moves the point from which changes are followed.
     // The store's version in an empty answer would skip what it did not tell.
@@ -141,6 +145,9 @@
 void ConfigurationSource::OnPeerStatus(const NodeIdentity& peer,
                                        const NodeStatus& status) {
   const MonotonicTime now = MonotonicClock::now();
+  if (status.confirmed_store_time > 0) {
+    parts_.clock.Observe(status.confirmed_store_time, BootClock::now());
+  }
   const std::uint64_t version = status.configuration_version;
   if (version == parts_.holder.version()) {
     parts_.holder.Confirm(version, status.confirmed_store_time, now,
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/store_clock.h"
 #include "core/random.h"
 #include "core/time.h"
 #include "mesh/configuration_holder.h"
@@ -34,6 +35,7 @@
     mesh::ConfigurationHolder& holder;
     NodeMetrics& metrics;
     RandomSource& random;
+    coordination::StoreClock& clock;
   };
 
   // `self` is this node; `on_changed` is called when a version comes in force.
@@ -81,6 +83,8 @@
   // Changes at the store are followed from here; unknown at first and when the
   // store has forgotten its history.
   std::optional<std::uint64_t> followed_;
+  // When the call in progress was sent.
+  BootTime asked_at_{};
   bool is_reading_ = false;
   bool is_request_scheduled_ = false;
   MonotonicTime backoff_until_;
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -156,6 +156,7 @@
                 .headers = platform::EncodeRequestIdLine(head.request_id)});
     return;
   }
+  if (configuration->organisations.empty()) head.headers += head.credentials;
   auto exchange = std::make_shared<Exchange>(parts_.loop, std::move(reply));
   exchange->arrived = exchange->reply.received_at();
   exchange->configuration = configuration;
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -67,6 +67,27 @@
   confirmedStoreTimeMs @5 :UInt64;
   # Whether the node reads packed messages.
   acceptsPacked @6 :Bool;
+  # Version of the backend server's software.
+  backendVersion @7 :Text;
+  # The coordinator of the fleet as the node knows it; see
+  # coordination/election.h.
+  coordinator @8 :Coordinator;
+}
+
+struct Coordinator {
+  node @0 :Text;
+  term @1 :UInt64;
+  # When its lease ends by the store's clock.
+  leaseEndMs @2 :UInt64;
+}
+
+# Between a node and the coordinator, either way.
+struct CoordinationMessage {
+  # Of the coordinator; a message of another term is dropped.
+  term @0 :UInt64;
+  subject @1 :UInt8;
+  # Encoded by the subject's own module.
+  payload @2 :Data;
 }
 
 struct Call {
@@ -90,6 +111,10 @@
   isRepeatable @12 :Bool;
   # Mean size of the route's answers, 0 if unknown.
   expectedBytes @13 :UInt32;
+  # Organisation of the client.
+  organisation @14 :Text;
+  # Whether a backend server made the call while it ran another request.
+  isBackendServerCall @15 :Bool;
 }
 
 struct Cancel {
@@ -133,6 +158,16 @@
   priority @6 :Int32;
   maximumAttempts @7 :Int32;
   services @8 :List(WeightedService);
+  isPublic @9 :Bool;
+}
+
+struct Organisation {
+  name @0 :Text;
+  keys @1 :List(Text);
+  hasPriority @2 :Bool;
+  priority @3 :Int32;
+  rate @4 :Float64;
+  burst @5 :Float64;
 }
 
 struct RemovedRoute {
@@ -162,6 +197,8 @@
   limits @4 :Limits;
   removed @5 :List(RemovedRoute);
   put @6 :List(Route);
+  removedOrganisations @7 :List(Text);
+  putOrganisations @8 :List(Organisation);
 }
 
 struct Frame {
@@ -180,5 +217,6 @@
     # The sender ends and closes the link. Calls with a greater id than this one
     # were not taken and never will be; 0 if none was.
     goodbye @9 :UInt64;
+    coordination @10 :CoordinationMessage;
   }
 }
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -21,6 +21,8 @@
 CAPNP_DECLARE_SCHEMA(c5dec65f0f9772d2);
 CAPNP_DECLARE_SCHEMA(e26735599c25665d);
 CAPNP_DECLARE_SCHEMA(a279f3b106171c7e);
+CAPNP_DECLARE_SCHEMA(8b6525762c7c866b);
+CAPNP_DECLARE_SCHEMA(d3e9d7b4eb6bdb15);
 CAPNP_DECLARE_SCHEMA(e70b6789b3437c1b);
 CAPNP_DECLARE_SCHEMA(cbd045ff6c38d5ec);
 CAPNP_DECLARE_SCHEMA(a3089b53537aaa9b);
@@ -34,6 +36,7 @@
 CAPNP_DECLARE_ENUM(Outcome, f05ab7e8659d4434);
 CAPNP_DECLARE_SCHEMA(9af0ee040e3f41a7);
 CAPNP_DECLARE_SCHEMA(d99b792aeee256b2);
+CAPNP_DECLARE_SCHEMA(b2630c59ad3ca458);
 CAPNP_DECLARE_SCHEMA(ad963a1e736a02c4);
 CAPNP_DECLARE_SCHEMA(cf160ba5d6363942);
 CAPNP_DECLARE_SCHEMA(991e241e1b6bd37b);
@@ -115,7 +118,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a279f3b106171c7e, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a279f3b106171c7e, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Coordinator {
+  Coordinator() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b6525762c7c866b, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CoordinationMessage {
+  CoordinationMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3e9d7b4eb6bdb15, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -130,7 +163,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e70b6789b3437c1b, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(e70b6789b3437c1b, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -214,6 +247,21 @@
   };
 };
 
+struct Organisation {
+  Organisation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b2630c59ad3ca458, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RemovedRoute {
   RemovedRoute() = delete;
 
@@ -267,7 +315,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c8e9b4b1f26659f4, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c8e9b4b1f26659f4, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -291,6 +339,7 @@
     MEMBERS,
     BODY_PART,
     GOODBYE,
+    COORDINATION,
   };
 
   struct _capnpPrivate {
@@ -766,6 +815,12 @@
 
   inline bool getAcceptsPacked() const;
 
+  inline bool hasBackendVersion() const;
+  inline  ::capnp::Text::Reader getBackendVersion() const;
+
+  inline bool hasCoordinator() const;
+  inline  ::oleandertide::sidecar::wire::Coordinator::Reader getCoordinator() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -827,6 +882,20 @@
   inline bool getAcceptsPacked();
   inline void setAcceptsPacked(bool value);
 
+  inline bool hasBackendVersion();
+  inline  ::capnp::Text::Builder getBackendVersion();
+  inline void setBackendVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBackendVersion(unsigned int size);
+  inline void adoptBackendVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBackendVersion();
+
+  inline bool hasCoordinator();
+  inline  ::oleandertide::sidecar::wire::Coordinator::Builder getCoordinator();
+  inline void setCoordinator( ::oleandertide::sidecar::wire::Coordinator::Reader value);
+  inline  ::oleandertide::sidecar::wire::Coordinator::Builder initCoordinator();
+  inline void adoptCoordinator(::capnp::Orphan< ::oleandertide::sidecar::wire::Coordinator>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Coordinator> disownCoordinator();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -846,6 +915,189 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::oleandertide::sidecar::wire::Load::Pipeline getLoad();
+  inline  ::oleandertide::sidecar::wire::Coordinator::Pipeline getCoordinator();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Coordinator::Reader {
+public:
+  typedef Coordinator Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint64_t getLeaseEndMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Coordinator::Builder {
+public:
+  typedef Coordinator Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getLeaseEndMs();
+  inline void setLeaseEndMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Coordinator::Pipeline {
+public:
+  typedef Coordinator Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CoordinationMessage::Reader {
+public:
+  typedef CoordinationMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint8_t getSubject() const;
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CoordinationMessage::Builder {
+public:
+  typedef CoordinationMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint8_t getSubject();
+  inline void setSubject( ::uint8_t value);
+
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CoordinationMessage::Pipeline {
+public:
+  typedef CoordinationMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -905,6 +1157,11 @@
 
   inline  ::uint32_t getExpectedBytes() const;
 
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline bool getIsBackendServerCall() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -999,6 +1256,16 @@
   inline  ::uint32_t getExpectedBytes();
   inline void setExpectedBytes( ::uint32_t value);
 
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline bool getIsBackendServerCall();
+  inline void setIsBackendServerCall(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1424,6 +1691,8 @@
   inline bool hasServices() const;
   inline  ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
+  inline bool getIsPublic() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1495,6 +1764,9 @@
   inline void adoptServices(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::WeightedService,  ::capnp::Kind::STRUCT>> disownServices();
 
+  inline bool getIsPublic();
+  inline void setIsPublic(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1521,6 +1793,118 @@
 };
 #endif  // !CAPNP_LITE
 
+class Organisation::Reader {
+public:
+  typedef Organisation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+  inline bool getHasPriority() const;
+
+  inline  ::int32_t getPriority() const;
+
+  inline double getRate() const;
+
+  inline double getBurst() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Organisation::Builder {
+public:
+  typedef Organisation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeys();
+
+  inline bool getHasPriority();
+  inline void setHasPriority(bool value);
+
+  inline  ::int32_t getPriority();
+  inline void setPriority( ::int32_t value);
+
+  inline double getRate();
+  inline void setRate(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Organisation::Pipeline {
+public:
+  typedef Organisation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RemovedRoute::Reader {
 public:
   typedef RemovedRoute Reads;
@@ -1834,6 +2218,12 @@
   inline bool hasPut() const;
   inline  ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>::Reader getPut() const;
 
+  inline bool hasRemovedOrganisations() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedOrganisations() const;
+
+  inline bool hasPutOrganisations() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Reader getPutOrganisations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1899,6 +2289,21 @@
   inline void adoptPut(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Route,  ::capnp::Kind::STRUCT>> disownPut();
 
+  inline bool hasRemovedOrganisations();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedOrganisations();
+  inline void setRemovedOrganisations( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedOrganisations(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedOrganisations(unsigned int size);
+  inline void adoptRemovedOrganisations(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedOrganisations();
+
+  inline bool hasPutOrganisations();
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Builder getPutOrganisations();
+  inline void setPutOrganisations( ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Builder initPutOrganisations(unsigned int size);
+  inline void adoptPutOrganisations(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>> disownPutOrganisations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1982,6 +2387,10 @@
   inline bool isGoodbye() const;
   inline  ::uint64_t getGoodbye() const;
 
+  inline bool isCoordination() const;
+  inline bool hasCoordination() const;
+  inline  ::oleandertide::sidecar::wire::CoordinationMessage::Reader getCoordination() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2083,6 +2492,14 @@
   inline  ::uint64_t getGoodbye();
   inline void setGoodbye( ::uint64_t value);
 
+  inline bool isCoordination();
+  inline bool hasCoordination();
+  inline  ::oleandertide::sidecar::wire::CoordinationMessage::Builder getCoordination();
+  inline void setCoordination( ::oleandertide::sidecar::wire::CoordinationMessage::Reader value);
+  inline  ::oleandertide::sidecar::wire::CoordinationMessage::Builder initCoordination();
+  inline void adoptCoordination(::capnp::Orphan< ::oleandertide::sidecar::wire::CoordinationMessage>&& value);
+  inline ::capnp::Orphan< ::oleandertide::sidecar::wire::CoordinationMessage> disownCoordination();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2674,46 +3091,243 @@
   ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Status::Builder::initCrashReports(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Status::Builder::initCrashReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Status::Builder::adoptCrashReports(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>> Status::Builder::disownCrashReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Status::Reader::getConfirmedStoreTimeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Status::Builder::getConfirmedStoreTimeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setConfirmedStoreTimeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Status::Reader::getAcceptsPacked() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Status::Builder::getAcceptsPacked() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setAcceptsPacked(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Status::Reader::hasBackendVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Status::Builder::hasBackendVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Status::Reader::getBackendVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Status::Builder::getBackendVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Status::Builder::setBackendVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Status::Builder::initBackendVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Status::Builder::adoptBackendVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownBackendVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Status::Reader::hasCoordinator() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Status::Builder::hasCoordinator() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandertide::sidecar::wire::Coordinator::Reader Status::Reader::getCoordinator() const {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Coordinator>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::oleandertide::sidecar::wire::Coordinator::Builder Status::Builder::getCoordinator() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Coordinator>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::oleandertide::sidecar::wire::Coordinator::Pipeline Status::Pipeline::getCoordinator() {
+  return  ::oleandertide::sidecar::wire::Coordinator::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void Status::Builder::setCoordinator( ::oleandertide::sidecar::wire::Coordinator::Reader value) {
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Coordinator>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandertide::sidecar::wire::Coordinator::Builder Status::Builder::initCoordinator() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Coordinator>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Status::Builder::adoptCoordinator(
+    ::capnp::Orphan< ::oleandertide::sidecar::wire::Coordinator>&& value) {
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Coordinator>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Coordinator> Status::Builder::disownCoordinator() {
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::Coordinator>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Coordinator::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Coordinator::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Coordinator::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Coordinator::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Coordinator::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Coordinator::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Coordinator::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Coordinator::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Coordinator::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Coordinator::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Coordinator::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Coordinator::Reader::getLeaseEndMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::adoptCrashReports(
-    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Coordinator::Builder::getLeaseEndMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>> Status::Builder::disownCrashReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Coordinator::Builder::setLeaseEndMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Status::Reader::getConfirmedStoreTimeMs() const {
+inline  ::uint64_t CoordinationMessage::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Status::Builder::getConfirmedStoreTimeMs() {
+inline  ::uint64_t CoordinationMessage::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setConfirmedStoreTimeMs( ::uint64_t value) {
+inline void CoordinationMessage::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Status::Reader::getAcceptsPacked() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint8_t CoordinationMessage::Reader::getSubject() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool Status::Builder::getAcceptsPacked() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint8_t CoordinationMessage::Builder::getSubject() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Status::Builder::setAcceptsPacked(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void CoordinationMessage::Builder::setSubject( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CoordinationMessage::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CoordinationMessage::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader CoordinationMessage::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder CoordinationMessage::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CoordinationMessage::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder CoordinationMessage::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CoordinationMessage::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> CoordinationMessage::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t Call::Reader::getId() const {
@@ -3032,6 +3646,54 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Call::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Call::Reader::getIsBackendServerCall() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+}
+
+inline bool Call::Builder::getIsBackendServerCall() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setIsBackendServerCall(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Cancel::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3471,6 +4133,148 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Route::Reader::getIsPublic() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool Route::Builder::getIsPublic() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Route::Builder::setIsPublic(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Organisation::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Organisation::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Organisation::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Organisation::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Organisation::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Organisation::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Organisation::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Organisation::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Organisation::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Organisation::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Organisation::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Organisation::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Organisation::Builder::setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Organisation::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Organisation::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Organisation::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Organisation::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Organisation::Reader::getHasPriority() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Organisation::Builder::getHasPriority() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Organisation::Builder::setHasPriority(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Organisation::Reader::getPriority() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Organisation::Builder::getPriority() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Organisation::Builder::setPriority( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Organisation::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double Organisation::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Organisation::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Organisation::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double Organisation::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Organisation::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RemovedRoute::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3860,6 +4664,78 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool ConfigurationUpdate::Reader::hasRemovedOrganisations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationUpdate::Builder::hasRemovedOrganisations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ConfigurationUpdate::Reader::getRemovedOrganisations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationUpdate::Builder::getRemovedOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ConfigurationUpdate::Builder::setRemovedOrganisations( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void ConfigurationUpdate::Builder::setRemovedOrganisations(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationUpdate::Builder::initRemovedOrganisations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationUpdate::Builder::adoptRemovedOrganisations(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ConfigurationUpdate::Builder::disownRemovedOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationUpdate::Reader::hasPutOrganisations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationUpdate::Builder::hasPutOrganisations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Reader ConfigurationUpdate::Reader::getPutOrganisations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::getPutOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ConfigurationUpdate::Builder::setPutOrganisations( ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>::Builder ConfigurationUpdate::Builder::initPutOrganisations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationUpdate::Builder::adoptPutOrganisations(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>> ConfigurationUpdate::Builder::disownPutOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Organisation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::oleandertide::sidecar::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4353,6 +5229,60 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Frame::Reader::isCoordination() const {
+  return which() == Frame::COORDINATION;
+}
+inline bool Frame::Builder::isCoordination() {
+  return which() == Frame::COORDINATION;
+}
+inline bool Frame::Reader::hasCoordination() const {
+  if (which() != Frame::COORDINATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasCoordination() {
+  if (which() != Frame::COORDINATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::oleandertide::sidecar::wire::CoordinationMessage::Reader Frame::Reader::getCoordination() const {
+  KJ_IREQUIRE((which() == Frame::COORDINATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::CoordinationMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::oleandertide::sidecar::wire::CoordinationMessage::Builder Frame::Builder::getCoordination() {
+  KJ_IREQUIRE((which() == Frame::COORDINATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::CoordinationMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setCoordination( ::oleandertide::sidecar::wire::CoordinationMessage::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::COORDINATION);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::CoordinationMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::oleandertide::sidecar::wire::CoordinationMessage::Builder Frame::Builder::initCoordination() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::COORDINATION);
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::CoordinationMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptCoordination(
+    ::capnp::Orphan< ::oleandertide::sidecar::wire::CoordinationMessage>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::COORDINATION);
+  ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::CoordinationMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::oleandertide::sidecar::wire::CoordinationMessage> Frame::Builder::disownCoordination() {
+  KJ_IREQUIRE((which() == Frame::COORDINATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::oleandertide::sidecar::wire::CoordinationMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -101,8 +101,10 @@
                           .is_failing = peer->is_failing});
   }
   for (auto& [name, peer] : peers_) peer->is_selected = false;
-  for (const std::string& name : mesh::SelectPeers(
-           self_.name, self_.data_centre, candidates, mesh::PeerLimits{})) {
+  std::vector<std::string> selected = mesh::SelectPeers(
+      self_.name, self_.data_centre, candidates, mesh::PeerLimits{});
+  if (peers_.contains(pinned_)) selected.push_back(pinned_);
+  for (const std::string& name : selected) {
     Peer& peer = *peers_.find(name)->second;
     peer.is_selected = true;
     // A failing node is tried again by its timer.
@@ -203,6 +205,12 @@
     case wire::Frame::CONFIGURATION:
       callbacks_.on_configuration(Decode(frame.getConfiguration()));
       return;
+    case wire::Frame::COORDINATION:
+      if (callbacks_.on_coordination) {
+        callbacks_.on_coordination(peer.identity.name,
+                                   Decode(frame.getCoordination()));
+      }
+      return;
     case wire::Frame::MEMBERS:
       for (const auto member : frame.getMembers().getMembers()) {
         if (const auto node = Decode(member)) {
@@ -295,6 +303,25 @@
   found->second->connection->Send(message);
 }
 
+void LinkClient::set_pinned(const std::string& node) {
+  if (std::exchange(pinned_, node) == node || node.empty()) return;
+  const auto found = peers_.find(node);
+  if (found == peers_.end()) return;
+  Peer& peer = *found->second;
+  peer.is_selected = true;
+  if (!peer.connection && !peer.is_connecting) Connect(peer);
+}
+
+bool LinkClient::SendCoordination(const std::string& node,
+                                  const CoordinationMessage& message) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second->is_open) return false;
+  capnp::MallocMessageBuilder frame;
+  Encode(message, frame.initRoot<wire::Frame>().initCoordination());
+  found->second->connection->Send(frame);
+  return true;
+}
+
 std::size_t LinkClient::known_count(std::string_view data_centre) const {
   return static_cast<std::size_t>(
       std::ranges::count_if(peers_, [data_centre](const auto& entry) {
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -40,6 +40,9 @@
     std::function<void(const mesh::ConfigurationUpdate&)> on_configuration;
     // The node told of another one.
     std::function<void(const NodeIdentity&)> on_member;
+    // The node sent a message as coordinator.
+    std::function<void(const std::string&, const CoordinationMessage&)>
+        on_coordination;
   };
 
   // `backlog` is that of the instance's link and outlives the client.
@@ -61,6 +64,13 @@
   // Asks a node for what changed in the configuration since a version.
   void RequestConfiguration(const std::string& node, std::uint64_t version);
 
+  // Keeps a link to this node whatever other links are chosen; empty for none.
+  void set_pinned(const std::string& node);
+
+  // Sends a message to the coordinator; returns false if it has no open link.
+  bool SendCoordination(const std::string& node,
+                        const CoordinationMessage& message);
+
   // Nodes with an open link.
   std::vector<NodeIdentity> connected() const;
 
@@ -108,6 +118,7 @@
   Callbacks callbacks_;
   // Never erased: pointers to entries stay valid.
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
+  std::string pinned_;
   CallId next_id_ = 1;
   Timer silence_timer_;
   Timer selection_timer_;
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -45,6 +45,7 @@
   builder.setTargetLatencyUs(ToUs(route.target_latency));
   builder.setPriority(route.priority);
   builder.setMaximumAttempts(route.maximum_attempts);
+  builder.setIsPublic(route.is_public);
   auto services =
       builder.initServices(static_cast<unsigned>(route.services.size()));
   for (unsigned i = 0; i < services.size(); ++i) {
@@ -68,13 +69,38 @@
                     .timeout = FromUs(reader.getTimeoutUs()),
                     .target_latency = FromUs(reader.getTargetLatencyUs()),
                     .priority = reader.getPriority(),
-                    .maximum_attempts = reader.getMaximumAttempts()};
+                    .maximum_attempts = reader.getMaximumAttempts(),
+                    .is_public = reader.getIsPublic()};
   for (const auto part : reader.getServices()) {
     route.services.push_back({ToString(part.getService()), part.getWeight()});
   }
   return route;
 }
 
+void EncodeOrganisation(const mesh::Organisation& organisation,
+                        wire::Organisation::Builder builder) {
+  builder.setName(organisation.name);
+  auto keys = builder.initKeys(static_cast<unsigned>(organisation.keys.size()));
+  for (unsigned i = 0; i < keys.size(); ++i) {
+    keys.set(i, organisation.keys[i]);
+  }
+  builder.setHasPriority(organisation.priority.has_value());
+  builder.setPriority(organisation.priority.value_or(0));
+  builder.setRate(organisation.rate);
+  builder.setBurst(organisation.burst);
+}
+
+mesh::Organisation DecodeOrganisation(wire::Organisation::Reader reader) {
+  mesh::Organisation organisation{.name = ToString(reader.getName()),
+                                  .rate = reader.getRate(),
+                                  .burst = reader.getBurst()};
+  for (const auto key : reader.getKeys()) {
+    organisation.keys.push_back(ToString(key));
+  }
+  if (reader.getHasPriority()) organisation.priority = reader.getPriority();
+  return organisation;
+}
+
 mesh::Reason DecodeReason(std::uint8_t value) {
   return value < mesh::kReasonCount ? static_cast<mesh::Reason>(value)
                                     : mesh::Reason::kNone;
@@ -154,6 +180,16 @@
     put[i].setHost(update.put[i].host);
     EncodeRoute(*update.put[i].route, put[i]);
   }
+  auto removed_organisations = builder.initRemovedOrganisations(
+      static_cast<unsigned>(update.removed_organisations.size()));
+  for (unsigned i = 0; i < removed_organisations.size(); ++i) {
+    removed_organisations.set(i, update.removed_organisations[i]);
+  }
+  auto put_organisations = builder.initPutOrganisations(
+      static_cast<unsigned>(update.put_organisations.size()));
+  for (unsigned i = 0; i < put_organisations.size(); ++i) {
+    EncodeOrganisation(*update.put_organisations[i], put_organisations[i]);
+  }
 }
 
 mesh::ConfigurationUpdate Decode(wire::ConfigurationUpdate::Reader reader) {
@@ -181,6 +217,14 @@
         {.host = ToString(put.getHost()),
          .route = std::make_shared<const mesh::Route>(DecodeRoute(put))});
   }
+  for (const auto name : reader.getRemovedOrganisations()) {
+    update.removed_organisations.push_back(ToString(name));
+  }
+  for (const auto organisation : reader.getPutOrganisations()) {
+    update.put_organisations.push_back(
+        std::make_shared<const mesh::Organisation>(
+            DecodeOrganisation(organisation)));
+  }
   return update;
 }
 
@@ -214,6 +258,9 @@
 
 void Encode(const NodeStatus& status, wire::Status::Builder builder) {
   builder.setService(status.service);
+  if (!status.backend_version.empty()) {
+    builder.setBackendVersion(status.backend_version);
+  }
   Encode(status.load, builder.initLoad());
   builder.setConfigurationVersion(status.configuration_version);
   builder.setConfirmationAgeMs(status.confirmation_age == Duration::max()
@@ -221,6 +268,12 @@
                                    : ToMs(status.confirmation_age));
   builder.setConfirmedStoreTimeMs(status.confirmed_store_time);
   builder.setAcceptsPacked(true);
+  if (status.coordinator.term > 0) {
+    auto coordinator = builder.initCoordinator();
+    coordinator.setNode(status.coordinator.node);
+    coordinator.setTerm(status.coordinator.term);
+    coordinator.setLeaseEndMs(status.coordinator.lease_end_ms);
+  }
   if (status.crash_reports.empty()) return;
   auto reports = builder.initCrashReports(
       static_cast<unsigned>(status.crash_reports.size()));
@@ -237,6 +290,7 @@
 NodeStatus Decode(wire::Status::Reader reader) {
   NodeStatus status{
       .service = ToString(reader.getService()),
+      .backend_version = ToString(reader.getBackendVersion()),
       .load = Decode(reader.getLoad()),
       .configuration_version = reader.getConfigurationVersion(),
       .confirmation_age =
@@ -244,6 +298,12 @@
               ? Duration::max()
               : std::chrono::milliseconds(reader.getConfirmationAgeMs()),
       .confirmed_store_time = reader.getConfirmedStoreTimeMs()};
+  if (reader.hasCoordinator()) {
+    const auto coordinator = reader.getCoordinator();
+    status.coordinator = {.node = ToString(coordinator.getNode()),
+                          .term = coordinator.getTerm(),
+                          .lease_end_ms = coordinator.getLeaseEndMs()};
+  }
   for (const auto report : reader.getCrashReports()) {
     status.crash_reports.push_back(
         {.fingerprint = report.getFingerprint(),
@@ -255,6 +315,22 @@
   return status;
 }
 
+void Encode(const CoordinationMessage& message,
+            wire::CoordinationMessage::Builder builder) {
+  builder.setTerm(message.term);
+  builder.setSubject(message.subject);
+  builder.setPayload(
+      kj::arrayPtr(reinterpret_cast<const capnp::byte*>(message.payload.data()),
+                   message.payload.size()));
+}
+
+CoordinationMessage Decode(wire::CoordinationMessage::Reader reader) {
+  const auto payload = reader.getPayload();
+  return {.term = reader.getTerm(),
+          .subject = reader.getSubject(),
+          .payload = std::string(payload.begin(), payload.end())};
+}
+
 void Encode(CallId id, const Call& call, wire::Call::Builder builder) {
   builder.setId(id);
   builder.setRequestId(call.request_id);
@@ -270,6 +346,8 @@
   builder.setFingerprint(call.fingerprint);
   builder.setPriority(Saturate<std::uint8_t>(call.priority));
   builder.setIsRepeatable(call.is_repeatable);
+  if (!call.organisation.empty()) builder.setOrganisation(call.organisation);
+  builder.setIsBackendServerCall(call.is_backend_server_call);
 }
 
 Call Decode(wire::Call::Reader reader, std::string_view body) {
@@ -280,6 +358,7 @@
       .headers = ToString(reader.getHeaders()),
       .body = std::string(body),
       .caller_service = ToString(reader.getCallerService()),
+      .organisation = ToString(reader.getOrganisation()),
       .service = ToString(reader.getService()),
       .remaining = std::chrono::milliseconds(reader.getRemainingMs()),
       .wait_allowance = std::chrono::milliseconds(reader.getWaitAllowanceMs()),
@@ -287,6 +366,7 @@
       .expected_bytes = reader.getExpectedBytes(),
       .fingerprint = reader.getFingerprint(),
       .priority = reader.getPriority(),
+      .is_backend_server_call = reader.getIsBackendServerCall(),
       .is_repeatable = reader.getIsRepeatable()};
 }
 
--- a/libraries/sidecar/link_codec.h
+++ b/libraries/sidecar/link_codec.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/election.h"
 #include "core/time.h"
 #include "mesh/configuration_update.h"
 #include "mesh/outcome.h"
@@ -18,9 +19,19 @@
 
 namespace oleandertide::sidecar {
 
+// A message between a node and the coordinator of the fleet.
+struct CoordinationMessage {
+  // Term of the coordinator that it goes to or comes from.
+  std::uint64_t term = 0;
+  std::uint8_t subject = 0;
+  std::string payload{};
+};
+
 // What a node tells of itself to those that opened a connection to it.
 struct NodeStatus {
   std::string service{};
+  // Version of the backend server's software; empty if it does not tell.
+  std::string backend_version{};
   mesh::BackendLoad load;
   std::uint64_t configuration_version = 0;
   // The maximum if the store never confirmed the version.
@@ -28,6 +39,8 @@
   // The same moment by the store's clock in milliseconds; 0 if there was none.
   std::uint64_t confirmed_store_time = 0;
   std::vector<routing::CrashReport> crash_reports{};
+  // The coordinator as the node knows it; term 0 if it knows none.
+  coordination::Holder coordinator{};
 };
 
 void Encode(const NodeIdentity& node, wire::Hello::Builder builder);
@@ -44,6 +57,10 @@
 void Encode(const NodeStatus& status, wire::Status::Builder builder);
 NodeStatus Decode(wire::Status::Reader reader);
 
+void Encode(const CoordinationMessage& message,
+            wire::CoordinationMessage::Builder builder);
+CoordinationMessage Decode(wire::CoordinationMessage::Reader reader);
+
 // The body travels beside the message.
 void Encode(CallId id, const Call& call, wire::Call::Builder builder);
 Call Decode(wire::Call::Reader reader, std::string_view body);
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -128,6 +128,7 @@
         return;
       }
       const NodeIdentity& node = hello.value();
+      session->node = node.name;
       session->is_in_own_data_centre = node.data_centre == data_centre_;
       session->connection->set_packs(frame.getHello().getAcceptsPacked());
       callbacks_.on_hello(node);
@@ -157,6 +158,12 @@
       session->connection->Send(message);
       return;
     }
+    case wire::Frame::COORDINATION:
+      if (callbacks_.on_coordination && !session->node.empty()) {
+        callbacks_.on_coordination(session->node,
+                                   Decode(frame.getCoordination()));
+      }
+      return;
     default:
       // Frames of later versions are of no use here.
       return;
@@ -339,6 +346,27 @@
   for (const auto& session : sessions) session->connection->Send(message);
 }
 
+bool LinkServer::SendCoordination(const std::string& node,
+                                  const CoordinationMessage& message) {
+  const auto found =
+      std::ranges::find_if(sessions_, [&node](const auto& session) {
+        return session->node == node && !session->connection->is_closed();
+      });
+  if (found == sessions_.end()) return false;
+  capnp::MallocMessageBuilder frame;
+  Encode(message, frame.initRoot<wire::Frame>().initCoordination());
+  (*found)->connection->Send(frame);
+  return true;
+}
+
+std::vector<std::string> LinkServer::session_nodes() const {
+  std::vector<std::string> nodes;
+  for (const auto& session : sessions_) {
+    if (!session->node.empty()) nodes.push_back(session->node);
+  }
+  return nodes;
+}
+
 bool LinkServer::has_unsent_frames() const {
   return !bulk_.empty() ||
          std::ranges::any_of(sessions_, [](const auto& session) {
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -42,6 +42,9 @@
     // no configuration.
     std::function<std::optional<mesh::ConfigurationUpdate>(std::uint64_t)>
         make_update;
+    // A node sent a report to the coordinator.
+    std::function<void(const std::string&, const CoordinationMessage&)>
+        on_coordination;
   };
 
   // Listens on `address` as a node of `data_centre`; `backlog` is that of the
@@ -61,6 +64,14 @@
   // Tells all links of another node.
   void Forward(const NodeIdentity& node);
 
+  // Sends a message of the coordinator; returns false if the node has no link
+  // to this one.
+  bool SendCoordination(const std::string& node,
+                        const CoordinationMessage& message);
+
+  // Names of the nodes that opened a link.
+  std::vector<std::string> session_nodes() const;
+
   // Whether an answer or another frame has not been handed to the system in
   // full.
   bool has_unsent_frames() const;
@@ -80,6 +91,8 @@
   };
   struct Session {
     std::shared_ptr<FramedConnection> connection;
+    // Name of the other node; empty until it has told it.
+    std::string node;
     bool is_in_own_data_centre = false;
     // When the node was last told the status.
     MonotonicTime told_at;
--- a/libraries/sidecar/member_directory.cc
+++ b/libraries/sidecar/member_directory.cc
@@ -122,10 +122,11 @@
                 .key = self_.name,
                 .expected_version = own_version_,
                 .value = &value},
-               [this](std::error_code error) {
-                 if (error) {
+               [this](const Result<platform::WriteReceipt>& written) {
+                 if (!written &&
+                     written.error() != make_error_code(Error::kDataDamaged)) {
                    logging::Log(Level::kWarning, "members", "write failed",
-                                {{"error", error.message()}});
+                                {{"error", written.error().message()}});
                    StartAfter(random_.Between(kShortestPause, kLongestPause));
                    return;
                  }
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -64,6 +64,11 @@
   return backend_.announcement().service;
 }
 
+std::string_view Receiver::backend_version() const {
+  if (backend_.standing() == mesh::BackendStanding::kUnknown) return {};
+  return backend_.announcement().version;
+}
+
 mesh::BackendLoad Receiver::load() const {
   mesh::BackendLoad load = queue_.load();
   load.accepts_requests = backend_.is_accepting() && !is_stopping_;
@@ -140,6 +145,7 @@
        .target = call.target,
        .headers = call.headers,
        .caller_service = call.caller_service,
+       .organisation = call.organisation,
        .expected_instance = backend_.announcement().id,
        .remaining = remaining,
        .body_size = call.body.size()});
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -71,6 +71,9 @@
   // Service of the backend server; empty if none has announced itself.
   std::string_view service() const;
 
+  // Version of its software; empty if it does not tell.
+  std::string_view backend_version() const;
+
   mesh::BackendLoad load() const;
 
   mesh::BackendStanding standing() const { return backend_.standing(); }
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -7,6 +7,7 @@
 #include "config/field.h"
 #include "config/settings_reader.h"
 #include "config/value.h"
+#include "platform/deployment_codec.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -40,6 +41,12 @@
       {{"node", "first-start", BooleanRule{},
         "whether the whole system starts for the first time", "false"},
        Assign<&Settings::node, &Settings::Node::is_first_start>::To},
+      {{"node", "memory-mb", IntegerRule{0, 1'048'576},
+        "memory that the instance gives the process in MB; 0 is unknown", "0"},
+       Assign<&Settings::node, &Settings::Node::memory_mb>::To},
+      {{"node", "descriptors", IntegerRule{0, 10'000'000},
+        "descriptors that the process may open; 0 is unknown", "0"},
+       Assign<&Settings::node, &Settings::Node::descriptors>::To},
 
       {{"listen", "clients", AddressRule{}, "address for clients"},
        Assign<&Settings::listen, &Settings::Listen::clients>::To},
@@ -69,6 +76,12 @@
       {{"store", "address", AddressRule{}, "address of the metadata store"},
        Assign<&Settings::store, &Settings::Store::address>::To},
 
+      {{"deployment", "rules", TextRule{},
+        "names of the platform's rules in force, joined by commas; they switch "
+        "on limits of organisations and roll-outs",
+        "base"},
+       Assign<&Settings::rules, &Settings::Rules::names>::To},
+
       {{"drain", "fence", DurationRule{milliseconds(0), seconds(60)},
         "time after the notice of a leaving backend server until which waiting "
         "requests are handed over",
@@ -113,7 +126,25 @@
 
 config::Checked<SidecarSettings> SidecarSettings::Parse(
     std::string_view text, std::string_view file_name) {
-  return config::detail::ReadSettings(Fields(), text, file_name);
+  // The platform adds bounds from time to time; unknown ones are ignored.
+  config::detail::OpenSection bounds{.kind = "bounds", .entries = {}};
+  auto settings =
+      config::detail::ReadSettings(Fields(), text, file_name, &bounds);
+  if (!settings) return settings;
+  std::vector<platform::NamedBound> named;
+  for (const config::IniEntry& entry : bounds.entries) {
+    named.emplace_back(entry.key, entry.value);
+  }
+  auto deployment =
+      platform::DecodeDeployment(settings.value().rules.names, named);
+  if (!deployment) {
+    config::DiagnosticList diagnostics(file_name);
+    diagnostics.Add(bounds.entries.empty() ? 0 : bounds.entries.front().line,
+                    "[bounds]", deployment.error());
+    return diagnostics.Take();
+  }
+  settings.value().deployment = deployment.value();
+  return settings;
 }
 
 std::string SidecarSettings::Describe() {
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -9,6 +9,7 @@
 #include "config/diagnostic.h"
 #include "core/address.h"
 #include "core/time.h"
+#include "mesh/deployment.h"
 
 namespace oleandertide::sidecar {
 
@@ -21,6 +22,10 @@
     double link_mbps = 0;
     // Whether this is the first start of the whole system.
     bool is_first_start = false;
+    // Memory that the instance gives the process in MB; 0 if unknown.
+    std::int64_t memory_mb = 0;
+    // Descriptors that the process may open; 0 if unknown.
+    std::int64_t descriptors = 0;
   };
   struct Listen {
     Address clients;
@@ -38,6 +43,10 @@
   struct Store {
     Address address;
   };
+  struct Rules {
+    std::string names;
+  };
+  Rules rules;
   struct Drain {
     Duration fence{};
     Duration announce_time{};
@@ -61,6 +70,8 @@
   Listen listen;
   Backend backend;
   Store store;
+  // From [deployment] and [bounds].
+  mesh::Deployment deployment;
   Drain drain;
   Retries retries;
   Placement placement;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -1,5 +1,7 @@
 #include "sidecar/sidecar.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -14,6 +16,7 @@
 #include "platform/names.h"
 #include "routing/quarantine.h"
 #include "sidecar/configuration_source.h"
+#include "sidecar/coordination.h"
 #include "sidecar/http_server.h"
 #include "sidecar/ingress.h"
 #include "sidecar/link_client.h"
@@ -121,11 +124,18 @@
                  .store = store_,
                  .holder = holder_,
                  .metrics = metrics_,
-                 .random = random_},
+                 .random = random_,
+                 .clock = store_clock_},
                 identity_, settings.node.is_first_start,
                 [this] { OnConfigurationChanged(); }),
         members_(loop, store_, random_, identity_, settings.node.is_first_start,
                  [this](const NodeIdentity& node) { links_.Learn(node); }),
+        coordination_({.loop = loop,
+                       .store = store_,
+                       .links = links_,
+                       .random = random_,
+                       .clock = store_clock_},
+                      identity_, fmt::format("{:016x}", random_.Next())),
         stop_timer_(loop) {}
 
   Result<void> Start() {
@@ -141,7 +151,12 @@
                  -> std::optional<mesh::ConfigurationUpdate> {
                if (!holder_.current()) return std::nullopt;
                return holder_.MakeUpdateSince(version);
-             }}));
+             },
+             .on_coordination =
+                 [this](const std::string& node,
+                        const CoordinationMessage& message) {
+                   coordination_.OnReport(node, message);
+                 }}));
     link_server_ = std::move(link_server);
     receiver_.set_on_standing_changed([this] { link_server_->Broadcast(); });
     source_.set_links(links_);
@@ -187,6 +202,7 @@
     metrics_server_ = std::move(metrics_server);
     source_.Start();
     members_.Start();
+    if (is_coordination_needed()) coordination_.Start(*link_server_);
     return Success();
   }
 
@@ -207,6 +223,7 @@
                            .deadline = settings_.drain.deadline});
     ingress_.BeginStop(policy);
     receiver_.BeginStop(policy);
+    coordination_.Stop();
     logging::Log(Level::kInfo, "node", "stopping",
                  {{"standing", mesh::ToString(receiver_.standing())}});
     CheckStop();
@@ -232,7 +249,12 @@
             [this](const mesh::ConfigurationUpdate& update) {
               source_.OnUpdate(update);
             },
-        .on_member = [this](const NodeIdentity& node) { OnMemberTold(node); }};
+        .on_member = [this](const NodeIdentity& node) { OnMemberTold(node); },
+        .on_coordination =
+            [this](const std::string& node,
+                   const CoordinationMessage& message) {
+              coordination_.OnMessage(node, message);
+            }};
   }
 
   // Passes on what is new, so that a node that joins is known everywhere.
@@ -253,6 +275,12 @@
       quarantine_.Merge(MonotonicClock::now(), status.crash_reports);
     }
     source_.OnPeerStatus(node, status);
+    coordination_.OnHolderTold(status.coordinator);
+  }
+
+  // Only these features ask for a node that decides for the fleet.
+  bool is_coordination_needed() const {
+    return settings_.deployment.has_limits || settings_.deployment.has_rollouts;
   }
 
   // Of what changes more often than it is asked for.
@@ -268,11 +296,13 @@
     mesh::BackendLoad load = receiver_.load();
     load.link_wait = link_server_->link_wait();
     return {.service = std::string(receiver_.service()),
+            .backend_version = std::string(receiver_.backend_version()),
             .load = load,
             .configuration_version = holder_.version(),
             .confirmation_age = holder_.confirmation_age(now),
             .confirmed_store_time = holder_.confirmed_store_time(),
-            .crash_reports = quarantine_.TakeReports(now, kReportsInStatus)};
+            .crash_reports = quarantine_.TakeReports(now, kReportsInStatus),
+            .coordinator = coordination_.holder()};
   }
 
   void OnConfigurationChanged() {
@@ -405,6 +435,7 @@
   const MonotonicTime started_at_;
   NodeMetrics metrics_;
   routing::Quarantine quarantine_;
+  coordination::StoreClock store_clock_;
   mesh::ConfigurationHolder holder_;
   Receiver receiver_;
   mesh::LinkBacklog backlog_;
@@ -413,6 +444,7 @@
   StoreClient store_;
   ConfigurationSource source_;
   MemberDirectory members_;
+  Coordination coordination_;
   std::unique_ptr<LinkServer> link_server_;
   std::unique_ptr<HttpServer> clients_;
   std::unique_ptr<HttpServer> readiness_;
--- a/libraries/sidecar/store_client.cc
+++ b/libraries/sidecar/store_client.cc
@@ -127,7 +127,16 @@
       fmt::format("POST {}", platform::TransactionTarget()),
       platform::EncodeTransaction(write), kCallLimit,
       [on_written = std::move(on_written)](const Result<std::string>& body) {
-        on_written(body ? std::error_code() : body.error());
+        if (!body) {
+          on_written(body.error());
+          return;
+        }
+        const auto receipt = platform::DecodeReceipt(body.value());
+        if (receipt) {
+          on_written(receipt.value());
+        } else {
+          on_written(make_error_code(Error::kDataDamaged));
+        }
       }));
 }
 
--- a/libraries/sidecar/store_client.h
+++ b/libraries/sidecar/store_client.h
@@ -28,7 +28,7 @@
   // kOutcomeUnknown (no answer, the call may still be performed),
   // kConnectFailed as kUnavailable, kDataDamaged.
   using OnRows = std::function<void(Result<platform::RowList>)>;
-  using OnWritten = std::function<void(std::error_code)>;
+  using OnWritten = std::function<void(Result<platform::WriteReceipt>)>;
 
   StoreClient(EventLoop& loop, Tcp::endpoint endpoint, std::string host,
               NodeMetrics& metrics);
@@ -43,7 +43,8 @@
   void AwaitChanges(std::string_view table, std::uint64_t after, Duration wait,
                     OnRows on_rows);
 
-  // Writes a row under a condition.
+  // Writes a row under a condition. An answer that cannot be read is
+  // kDataDamaged, and the row was written.
   void Write(const platform::ConditionalWrite& write, OnWritten on_written);
 
  private:
