organisations: Honour keys of the configuration while they are fresh

Callers with a key were served whoever they were, and the backend server got the key and not the organisation's name.

The key is not forwarded, the organisation's name is.

--- a/libraries/coordination/election.cc
+++ b/libraries/coordination/election.cc
@@ -26,7 +26,8 @@
   return nlohmann::json{{"node", row.holder.node},
                         {"term", row.holder.term},
                         {"lease-end-ms", row.holder.lease_end_ms},
-                        {"incarnation", row.incarnation}}
+                        {"incarnation", row.incarnation},
+                        {"earlier-rights-end-ms", row.earlier_rights_end_ms}}
       .dump();
 }
 
@@ -37,10 +38,13 @@
   OLEANDERTIDE_TRY(term, ReadUnsigned(*json, "term"));
   OLEANDERTIDE_TRY(lease_end, ReadUnsigned(*json, "lease-end-ms"));
   OLEANDERTIDE_TRY(incarnation, ReadText(*json, "incarnation"));
+  OLEANDERTIDE_TRY(earlier_rights_end,
+                   ReadUnsigned(*json, "earlier-rights-end-ms"));
   return LeaseRow{.holder = {.node = std::string(node),
                              .term = term,
                              .lease_end_ms = lease_end},
                   .incarnation = std::string(incarnation),
+                  .earlier_rights_end_ms = earlier_rights_end,
                   .version = version};
 }
 
@@ -52,28 +56,31 @@
              own_->holder.lease_end_ms;
 }
 
-Election::Effect Election::Claim(std::uint64_t term,
-                                 std::uint64_t expected_version,
+Election::Effect Election::Claim(std::uint64_t term, const LeaseRow& before,
                                  const StoreClock& clock, BootTime now) {
   const auto store_now = clock.EarliestNow(now);
   if (!store_now) return {};
-  pending_ =
-      LeaseRow{.holder = {.node = options_.node,
-                          .term = term,
-                          .lease_end_ms =
-                              *store_now + static_cast<std::uint64_t>(
-                                               ToMilliseconds(options_.lease))},
-               .incarnation = options_.incarnation};
+  pending_ = LeaseRow{
+      .holder = {.node = options_.node,
+                 .term = term,
+                 .lease_end_ms =
+                     *store_now + static_cast<std::uint64_t>(
+                                      ToMilliseconds(options_.lease))},
+      .incarnation = options_.incarnation,
+      .earlier_rights_end_ms = term == before.holder.term
+                                   ? before.earlier_rights_end_ms
+                                   : std::max(before.earlier_rights_end_ms,
+                                              before.holder.lease_end_ms)};
   is_busy_ = true;
   next_at_ = now + options_.renewal;
-  return WriteRow{EncodeLease(*pending_), expected_version};
+  return WriteRow{EncodeLease(*pending_), before.version};
 }
 
 Election::Effect Election::Tick(const StoreClock& clock, BootTime now,
                                 Duration delay) {
   if (is_busy_ || is_released_ || now < next_at_) return {};
   if (own_ && !is_row_uncertain_) {
-    return Claim(own_->holder.term, own_->version, clock, now);
+    return Claim(own_->holder.term, *own_, clock, now);
   }
   if (own_) {
     is_busy_ = true;
@@ -99,19 +106,18 @@
   is_busy_ = false;
   is_row_uncertain_ = false;
   if (is_released_) return {};
-  if (!row) return Claim(1, 0, clock, now);
+  if (!row) return Claim(holder_.term + 1, {}, clock, now);
   const Holder& holder = row->holder;
   if (holder.node == options_.node &&
       row->incarnation == options_.incarnation) {
     // A write whose answer was lost.
     own_ = *row;
     holder_ = holder;
-    return Claim(holder.term, row->version, clock, now);
+    return Claim(holder.term, *row, clock, now);
   }
   own_.reset();
   if (holder.node == options_.node || store_time_ms >= holder.lease_end_ms) {
-    return Claim(std::max(holder.term, holder_.term) + 1, row->version, clock,
-                 now);
+    return Claim(std::max(holder.term, holder_.term) + 1, *row, clock, now);
   }
   Learn(holder);
   return {};
@@ -155,6 +161,8 @@
   is_released_ = true;
   if (!own_) return {};
   LeaseRow row = *std::exchange(own_, std::nullopt);
+  row.earlier_rights_end_ms =
+      std::max(row.earlier_rights_end_ms, row.holder.lease_end_ms);
   row.holder = {.term = row.holder.term + 1};
   holder_ = row.holder;
   return WriteRow{EncodeLease(row), row.version};
--- a/libraries/coordination/election.h
+++ b/libraries/coordination/election.h
@@ -32,6 +32,11 @@
   Holder holder;
   // Tells the lives of the holder's process apart.
   std::string incarnation{};
+  // Until then, by the store's clock, rights that earlier terms handed out may
+  // still be in use. Such a right ends with the lease of its term at the
+  // latest, but a lease may be released or taken over by a restarted process
+  // before.
+  std::uint64_t earlier_rights_end_ms = 0;
   // Version of the row at the store; 0 if it does not exist.
   std::uint64_t version = 0;
 };
@@ -108,8 +113,13 @@
 
   const Holder& holder() const { return holder_; }
 
+  // The row as this node wrote it last, if it is or was the holder; nothing
+  // once another holder is known.
+  const std::optional<LeaseRow>& own_row() const { return own_; }
+
  private:
-  Effect Claim(std::uint64_t term, std::uint64_t expected_version,
+  // Claims or renews the lease; `before` is the row as it was read.
+  Effect Claim(std::uint64_t term, const LeaseRow& before,
                const StoreClock& clock, BootTime now);
 
   const Options options_;
--- a/libraries/sidecar/coordination.cc
+++ b/libraries/sidecar/coordination.cc
@@ -100,7 +100,8 @@
               // Written over by the next holder.
               logging::Log(Level::kWarning, "coordination",
                            "lease is not readable", {{"version", row.version}});
-              lease = coordination::LeaseRow{.holder = {}, .version = row.version};
+              lease = coordination::LeaseRow{};
+              lease->version = row.version;
             }
           }
           Perform(election_.OnRow(lease, rows.value().store_time_ms,
--- a/libraries/sidecar/coordination.h
+++ b/libraries/sidecar/coordination.h
@@ -91,6 +91,12 @@
   // ended.
   const coordination::Holder& holder() const { return election_.holder(); }
 
+  // Until when, by the store's clock, rights of earlier terms may be in use.
+  // Precondition: is_coordinator().
+  std::uint64_t earlier_rights_end_ms() const {
+    return election_.own_row()->earlier_rights_end_ms;
+  }
+
   // Whether the node takes part, from Start to Stop.
   bool is_active() const { return is_active_; }
 
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -34,6 +34,7 @@
 constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(5);
 
 constexpr int kStatusBadRequest = 400;
+constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
@@ -86,7 +87,8 @@
       data_centre_(options.data_centre),
       service_(options.service),
       placement_(options.crossing_cost_per_byte),
-      retries_(options.retries) {}
+      retries_(options.retries),
+      key_trust_(options.key_trust) {}
 
 Ingress::~Ingress() = default;
 
@@ -122,6 +124,37 @@
                               std::chrono::duration<double>(after).count())});
 }
 
+bool Ingress::RefuseKey(HttpReply& reply,
+                        const platform::ClientRequestHead& head,
+                        const mesh::Route& route,
+                        const mesh::Organisation* organisation) {
+  if (organisation == nullptr && route.is_public) return false;
+  const bool is_trusted =
+      !key_trust_ ||
+      key_trust_->MayHonour(parts_.store_clock,
+                            parts_.configuration.confirmed_store_time(),
+                            BootClock::now());
+  if (organisation != nullptr && is_trusted) return false;
+  if (!is_trusted || !is_configuration_fresh()) {
+    parts_.metrics.untrusted_keys.Add();
+    logging::Log(Level::kWarning, "ingress", "keys are not trusted",
+                 {{"request", head.request_id},
+                  {"route", route.name},
+                  {"version", parts_.configuration.version()}});
+    Refuse(reply, head.request_id, kAwayRetryAfter);
+    return true;
+  }
+  parts_.metrics.unknown_keys.Add();
+  logging::Log(Level::kInfo, "ingress", "unknown key",
+               {{"request", head.request_id},
+                {"route", route.name},
+                {"has_key", !head.key.empty()},
+                {"version", parts_.configuration.version()}});
+  reply.Send({.status = kStatusUnauthorized,
+              .headers = platform::EncodeRequestIdLine(head.request_id)});
+  return true;
+}
+
 void Ingress::Handle(const std::shared_ptr<HttpRequest>& request,
                      HttpReply reply) {
   parts_.metrics.requests.Add();
@@ -156,7 +189,13 @@
                 .headers = platform::EncodeRequestIdLine(head.request_id)});
     return;
   }
-  if (configuration->organisations.empty()) head.headers += head.credentials;
+  const mesh::Organisation* organisation = nullptr;
+  if (configuration->organisations.empty()) {
+    head.headers += head.credentials;
+  } else {
+    organisation = configuration->keys.Find(head.key);
+    if (RefuseKey(reply, head, *route, organisation)) return;
+  }
   auto exchange = std::make_shared<Exchange>(parts_.loop, std::move(reply));
   exchange->arrived = exchange->reply.received_at();
   exchange->configuration = configuration;
@@ -178,6 +217,9 @@
                     .headers = std::move(head.headers),
                     .body = std::move(request->body()),
                     .caller_service = service_,
+                    .organisation = organisation == nullptr
+                                        ? std::string()
+                                        : organisation->name,
                     .service = service_choice_.Choose(*route, parts_.random),
                     .priority = route->priority,
                     .is_repeatable = mesh::is_repeatable(route->kind)};
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -13,6 +13,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "coordination/store_clock.h"
 #include "core/random.h"
 #include "core/time.h"
 #include "mesh/attempt_policy.h"
@@ -22,6 +23,8 @@
 #include "mesh/retry_allowance.h"
 #include "mesh/service_choice.h"
 #include "mesh/stop_policy.h"
+#include "organisations/key_trust.h"
+#include "platform/http_codec.h"
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
@@ -44,6 +47,9 @@
     mesh::RetryAllowance::Options retries;
     // See mesh::Placement.
     double crossing_cost_per_byte = 0;
+    // See organisations::KeyTrust; without it, keys are honoured as the
+    // configuration in force says.
+    std::optional<organisations::KeyTrust> key_trust{};
   };
 
   // What the ingress works with; all outlive it.
@@ -55,6 +61,7 @@
     routing::Quarantine& quarantine;
     NodeMetrics& metrics;
     RandomSource& random;
+    const coordination::StoreClock& store_clock;
   };
 
   Ingress(const Parts& parts, const Options& options);
@@ -92,6 +99,11 @@
     mesh::ExponentialAverage answer_bytes{kWindow};
   };
 
+  // Answers a request that its key does not allow; returns whether it did.
+  // `organisation` is the holder of the key, if any.
+  bool RefuseKey(HttpReply& reply, const platform::ClientRequestHead& head,
+                 const mesh::Route& route,
+                 const mesh::Organisation* organisation);
   void StartDeadlineTimer(const ExchangePointer& exchange);
   void Attempt(const ExchangePointer& exchange);
   void Send(const ExchangePointer& exchange, const std::string& node);
@@ -114,6 +126,7 @@
   mesh::Placement placement_;
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
+  const std::optional<organisations::KeyTrust> key_trust_;
   // References to entries stay valid.
   std::map<std::string, RouteStatistics, std::less<>> statistics_;
   std::unordered_set<ExchangePointer> exchanges_;
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -29,6 +29,13 @@
           "answered_total", "Requests with an answer of a backend server")),
       unknown_routes(registry.RegisterCounter("unknown_routes_total",
                                               "Requests without a route")),
+      unknown_keys(registry.RegisterCounter(
+          "unknown_keys_total",
+          "Requests refused (401) for want of a known key")),
+      untrusted_keys(registry.RegisterCounter(
+          "untrusted_keys_total",
+          "Requests refused (503) because the configuration's keys were not "
+          "confirmed recently")),
       clients_left(registry.RegisterCounter(
           "clients_left_total",
           "Requests whose client left before the answer")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -20,6 +20,8 @@
   metrics::Counter& requests;
   metrics::Counter& answered;
   metrics::Counter& unknown_routes;
+  metrics::Counter& unknown_keys;
+  metrics::Counter& untrusted_keys;
   metrics::Counter& clients_left;
   metrics::LatencyAccumulator& answer_latency;
   // By reason.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -68,6 +68,12 @@
                                             : listen.advertised_peers;
 }
 
+std::optional<organisations::KeyTrust> MakeKeyTrust(
+    const mesh::Deployment& deployment) {
+  if (!deployment.closes_stale_keys) return std::nullopt;
+  return organisations::KeyTrust(deployment.revocation_limit);
+}
+
 std::uint64_t MakeSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -108,7 +114,8 @@
              .configuration = holder_,
              .quarantine = quarantine_,
              .metrics = metrics_,
-             .random = random_},
+             .random = random_,
+             .store_clock = store_clock_},
             {.node = identity_.name,
              .data_centre = identity_.data_centre,
              .service = settings.node.service,
@@ -117,7 +124,8 @@
                          .max_saved_retries =
                              static_cast<double>(settings.retries.saved)},
              .crossing_cost_per_byte =
-                 settings.placement.crossing_cost_percent / 100 / kBytesPerKb}),
+                 settings.placement.crossing_cost_percent / 100 / kBytesPerKb,
+             .key_trust = MakeKeyTrust(settings.deployment)}),
         store_(loop, std::move(store), settings.store.address.ToString(),
                metrics_),
         source_({.loop = loop,
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -170,6 +170,7 @@
                             .target = "/x/1",
                             .headers = "Host: a\r\n",
                             .caller_service = "rooms",
+                            .organisation = {},
                             .expected_instance = "i-1",
                             .remaining = std::chrono::microseconds(799'900)});
   REQUIRE(head ==
