sidecar: Read rules and bounds as the platform's template gives them

The platform fills in bounds as a table, and the names of all rules exceed the length of a text setting: no process started on a deployment with more than some rules. Rules and bounds are open sections now, an entry each.

--- a/libraries/config/settings_reader.h
+++ b/libraries/config/settings_reader.h
@@ -37,20 +37,20 @@
 };
 
 // Reads all sections that `fields` names; a missing section is read as an
-// empty one. The entries of `open`, if given, are left as they are.
+// empty one. The entries of `open` are left as they are.
 // Precondition: the fields of a section follow each other.
 template <typename Settings>
 Checked<Settings> ReadSettings(std::span<const Field<Settings>> fields,
                                std::string_view text,
                                std::string_view file_name,
-                               OpenSection* open = nullptr) {
+                               std::span<OpenSection> open = {}) {
   DiagnosticList diagnostics(file_name);
   std::vector<IniSection> sections = ReadIni(text, diagnostics);
   if (text.size() > kMaximumTextBytes) return diagnostics.Take();
-  if (open != nullptr) {
-    std::erase_if(sections, [open](IniSection& section) {
-      if (section.kind != open->kind || !section.name.empty()) return false;
-      open->entries = std::move(section.entries);
+  for (OpenSection& target : open) {
+    std::erase_if(sections, [&target](IniSection& section) {
+      if (section.kind != target.kind || !section.name.empty()) return false;
+      target.entries = std::move(section.entries);
       return true;
     });
   }
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -1,5 +1,6 @@
 #include "sidecar/settings.h"
 
+#include <array>
 #include <optional>
 #include <span>
 #include <vector>
@@ -76,12 +77,6 @@
       {{"store", "address", AddressRule{}, "address of the metadata store"},
        Assign<&Settings::store, &Settings::Store::address>::To},
 
-      {{"deployment", "rules", TextRule{},
-        "names of the platform's rules in force, joined by commas; they switch "
-        "on limits of organisations and roll-outs",
-        "base"},
-       Assign<&Settings::rules, &Settings::Rules::names>::To},
-
       {{"drain", "fence", DurationRule{milliseconds(0), seconds(60)},
         "time after the notice of a leaving backend server until which waiting "
         "requests are handed over",
@@ -126,17 +121,25 @@
 
 config::Checked<SidecarSettings> SidecarSettings::Parse(
     std::string_view text, std::string_view file_name) {
-  // The platform adds bounds from time to time; unknown ones are ignored.
-  config::detail::OpenSection bounds{.kind = "bounds", .entries = {}};
+  // Names and bounds of the platform's rules in force; it adds some from time
+  // to time, and unknown ones are ignored.
+  std::array<config::detail::OpenSection, 2> open = {{
+      {.kind = "rules", .entries = {}},
+      {.kind = "bounds", .entries = {}},
+  }};
   auto settings =
-      config::detail::ReadSettings(Fields(), text, file_name, &bounds);
+      config::detail::ReadSettings(Fields(), text, file_name, std::span(open));
   if (!settings) return settings;
+  const auto& [rules, bounds] = open;
+  std::vector<std::string_view> names;
+  for (const config::IniEntry& entry : rules.entries) {
+    if (entry.value == "true") names.emplace_back(entry.key);
+  }
   std::vector<platform::NamedBound> named;
   for (const config::IniEntry& entry : bounds.entries) {
     named.emplace_back(entry.key, entry.value);
   }
-  auto deployment =
-      platform::DecodeDeployment(settings.value().rules.names, named);
+  auto deployment = platform::DecodeDeployment(names, named);
   if (!deployment) {
     config::DiagnosticList diagnostics(file_name);
     diagnostics.Add(bounds.entries.empty() ? 0 : bounds.entries.front().line,
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -43,10 +43,6 @@
   struct Store {
     Address address;
   };
-  struct Rules {
-    std::string names;
-  };
-  Rules rules;
   struct Drain {
     Duration fence{};
     Duration announce_time{};
@@ -70,7 +66,7 @@
   Listen listen;
   Backend backend;
   Store store;
-  // From [deployment] and [bounds].
+  // From [rules] and [bounds].
   mesh::Deployment deployment;
   Drain drain;
   Retries retries;
