--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -1,5 +1,6 @@
 #include "sidecar/settings.h"
 
+#include <array>
 #include <optional>
 #include <span>
 #include <vector>
@@ -7,6 +8,7 @@
 #include "config/field.h"
 #include "config/settings_reader.h"
 #include "config/value.h"
+#include "platform/deployment_codec.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -40,6 +42,12 @@
       {{"node", "first-start", BooleanRule{},
         "whether the whole system starts for the first time", "false"},
        Assign<&Settings::node, &Settings::Node::is_first_start>::To},
+      {{"node", "memory-mb", IntegerRule{0, 1'048'576},
+        "memory that the instance gives the process in MB; 0 is unknown", "0"},
+       Assign<&Settings::node, &Settings::Node::memory_mb>::To},
+      {{"node", "descriptors", IntegerRule{0, 10'000'000},
+        "descriptors that the process may open; 0 is unknown", "0"},
+       Assign<&Settings::node, &Settings::Node::descriptors>::To},
 
       {{"listen", "clients", AddressRule{}, "address for clients"},
        Assign<&Settings::listen, &Settings::Listen::clients>::To},
@@ -113,7 +121,33 @@
 
 config::Checked<SidecarSettings> SidecarSettings::Parse(
     std::string_view text, std::string_view file_name) {
-  return config::detail::ReadSettings(Fields(), text, file_name);
+  // Names and bounds of the platform's rules in force; it adds some from time
+  // to time, and unknown ones are ignored.
+  std::array<config::detail::OpenSection, 2> open = {{
+      {.kind = "rules", .entries = {}},
+      {.kind = "bounds", .entries = {}},
+  }};
+  auto settings =
+      config::detail::ReadSettings(Fields(), text, file_name, std::span(open));
+  if (!settings) return settings;
+  const auto& [rules, bounds] = open;
+  std::vector<std::string_view> names;
+  for (const config::IniEntry& entry : rules.entries) {
+    if (entry.value == "true") names.emplace_back(entry.key);
+  }
+  std::vector<platform::NamedBound> named;
+  for (const config::IniEntry& entry : bounds.entries) {
+    named.emplace_back(entry.key, entry.value);
+  }
+  auto deployment = platform::DecodeDeployment(names, named);
+  if (!deployment) {
+    config::DiagnosticList diagnostics(file_name);
+    diagnostics.Add(bounds.entries.empty() ? 0 : bounds.entries.front().line,
+                    "[bounds]", deployment.error());
+    return diagnostics.Take();
+  }
+  settings.value().deployment = deployment.value();
+  return settings;
 }
 
 std::string SidecarSettings::Describe() {
