mesh: Rank requests by organisation, then by route

Callers of an important organisation waited like any other, since the rank of a call was the priority of its route. OrganisationPolicy numbers the pairs of organisation and route priority without gaps from 1, so that the observed ones fit into the four classes of load reports. Calls of backend servers are marked and have rank 0 where the configuration has organisations: those without a key on a public route of priority 1. Without organisations the ranks and the marks are those of the route, as before.

ChooseMaxWait uses the mark in place of priority 1; its test sets it.

--- a/libraries/mesh/attempt_policy.cc
+++ b/libraries/mesh/attempt_policy.cc
@@ -20,9 +20,9 @@
 // The same for urgent routes. They go first in the queue; a shorter wait would
 // only refuse them in favour of less urgent ones.
 constexpr double kReservedRunTimesUrgent = 1;
-// Priority that the sites configure for calls that backend servers make while
-// they run a request. Requests that must not be repeated have priority 0.
-constexpr int kBackendServerCallPriority = 1;
+// Least urgent priority of an urgent route. Requests that must not be repeated
+// have priority 0.
+constexpr int kMaxUrgentPriority = 1;
 // Minimum time that a request may wait, as a fraction of the target latency.
 constexpr double kMinWaitShare = 0.1;
 
@@ -97,13 +97,13 @@
   };
   const auto min_wait = Duration(static_cast<std::int64_t>(
       static_cast<double>(request.target_latency.count()) * kMinWaitShare));
-  const double reserved_run_times =
-      request.priority <= kBackendServerCallPriority ? kReservedRunTimesUrgent
-                                                     : kReservedRunTimes;
+  const double reserved_run_times = request.priority <= kMaxUrgentPriority
+                                        ? kReservedRunTimesUrgent
+                                        : kReservedRunTimes;
   const Duration in_time = std::max(
       request.target_latency - request.elapsed - runs(reserved_run_times),
       min_wait);
-  if (request.priority != kBackendServerCallPriority) return in_time;
+  if (!request.is_backend_server_call) return in_time;
   return std::max(in_time, request.remaining - runs(kReservedRunTimes));
 }
 
--- a/libraries/mesh/attempt_policy.h
+++ b/libraries/mesh/attempt_policy.h
@@ -50,6 +50,8 @@
 struct WaitingRequest {
   // Rank of the route; 0 is the most urgent.
   int priority = 0;
+  // Whether a backend server made the call while it ran another request.
+  bool is_backend_server_call = false;
   Duration target_latency{};
   // Time since its arrival.
   Duration elapsed{};
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -107,6 +107,11 @@
   }
 }
 
+void Ingress::OnConfigurationChanged() {
+  organisation_policy_ =
+      mesh::OrganisationPolicy(*parts_.configuration.current());
+}
+
 bool Ingress::IsRepeatable(const HttpRequest& request) const {
   const auto& configuration = parts_.configuration.current();
   if (!configuration) return true;
@@ -196,6 +201,8 @@
     organisation = configuration->keys.Find(head.key);
     if (RefuseKey(reply, head, *route, organisation)) return;
   }
+  const mesh::Rank rank =
+      organisation_policy_.ChooseRank(*route, organisation, !head.key.empty());
   auto exchange = std::make_shared<Exchange>(parts_.loop, std::move(reply));
   exchange->arrived = exchange->reply.received_at();
   exchange->configuration = configuration;
@@ -221,7 +228,8 @@
                                         ? std::string()
                                         : organisation->name,
                     .service = service_choice_.Choose(*route, parts_.random),
-                    .priority = route->priority,
+                    .priority = rank.priority,
+                    .is_backend_server_call = rank.is_backend_server_call,
                     .is_repeatable = mesh::is_repeatable(route->kind)};
   exchange->call.fingerprint = MakeFingerprint(exchange->call);
   retries_.RecordRequest(exchange->call.service);
@@ -257,18 +265,19 @@
       Duration(static_cast<std::int64_t>(exchange->statistics->run_us.value()));
   call.expected_bytes =
       static_cast<std::size_t>(exchange->statistics->answer_bytes.value());
-  call.wait_allowance =
-      mesh::ChooseMaxWait({.priority = route.priority,
-                           .target_latency = route.target_latency,
-                           .elapsed = now - exchange->arrived,
-                           .remaining = call.remaining,
-                           .expected_run = call.expected_run});
+  call.wait_allowance = mesh::ChooseMaxWait(
+      {.priority = route.priority,
+       .is_backend_server_call = call.is_backend_server_call,
+       .target_latency = route.target_latency,
+       .elapsed = now - exchange->arrived,
+       .remaining = call.remaining,
+       .expected_run = call.expected_run});
   placement_.Update(node_, parts_.receiver.service(),
                     {.is_in_own_data_centre = true}, parts_.receiver.load(),
                     now);
   const mesh::Placement::Request request{
       .service = call.service,
-      .priority = route.priority,
+      .priority = call.priority,
       .expected_run = call.expected_run,
       .request_bytes = static_cast<double>(call.body.size()),
       .expected_bytes = static_cast<double>(call.expected_bytes),
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -19,6 +19,7 @@
 #include "mesh/attempt_policy.h"
 #include "mesh/average.h"
 #include "mesh/configuration_holder.h"
+#include "mesh/organisation_policy.h"
 #include "mesh/placement.h"
 #include "mesh/retry_allowance.h"
 #include "mesh/service_choice.h"
@@ -70,6 +71,9 @@
   // Handles a request of a client.
   void Handle(const std::shared_ptr<HttpRequest>& request, HttpReply reply);
 
+  // Takes over ranks and weights of the configuration in force.
+  void OnConfigurationChanged();
+
   // Whether a request may run more than once. One without route is not run at
   // all.
   bool IsRepeatable(const HttpRequest& request) const;
@@ -126,6 +130,7 @@
   mesh::Placement placement_;
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
+  mesh::OrganisationPolicy organisation_policy_;
   const std::optional<organisations::KeyTrust> key_trust_;
   // References to entries stay valid.
   std::map<std::string, RouteStatistics, std::less<>> statistics_;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -320,6 +320,7 @@
                           .maximum_body_bytes = limits.maximum_body_bytes,
                           .header_timeout = limits.header_timeout,
                           .idle_timeout = limits.idle_timeout});
+    ingress_.OnConfigurationChanged();
     if (const auto* service =
             configuration.FindService(settings_.node.service)) {
       receiver_.set_health_path(service->health_path);
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -265,6 +265,7 @@
 // that made them still wait for the answer: each refusal fails such a run.
 TEST_CASE("calls may wait behind long runs until their deadline is near") {
   const WaitingRequest call{.priority = 1,
+                            .is_backend_server_call = true,
                             .target_latency = milliseconds(200),
                             .remaining = milliseconds(600),
                             .expected_run = milliseconds(55)};
