mesh: Share slots among organisations and reserve some for internal calls

An organisation that sends many times its usual rate took the slots of the others, and requests of clients that wait for internal calls filled all slots of the service that these calls go to. Within a rank the admission queue now serves organisations by start-time fair queueing, weighted with their rates, and keeps the order of latest useful start within each. Where the configuration has organisations, requests of clients leave half of the slots that internal calls used recently free, at most a third of all.

--- a/libraries/mesh/admission_queue.cc
+++ b/libraries/mesh/admission_queue.cc
@@ -29,117 +29,163 @@
 
 }  // namespace
 
-Duration AdmissionQueue::ExpectedLocalRunTime(Duration expected_run) const {
-  if (expected_run > Duration::zero()) {
-    return Scale(expected_run, slowness_.value());
-  }
-  return Duration(static_cast<std::int64_t>(run_time_us_.value()));
+RunTimeEstimate AdmissionQueue::run_times() const {
+  return {.mean = Duration(static_cast<std::int64_t>(run_time_us_.value())),
+          .slowness = slowness_.value()};
+}
+
+int AdmissionQueue::AvailableSlots(bool is_backend_server_call) const {
+  if (is_backend_server_call) return slots_;
+  return slots_ - std::max(reserve_.Count(slots_) - running_calls_, 0);
+}
+
+bool AdmissionQueue::CanStartAtOnce(const Request& request) const {
+  if (running_ >= AvailableSlots(request.is_backend_server_call)) return false;
+  if (positions_.empty()) return true;
+  // Requests of clients may wait although reserved slots are free.
+  return request.is_backend_server_call && reserve_.Count(slots_) > 0 &&
+         waiting_calls_ == 0;
 }
 
-Duration AdmissionQueue::EstimateWait(const Key& key, MonotonicTime now) const {
-  if (slots_ == 0) return Duration::max();
+void AdmissionQueue::RecordStart(bool is_backend_server_call) {
+  ++running_;
+  if (is_backend_server_call) ++running_calls_;
+}
+
+void AdmissionQueue::RecordCalls(MonotonicTime now) {
+  reserve_.Record(now, running_calls_ + waiting_calls_);
+}
+
+Duration AdmissionQueue::EstimateWait(const Request& request,
+                                      const FairQueue::Position& position,
+                                      MonotonicTime now) const {
   // With all slots busy, the next one becomes free after about the mean run
   // time divided by the number of slots.
   double work = run_time_us_.value();
-  for (const auto& [other, waiting] : waiting_) {
-    if (key < other) break;
-    if (std::get<MonotonicTime>(other) < now) continue;
-    work +=
-        static_cast<double>(ExpectedLocalRunTime(waiting.expected_run).count());
+  for (const auto& [priority, rank] : ranks_) {
+    if (priority > request.priority) break;
+    work += priority < request.priority
+                ? rank.TotalWork(now, run_times())
+                : rank.WorkBefore(position, request.weight, now, run_times());
   }
-  return Duration(static_cast<std::int64_t>(work / slots_));
+  const int reserved =
+      request.is_backend_server_call ? 0 : reserve_.Count(slots_);
+  return Duration(static_cast<std::int64_t>(work / (slots_ - reserved)));
 }
 
 AdmissionQueue::Verdict AdmissionQueue::Offer(MonotonicTime now, Ticket ticket,
                                               const Request& request) {
   if (slots_ == 0) return Verdict::kReject;
-  if (running_ < slots_ && waiting_.empty()) {
-    ++running_;
+  if (CanStartAtOnce(request)) {
+    RecordStart(request.is_backend_server_call);
+    RecordCalls(now);
+    ranks_[request.priority].Charge(request.organisation, request.weight,
+                                    run_times().For(request.expected_run));
     return Verdict::kStart;
   }
-  const Key key{request.priority, now + request.wait_allowance, arrivals_++};
-  if (EstimateWait(key, now) > request.wait_allowance) return Verdict::kReject;
-  waiting_.emplace(
-      key, Waiting{ticket, request.expected_run, now + request.remaining});
-  keys_.emplace(ticket, key);
+  const FairQueue::Position position{
+      request.organisation, {now + request.wait_allowance, arrivals_++}};
+  if (EstimateWait(request, position, now) > request.wait_allowance) {
+    return Verdict::kReject;
+  }
+  ranks_[request.priority].Add(
+      position, request.weight,
+      {ticket, request.expected_run, now + request.remaining});
+  positions_.emplace(
+      ticket,
+      Position{request.priority, request.is_backend_server_call, position});
+  if (request.is_backend_server_call) ++waiting_calls_;
+  RecordCalls(now);
   return Verdict::kWait;
 }
 
 std::optional<AdmissionQueue::Ticket> AdmissionQueue::StartNext(
     MonotonicTime now, Dropped& dropped) {
-  while (running_ < slots_ && !waiting_.empty()) {
-    const auto first = FindNext(now);
-    const Waiting waiting = first->second;
-    keys_.erase(waiting.ticket);
-    waiting_.erase(first);
-    if (CannotFinishInTime(waiting, now)) {
+  RecordCalls(now);
+  // Expected time until the next slot becomes free.
+  const Duration interval(
+      static_cast<std::int64_t>(run_time_us_.value() / std::max(slots_, 1)));
+  while (running_ < slots_ && !positions_.empty()) {
+    const auto rank = std::ranges::find_if(
+        ranks_, [](const auto& entry) { return entry.second.size() > 0; });
+    const FairQueue::Position next = rank->second.FindNext(now, interval);
+    const FairQueue::Waiting waiting = rank->second.Get(next);
+    const bool is_call = positions_.at(waiting.ticket).is_backend_server_call;
+    if (CannotFinishInTime(waiting, now, run_times())) {
+      Remove(waiting.ticket);
       dropped.expired.push_back(waiting.ticket);
       continue;
     }
-    ++running_;
+    if (running_ >= AvailableSlots(is_call)) break;
+    rank->second.Charge(next.organisation,
+                        rank->second.weight(next.organisation),
+                        run_times().For(waiting.expected_run));
+    Remove(waiting.ticket);
+    RecordStart(is_call);
+    RecordCalls(now);
     return waiting.ticket;
   }
   return std::nullopt;
 }
 
-AdmissionQueue::WaitingMap::iterator AdmissionQueue::FindNext(
-    MonotonicTime now) {
-  const auto first = waiting_.begin();
-  const int rank = std::get<int>(first->first);
-  const auto in_time = waiting_.lower_bound(Key{rank, now, 0});
-  if (in_time == waiting_.end() || std::get<int>(in_time->first) != rank) {
-    return first;
-  }
-  // Expected time until the next slot becomes free.
-  const Duration interval(
-      static_cast<std::int64_t>(run_time_us_.value() / slots_));
-  const bool can_wait =
-      std::get<MonotonicTime>(in_time->first) - now > interval;
-  return can_wait ? first : in_time;
-}
-
-bool AdmissionQueue::CannotFinishInTime(const Waiting& waiting,
-                                        MonotonicTime now) const {
-  const Duration needed = Scale(ExpectedLocalRunTime(waiting.expected_run),
-                                kMinRemainingRunTimeShare);
+bool AdmissionQueue::CannotFinishInTime(const FairQueue::Waiting& waiting,
+                                        MonotonicTime now,
+                                        const RunTimeEstimate& run_times) {
+  const Duration needed =
+      Scale(run_times.For(waiting.expected_run), kMinRemainingRunTimeShare);
   return now + needed >= waiting.deadline;
 }
 
 AdmissionQueue::Dropped AdmissionQueue::DropLateRequests(MonotonicTime now) {
   Dropped dropped;
-  for (const auto& [key, waiting] : waiting_) {
-    if (CannotFinishInTime(waiting, now)) {
-      dropped.expired.push_back(waiting.ticket);
-    } else if (now - std::get<MonotonicTime>(key) >
-               std::max(ExpectedLocalRunTime(waiting.expected_run),
-                        kMinLateness)) {
-      dropped.passed_over.push_back(waiting.ticket);
-    }
+  for (const auto& [priority, rank] : ranks_) {
+    rank.ForEach([&](const FairQueue::Position& position,
+                     const FairQueue::Waiting& waiting) {
+      if (CannotFinishInTime(waiting, now, run_times())) {
+        dropped.expired.push_back(waiting.ticket);
+      } else if (now - position.key.first >
+                 std::max(run_times().For(waiting.expected_run),
+                          kMinLateness)) {
+        dropped.passed_over.push_back(waiting.ticket);
+      }
+    });
   }
   for (const Ticket ticket : dropped.expired) Remove(ticket);
   for (const Ticket ticket : dropped.passed_over) Remove(ticket);
+  RecordCalls(now);
   return dropped;
 }
 
 bool AdmissionQueue::Remove(Ticket ticket) {
-  const auto found = keys_.find(ticket);
-  if (found == keys_.end()) return false;
-  waiting_.erase(found->second);
-  keys_.erase(found);
+  const auto found = positions_.find(ticket);
+  if (found == positions_.end()) return false;
+  const Position& position = found->second;
+  const auto rank = ranks_.find(position.priority);
+  rank->second.Remove(position.in_rank);
+  if (rank->second.flow_count() == 0) ranks_.erase(rank);
+  if (position.is_backend_server_call) --waiting_calls_;
+  positions_.erase(found);
   return true;
 }
 
 std::vector<AdmissionQueue::Ticket> AdmissionQueue::RemoveAll() {
   std::vector<Ticket> tickets;
-  for (const auto& [key, waiting] : waiting_) tickets.push_back(waiting.ticket);
-  waiting_.clear();
-  keys_.clear();
+  for (const auto& [priority, rank] : ranks_) {
+    rank.ForEach([&tickets](const FairQueue::Position& /*position*/,
+                            const FairQueue::Waiting& waiting) {
+      tickets.push_back(waiting.ticket);
+    });
+  }
+  ranks_.clear();
+  positions_.clear();
+  waiting_calls_ = 0;
   return tickets;
 }
 
 void AdmissionQueue::Finish(Duration run_time, Duration expected_run,
-                            bool is_sample) {
+                            bool is_sample, bool is_backend_server_call) {
   --running_;
+  if (is_backend_server_call) --running_calls_;
   if (!is_sample) return;
   run_time_us_.Add(static_cast<double>(run_time.count()));
   if (expected_run <= Duration::zero()) return;
@@ -165,8 +211,8 @@
 
 BackendLoad AdmissionQueue::load() const {
   PriorityClassCounts waiting_by_rank{};
-  for (const auto& [key, request] : waiting_) {
-    ++waiting_by_rank[ToPriorityClass(std::get<int>(key))];
+  for (const auto& [priority, rank] : ranks_) {
+    waiting_by_rank[ToPriorityClass(priority)] += rank.size();
   }
   return {.slots = slots_,
           .running = running_,
--- a/libraries/mesh/admission_queue.h
+++ b/libraries/mesh/admission_queue.h
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <tuple>
+#include <string>
 #include <vector>
 
 #include "core/time.h"
 #include "mesh/average.h"
+#include "mesh/fair_queue.h"
 #include "mesh/outcome.h"
+#include "mesh/slot_reserve.h"
 
 namespace oleandertide::mesh {
 
@@ -22,16 +24,17 @@
 // request on arrival if its expected wait exceeds the sender's allowance, since
 // a rejection after waiting costs the caller the time to try another node. The
 // most urgent routes start first. Within a rank, the request with the earliest
-// latest useful start goes first: short requests would otherwise expire behind
-// long ones. A request that has missed its latest useful start must not delay
-// another one past its own; otherwise, under overload, every request would
-// start just too late. A request that misses its latest useful start by a run
-// time is dropped, and the sender can try another node.
+// latest useful start of its organisation goes first: short requests would
+// otherwise expire behind long ones. A request that has missed its latest
+// useful start must not delay another one past its own; otherwise, under
+// overload, every request would start just too late. A request that misses its
+// latest useful start by a run time is dropped, and the sender can try another
+// node.
 //
 // Not thread-safe. Each ticket is in one of two states, waiting or running.
 class AdmissionQueue {
  public:
-  using Ticket = std::uint64_t;
+  using Ticket = FairQueue::Ticket;
 
   struct Request {
     int priority = 0;
@@ -42,6 +45,13 @@
     // Mean run time of the route's requests over all backend servers; zero if
     // unknown.
     Duration expected_run{};
+    // Organisation of the client; empty if there is none. Within a rank,
+    // organisations share the slots in proportion to their weights.
+    std::string organisation{};
+    // Greater than zero.
+    double weight = 1;
+    // Whether a backend server made the call while it ran another request.
+    bool is_backend_server_call = false;
   };
 
   enum class Verdict : std::uint8_t { kStart, kWait, kReject };
@@ -59,6 +69,10 @@
   // >= 0.
   void set_slots(int slots) { slots_ = slots; }
 
+  // Whether requests of clients leave slots free for calls of backend servers;
+  // off at first. See SlotReserve.
+  void set_reserves_slots(bool reserves) { reserve_.set_enabled(reserves); }
+
   // Admits, queues or rejects a new request; with kStart it counts as running.
   // Precondition: the ticket is not in use.
   Verdict Offer(MonotonicTime now, Ticket ticket, const Request& request);
@@ -79,7 +93,9 @@
 
   // Frees the slot of a running request. `is_sample` says whether `run_time`
   // counts for the statistics: the time of a run that was cut off does not.
-  void Finish(Duration run_time, Duration expected_run, bool is_sample);
+  // `is_backend_server_call` is that of the request.
+  void Finish(Duration run_time, Duration expected_run, bool is_sample,
+              bool is_backend_server_call = false);
 
   // Records whether the backend server handled a request, or refused or failed
   // it although it should have handled it.
@@ -94,35 +110,43 @@
   void DecayStatistics(Duration elapsed);
 
   int running() const { return running_; }
-  int waiting() const { return static_cast<int>(waiting_.size()); }
+  int waiting() const { return static_cast<int>(positions_.size()); }
 
   // Returns the load, without `accepts_requests` and `link_wait`.
   BackendLoad load() const;
 
  private:
-  struct Waiting {
-    Ticket ticket;
-    Duration expected_run;
-    MonotonicTime deadline;
+  struct Position {
+    int priority = 0;
+    bool is_backend_server_call = false;
+    FairQueue::Position in_rank;
   };
-  // Priority, latest useful start, arrival number.
-  using Key = std::tuple<int, MonotonicTime, std::uint64_t>;
-
-  using WaitingMap = std::map<Key, Waiting>;
 
-  bool CannotFinishInTime(const Waiting& waiting, MonotonicTime now) const;
-  Duration EstimateWait(const Key& key, MonotonicTime now) const;
-  // Returns the next request of the most urgent rank. A request that has missed
-  // its latest useful start goes first only if the others can wait for the
-  // following slot. Precondition: the queue is not empty.
-  WaitingMap::iterator FindNext(MonotonicTime now);
-  Duration ExpectedLocalRunTime(Duration expected_run) const;
+  static bool CannotFinishInTime(const FairQueue::Waiting& waiting,
+                                 MonotonicTime now,
+                                 const RunTimeEstimate& run_times);
+  Duration EstimateWait(const Request& request,
+                        const FairQueue::Position& position,
+                        MonotonicTime now) const;
+  // Number of slots that a request may find in use and still start.
+  int AvailableSlots(bool is_backend_server_call) const;
+  bool CanStartAtOnce(const Request& request) const;
+  void RecordStart(bool is_backend_server_call);
+  // Updates the reserve after the number of calls may have changed.
+  void RecordCalls(MonotonicTime now);
+  RunTimeEstimate run_times() const;
 
   int slots_ = 0;
   int running_ = 0;
+  // Calls of backend servers among those that run and wait.
+  int running_calls_ = 0;
+  int waiting_calls_ = 0;
   std::uint64_t arrivals_ = 0;
-  WaitingMap waiting_;
-  std::map<Ticket, Key> keys_;
+  SlotReserve reserve_;
+  // By rank. A queue without waiting requests is kept only while it knows of
+  // organisations that are ahead of others.
+  std::map<int, FairQueue> ranks_;
+  std::map<Ticket, Position> positions_;
   // Window sizes in samples: about a third of a second of a busy backend
   // server.
   static constexpr int kRunTimeWindowSamples = 32;
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -97,6 +97,21 @@
   return std::nullopt;
 }
 
+void Receiver::SetConfiguration(
+    std::shared_ptr<const mesh::Configuration> configuration) {
+  configuration_ = std::move(configuration);
+  organisation_policy_ = mesh::OrganisationPolicy(*configuration_);
+  queue_.set_reserves_slots(organisation_policy_.has_organisations());
+}
+
+double Receiver::FindWeight(const std::string& organisation) const {
+  if (!configuration_) return organisation_policy_.ChooseWeight(nullptr);
+  const auto found = configuration_->organisations.find(organisation);
+  return organisation_policy_.ChooseWeight(
+      found == configuration_->organisations.end() ? nullptr
+                                                   : found->second.get());
+}
+
 CallId Receiver::Submit(Call call, OnOutcome on_outcome) {
   const CallId id = next_id_++;
   const MonotonicTime now = MonotonicClock::now();
@@ -109,7 +124,10 @@
       .priority = call.priority,
       .wait_allowance = call.wait_allowance,
       .remaining = call.remaining,
-      .expected_run = call.expected_run};
+      .expected_run = call.expected_run,
+      .organisation = call.organisation,
+      .weight = FindWeight(call.organisation),
+      .is_backend_server_call = call.is_backend_server_call};
   const auto verdict = queue_.Offer(now, id, request);
   if (verdict == mesh::AdmissionQueue::Verdict::kReject) {
     on_outcome(mesh::NotRun{mesh::Reason::kNoRoom});
@@ -131,7 +149,8 @@
   const Call& call = pending.call;
   // The backend server may be another one than when the call arrived.
   if (const auto reason = FindRefusal(call, pending.deadline)) {
-    queue_.Finish(Duration::zero(), call.expected_run, false);
+    queue_.Finish(Duration::zero(), call.expected_run, false,
+                  call.is_backend_server_call);
     Reject(id, *reason);
     return;
   }
@@ -244,7 +263,8 @@
   auto node = calls_.extract(id);
   Pending& pending = node.mapped();
   const Duration run_time = MonotonicClock::now() - pending.started;
-  queue_.Finish(run_time, pending.call.expected_run, is_sample);
+  queue_.Finish(run_time, pending.call.expected_run, is_sample,
+                pending.call.is_backend_server_call);
   StartWaiting();
   if (pending.on_outcome) pending.on_outcome(std::move(outcome));
 }
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -14,7 +14,9 @@
 
 #include "core/time.h"
 #include "mesh/admission_queue.h"
+#include "mesh/configuration.h"
 #include "mesh/local_backend.h"
+#include "mesh/organisation_policy.h"
 #include "mesh/stop_policy.h"
 #include "routing/quarantine.h"
 #include "sidecar/backend_client.h"
@@ -56,6 +58,11 @@
   // Path of health checks, from the configuration.
   void set_health_path(std::string path) { health_path_ = std::move(path); }
 
+  // Takes over weights of organisations, and whether slots are reserved for
+  // calls of backend servers.
+  void SetConfiguration(
+      std::shared_ptr<const mesh::Configuration> configuration);
+
   // The node stops: from now on only those calls are run that `policy` lets
   // run.
   void BeginStop(const mesh::StopPolicy& policy);
@@ -95,6 +102,7 @@
   // Returns why a call may not be handed over now, if so.
   std::optional<mesh::Reason> FindRefusal(const Call& call,
                                           MonotonicTime deadline) const;
+  double FindWeight(const std::string& organisation) const;
   // Hands a call over that the queue counts as running, or rejects it.
   void Start(CallId id);
   void StartWaiting();
@@ -125,6 +133,9 @@
   BackendClient client_;
   mesh::LocalBackend backend_;
   mesh::AdmissionQueue queue_;
+  // Null until the node has a configuration.
+  std::shared_ptr<const mesh::Configuration> configuration_;
+  mesh::OrganisationPolicy organisation_policy_;
   std::string health_path_ = "/health";
   std::function<void()> on_standing_changed_;
   CallId next_id_ = 1;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -321,6 +321,7 @@
                           .header_timeout = limits.header_timeout,
                           .idle_timeout = limits.idle_timeout});
     ingress_.OnConfigurationChanged();
+    receiver_.SetConfiguration(holder_.current());
     if (const auto* service =
             configuration.FindService(settings_.node.service)) {
       receiver_.set_health_path(service->health_path);
