--- /dev/null
+++ b/tests/organisations/limits_test.cc
@@ -0,0 +1,484 @@
+// The limits of organisations: both sides without a network.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/random.h"
+#include "organisations/token_allocator.h"
+#include "organisations/token_stock.h"
+
+namespace oleandertide::organisations {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BootTime At(std::int64_t ms) { return BootTime(milliseconds(ms)); }
+
+constexpr Duration kWindow = seconds(5);
+constexpr Duration kConfigurationLimit = milliseconds(2500);
+constexpr Duration kLease = seconds(3);
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// What is promised of requests sent in one window.
+double PromisedBound(const Limit& limit) {
+  return (limit.rate * ToSeconds(kWindow) + limit.burst) * 1.1 + 20;
+}
+
+// What the scheme is designed to keep for requests admitted in one window.
+double SchemeBound(const Limit& limit) {
+  const double depth = std::max({limit.burst, 1.0, limit.rate / 20});
+  return limit.rate * ToSeconds(kWindow + kTokenLifetime) + depth + 1;
+}
+
+// Nodes that exchange messages over an unreliable network. One of them at a
+// time acts as coordinator, by a lease as in coordination::Election. Each node
+// has its own clock.
+class Fleet {
+ public:
+  struct Faults {
+    bool is_active = true;
+    // Messages are lost, duplicated or late beyond all limits.
+    double message_fault = 0.03;
+  };
+
+  Fleet(std::uint64_t seed, int nodes, LimitMap limits, Faults faults)
+      : random_(seed), faults_(faults) {
+    for (int i = 0; i < nodes; ++i) {
+      Node& node = nodes_.emplace_back();
+      node.clock_offset = random_.Between(seconds(0), seconds(1000));
+      StartNode(node);
+    }
+    ChangeLimits(std::move(limits));
+    for (Node& node : nodes_) node.limits = limits_;
+  }
+
+  // Lets time pass to `time`; delivers messages and runs timers.
+  void AdvanceTo(BootTime time) {
+    while (true) {
+      BootTime next = next_tick_;
+      if (!events_.empty()) next = std::min(next, events_.begin()->first);
+      if (next > time) break;
+      now_ = std::max(now_, next);
+      if (next == next_tick_) {
+        next_tick_ += milliseconds(5);
+        Tick();
+      } else {
+        const auto event = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        event();
+      }
+    }
+    now_ = time;
+  }
+
+  void Arrive(int at, const std::string& organisation) {
+    Node& node = nodes_[static_cast<std::size_t>(at)];
+    ++counts_[organisation].sent;
+    const auto decision = node.stock->Request(organisation, Local(node));
+    if (const auto* waiting = std::get_if<TokenStock::Waiting>(&decision)) {
+      node.waiting.emplace(waiting->ticket, std::pair(organisation, now_));
+      if (random_.Unit() < 0.01) {
+        node.stock->Withdraw(waiting->ticket);
+        node.waiting.erase(waiting->ticket);
+        --counts_[organisation].sent;
+      }
+    } else {
+      Settle(node, organisation, now_, decision);
+    }
+    if (node.stock->has_to_ask()) Ask(node);
+  }
+
+  // Something goes wrong.
+  void Disturb() {
+    Node& node = nodes_[random_.Below(nodes_.size())];
+    switch (random_.Below(7)) {
+      case 0:
+        node.is_cut = true;
+        break;
+      case 1:
+      case 2:
+        for (Node& other : nodes_) other.is_cut = false;
+        break;
+      case 3:
+        StartNode(node);
+        // A process that starts again takes over its own lease.
+        if (&node == coordinator_ && now_ < lease_end_) Elect(node);
+        break;
+      case 4:
+        if (coordinator_ != nullptr) {
+          // Released.
+          lease_end_ = now_;
+        }
+        break;
+      case 5:
+        for (Node& other : nodes_) StartNode(other);
+        coordinator_ = nullptr;
+        lease_end_ = now_;
+        break;
+      default:
+        ChangeLimits(limits_);
+        for (auto& [name, limit] : limits_) {
+          const double factor = random_.Below(2) == 0 ? 0.5 : 2;
+          limit.rate = std::clamp(limit.rate * factor, 1.0, 1000.0);
+          limit.burst *= factor;
+        }
+        ChangeLimits(limits_);
+    }
+  }
+
+  struct Counts {
+    int sent = 0;
+    int admitted = 0;
+    int over_limit = 0;
+    int unavailable = 0;
+  };
+  const Counts& counts(const std::string& organisation) {
+    return counts_[organisation];
+  }
+  RandomSource& random() { return random_; }
+  std::size_t messages() const { return messages_; }
+
+ private:
+  struct Node {
+    std::optional<TokenStock> stock;
+    TokenAllocator allocator;
+    Duration clock_offset{};
+    bool is_cut = false;
+    std::uint64_t life = 0;
+    LimitMap limits;
+    BootTime limits_confirmed_at{};
+    std::map<TokenStock::Ticket, std::pair<std::string, BootTime>> waiting;
+  };
+
+  // The limits that were in force from a time on.
+  struct Epoch {
+    BootTime since{};
+    LimitMap limits;
+  };
+
+  BootTime Local(const Node& node) const { return now_ + node.clock_offset; }
+
+  void StartNode(Node& node) {
+    node.stock.emplace(TokenStock::Options{}, random_.Next() >> 2U);
+    node.allocator = TokenAllocator();
+    node.waiting.clear();
+    node.limits = limits_;
+    node.limits_confirmed_at = now_;
+    ++node.life;
+  }
+
+  void Elect(Node& node) {
+    coordinator_ = &node;
+    lease_end_ = now_ + kLease;
+    node.allocator.Begin(node.limits, Local(node));
+  }
+
+  void ChangeLimits(LimitMap limits) {
+    limits_ = std::move(limits);
+    epochs_.push_back({now_, limits_});
+  }
+
+  void Tick() {
+    if (coordinator_ == nullptr || now_ >= lease_end_) {
+      Node& node = nodes_[random_.Below(nodes_.size())];
+      if (!node.is_cut) Elect(node);
+    } else if (!coordinator_->is_cut && random_.Below(200) == 0) {
+      lease_end_ = now_ + kLease;
+    }
+    for (Node& node : nodes_) {
+      // A node in touch with the store has the limits in time.
+      if (!node.is_cut && random_.Below(100) == 0) {
+        node.limits = limits_;
+        node.limits_confirmed_at = now_;
+        node.allocator.SetLimits(node.limits, Local(node));
+      }
+      for (const auto& settled : node.stock->Tick(Local(node))) {
+        SettleWaiting(node, settled);
+      }
+      if (node.stock->has_to_ask()) Ask(node);
+    }
+  }
+
+  Duration ChooseDelay() {
+    if (random_.Unit() < faults_.message_fault) {
+      return random_.Between(milliseconds(1), milliseconds(1000));
+    }
+    return random_.Between(microseconds(300), microseconds(3000));
+  }
+
+  // Calls `deliver` when the message arrives, if it does.
+  void Transmit(const Node& from, const Node& to,
+                const std::function<void()>& deliver) {
+    ++messages_;
+    if (&from != &to && (from.is_cut || to.is_cut)) return;
+    if (random_.Unit() < faults_.message_fault) return;
+    events_.emplace(now_ + ChooseDelay(), deliver);
+    if (random_.Unit() < faults_.message_fault) {
+      events_.emplace(now_ + ChooseDelay(), deliver);
+    }
+  }
+
+  void Ask(Node& node) {
+    const auto request = node.stock->TakeRequest(Local(node));
+    if (!request) return;
+    if (coordinator_ == nullptr) {
+      node.stock->OnNotSent(request->sequence);
+      return;
+    }
+    Node& to = *coordinator_;
+    const std::uint64_t life = to.life;
+    Transmit(node, to, [this, &node, &to, life, request = *request] {
+      if (&to != coordinator_ || now_ >= lease_end_ || life != to.life) return;
+      if (now_ - to.limits_confirmed_at > kConfigurationLimit) return;
+      const TokenGrant grant = to.allocator.Grant(request, Local(to));
+      // The answer may come to a later life of the process.
+      Transmit(to, node, [this, &node, grant] {
+        for (const auto& settled : node.stock->OnGrant(grant, Local(node))) {
+          SettleWaiting(node, settled);
+        }
+      });
+    });
+  }
+
+  void SettleWaiting(Node& node, const TokenStock::Settled& settled) {
+    const auto found = node.waiting.find(settled.ticket);
+    REQUIRE(found != node.waiting.end());
+    const auto [organisation, sent_at] = found->second;
+    node.waiting.erase(found);
+    Settle(node, organisation, sent_at, settled.decision);
+  }
+
+  void Settle(Node& node, const std::string& organisation, BootTime sent_at,
+              const TokenStock::Decision& decision) {
+    Counts& counts = counts_[organisation];
+    if (std::holds_alternative<TokenStock::OverLimit>(decision)) {
+      ++counts.over_limit;
+      return;
+    }
+    if (std::holds_alternative<TokenStock::Unavailable>(decision)) {
+      ++counts.unavailable;
+      return;
+    }
+    const auto& admitted = std::get<TokenStock::Admitted>(decision);
+    ++counts.admitted;
+    Run run{.admitted_at = now_, .sent_at = sent_at};
+    if (faults_.is_active && random_.Unit() < 0.05) {
+      const std::uint64_t life = node.life;
+      events_.emplace(
+          now_ + random_.Between(microseconds(1), milliseconds(150)),
+          [this, &node, life, organisation, id = next_run_,
+           expires_at = admitted.expires_at] {
+            if (life != node.life) return;
+            node.stock->Refund(organisation, expires_at, Local(node));
+            runs_[organisation].erase(id);
+          });
+    }
+    runs_[organisation].emplace(next_run_++, run);
+    Check(organisation);
+  }
+
+  // Limit that may have been applied within the window that ends now.
+  Limit HighestLimit(const std::string& organisation) const {
+    const BootTime from =
+        now_ - kWindow - kTokenLifetime - kConfigurationLimit - seconds(1);
+    Limit highest;
+    for (std::size_t i = 0; i < epochs_.size(); ++i) {
+      if (i + 1 < epochs_.size() && epochs_[i + 1].since < from) continue;
+      const Limit& limit = epochs_[i].limits.at(organisation);
+      highest.rate = std::max(highest.rate, limit.rate);
+      highest.burst = std::max(highest.burst, limit.burst);
+    }
+    return highest;
+  }
+
+  void Check(const std::string& organisation) {
+    auto& runs = runs_[organisation];
+    while (runs.begin()->second.admitted_at + kWindow + seconds(1) <= now_) {
+      runs.erase(runs.begin());
+    }
+    int admitted = 0;
+    int sent = 0;
+    for (const auto& [id, run] : runs) {
+      if (run.admitted_at + kWindow > now_) ++admitted;
+      // A window that ended 0.1 s ago, so that all sent in it are decided.
+      const BootTime end = now_ - milliseconds(110);
+      if (run.sent_at <= end && run.sent_at + kWindow > end) ++sent;
+    }
+    const Limit limit = HighestLimit(organisation);
+    // Catch's macros are too slow for each step.
+    if (admitted > SchemeBound(limit)) {
+      INFO(organisation << ' ' << limit.rate << ' ' << limit.burst);
+      REQUIRE(admitted <= SchemeBound(limit));
+    }
+    if (sent > PromisedBound(limit)) {
+      INFO(organisation << ' ' << limit.rate << ' ' << limit.burst);
+      REQUIRE(sent <= PromisedBound(limit));
+    }
+  }
+
+  struct Run {
+    BootTime admitted_at{};
+    BootTime sent_at{};
+  };
+
+  RandomSource random_;
+  const Faults faults_;
+  BootTime now_ = At(0);
+  BootTime next_tick_ = At(0);
+  std::deque<Node> nodes_;
+  Node* coordinator_ = nullptr;
+  BootTime lease_end_{};
+  LimitMap limits_;
+  std::vector<Epoch> epochs_;
+  std::multimap<BootTime, std::function<void()>> events_;
+  std::map<std::string, std::map<std::uint64_t, Run>> runs_;
+  std::map<std::string, Counts> counts_;
+  std::uint64_t next_run_ = 0;
+  std::size_t messages_ = 0;
+};
+
+// Guards against more requests than promised: tokens that do not expire, that
+// are granted twice or outlive a process, buckets that a new coordinator finds
+// full, and limits that are lowered.
+TEST_CASE("no window has more requests than the limit allows") {
+  constexpr int kSeeds = 10;
+  constexpr int kSteps = 100'000;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    Fleet fleet(seed, 6,
+                {{"large", {.rate = 100, .burst = 100}},
+                 {"steady", {.rate = 60, .burst = 0}},
+                 {"small", {.rate = 3, .burst = 3}}},
+                {});
+    const std::vector<std::string> names{"large", "steady", "small"};
+    BootTime now = At(0);
+    for (int step = 0; step < kSteps; ++step) {
+      now += fleet.random().Between(microseconds(0), microseconds(2500));
+      // Bursts after silence find buckets and stocks full.
+      if (fleet.random().Below(2000) == 0) now += milliseconds(700);
+      fleet.AdvanceTo(now);
+      if (fleet.random().Below(1500) == 0) fleet.Disturb();
+      fleet.Arrive(static_cast<int>(fleet.random().Below(6)),
+                   names[fleet.random().Below(names.size())]);
+    }
+    CHECK(fleet.counts("large").admitted > 1000);
+    CHECK(fleet.counts("small").over_limit > 1000);
+  }
+}
+
+// Guards against requests within the limit that are refused, and against an
+// organisation that takes from others: at usual rates (1 / 1.6 of the limit)
+// with demand that is unequal between nodes, and one organisation that sends
+// five times its rate.
+TEST_CASE("requests within the limit are admitted") {
+  Fleet fleet(7, 16,
+              {{"flood", {.rate = 160, .burst = 160}},
+               {"large", {.rate = 320, .burst = 320}},
+               {"small", {.rate = 16, .burst = 16}}},
+              {.is_active = false, .message_fault = 0});
+  struct Source {
+    std::string organisation;
+    double rate;
+    BootTime next{};
+  };
+  std::vector<Source> sources{{"flood", 500}, {"large", 200}, {"small", 10}};
+  constexpr int kSeconds = 30;
+  for (Source& source : sources) source.next = At(2000);
+  while (true) {
+    Source& source = *std::ranges::min_element(sources, {}, &Source::next);
+    if (source.next >= At(2000) + seconds(kSeconds)) break;
+    fleet.AdvanceTo(source.next);
+    // Half of the requests arrive at two of the nodes.
+    const auto node = fleet.random().Below(2) == 0 ? fleet.random().Below(2)
+                                                   : fleet.random().Below(16);
+    fleet.Arrive(static_cast<int>(node), source.organisation);
+    source.next += Duration(
+        static_cast<std::int64_t>(2e6 / source.rate * fleet.random().Unit()));
+  }
+  const auto share = [&](const std::string& name) {
+    return static_cast<double>(fleet.counts(name).admitted) /
+           fleet.counts(name).sent;
+  };
+  WARN("admitted: large " << share("large") << ", small " << share("small")
+                          << ", flood "
+                          << fleet.counts("flood").admitted / (160.0 * kSeconds)
+                          << " of its limit; messages a second "
+                          << fleet.messages() / kSeconds);
+  CHECK(share("large") > 0.99);
+  CHECK(share("small") > 0.99);
+  CHECK(fleet.counts("flood").admitted > 0.95 * 160 * kSeconds);
+}
+
+// Guards against tokens that are asked for without end, and against a wait
+// without end, while there is no coordinator.
+TEST_CASE("without an answer a request is refused after a short wait") {
+  TokenStock stock({}, 5);
+  const auto decision = stock.Request("a", At(0));
+  const auto ticket = std::get<TokenStock::Waiting>(decision).ticket;
+  REQUIRE(stock.TakeRequest(At(0)).has_value());
+  CHECK_FALSE(stock.TakeRequest(At(10)).has_value());
+  CHECK(stock.Tick(At(50)).empty());
+  // The answer is taken for lost.
+  const auto second = stock.TakeRequest(At(50));
+  REQUIRE(second.has_value());
+  CHECK(second->asks.front().needed == 1);
+  const auto settled = stock.Tick(At(100));
+  REQUIRE(settled.size() == 1);
+  CHECK(settled.front().ticket == ticket);
+  CHECK(std::holds_alternative<TokenStock::Unavailable>(
+      settled.front().decision));
+}
+
+// Guards against an answer that says when to come back, but too early: those
+// who were refused would come back in vain.
+TEST_CASE("refused requests are told when there are tokens again") {
+  TokenAllocator allocator;
+  allocator.Begin({{"a", {.rate = 10, .burst = 2}}}, At(0));
+  const TokenRequest five{.sequence = 1,
+                          .asks = {{.organisation = "a", .needed = 5}}};
+  const auto first = allocator.Grant(five, At(1000)).items.front();
+  CHECK(first.tokens == 2);
+  CHECK(first.until_token == milliseconds(100));
+  // Three are owed, one each 100 ms, behind the next token.
+  CHECK(first.retry_after == milliseconds(400));
+  const auto second = allocator.Grant(five, At(1000)).items.front();
+  CHECK(second.tokens == 0);
+  CHECK(second.retry_after > first.retry_after);
+  CHECK(second.retry_after <= seconds(1));
+  TokenStock stock({}, 1);
+  REQUIRE(
+      std::holds_alternative<TokenStock::Waiting>(stock.Request("a", At(0))));
+  const auto request = stock.TakeRequest(At(0));
+  REQUIRE(request.has_value());
+  const auto settled =
+      stock.OnGrant({.sequence = request->sequence,
+                     .items = {{.until_token = milliseconds(80),
+                                .retry_after = milliseconds(300)}}},
+                    At(2));
+  REQUIRE(settled.size() == 1);
+  CHECK(std::get<TokenStock::OverLimit>(settled.front().decision).retry_after ==
+        milliseconds(300));
+  // Until then, the node does not ask again.
+  CHECK(std::holds_alternative<TokenStock::OverLimit>(
+      stock.Request("a", At(50))));
+  CHECK(
+      std::holds_alternative<TokenStock::Waiting>(stock.Request("a", At(83))));
+}
+
+}  // namespace
+}  // namespace oleandertide::organisations
