--- a/tests/organisations/limits_test.cc
+++ b/tests/organisations/limits_test.cc
@@ -106,7 +106,8 @@
   // Something goes wrong.
   void Disturb() {
     Node& node = nodes_[random_.Below(nodes_.size())];
-    switch (random_.Below(7)) {
+    is_slow_ = random_.Below(3) == 0;
+    switch (random_.Below(9)) {
       case 0:
         node.is_cut = true;
         break;
@@ -134,8 +135,8 @@
         ChangeLimits(limits_);
         for (auto& [name, limit] : limits_) {
           const double factor = random_.Below(2) == 0 ? 0.5 : 2;
-          limit.rate = std::clamp(limit.rate * factor, 1.0, 1000.0);
-          limit.burst *= factor;
+          limit.rate = std::clamp(limit.rate * factor, 2.0, 150.0);
+          limit.burst = std::min(limit.burst * factor, 150.0);
         }
         ChangeLimits(limits_);
     }
@@ -215,7 +216,12 @@
   }
 
   Duration ChooseDelay() {
-    if (random_.Unit() < faults_.message_fault) {
+    // Long enough that requests have given up, often short enough that the
+    // tokens are still accepted.
+    if (is_slow_ && random_.Below(5) > 0) {
+      return random_.Between(milliseconds(1), milliseconds(110));
+    }
+    if (is_slow_ || random_.Unit() < faults_.message_fault) {
       return random_.Between(milliseconds(1), milliseconds(1000));
     }
     return random_.Between(microseconds(300), microseconds(3000));
@@ -228,7 +234,7 @@
     if (&from != &to && (from.is_cut || to.is_cut)) return;
     if (random_.Unit() < faults_.message_fault) return;
     events_.emplace(now_ + ChooseDelay(), deliver);
-    if (random_.Unit() < faults_.message_fault) {
+    if (random_.Unit() < (is_slow_ ? 0.5 : faults_.message_fault)) {
       events_.emplace(now_ + ChooseDelay(), deliver);
     }
   }
@@ -343,6 +349,8 @@
   std::deque<Node> nodes_;
   Node* coordinator_ = nullptr;
   BootTime lease_end_{};
+  // Whether all messages are late and many arrive twice.
+  bool is_slow_ = false;
   LimitMap limits_;
   std::vector<Epoch> epochs_;
   std::multimap<BootTime, std::function<void()>> events_;
@@ -372,8 +380,23 @@
       // Bursts after silence find buckets and stocks full.
       if (fleet.random().Below(2000) == 0) now += milliseconds(700);
       fleet.AdvanceTo(now);
-      if (fleet.random().Below(1500) == 0) fleet.Disturb();
-      fleet.Arrive(static_cast<int>(fleet.random().Below(6)),
+      if (fleet.random().Below(1500) == 0) {
+        // Limits change and nodes restart while buckets are full, and what was
+        // left is not to be used long after.
+        const bool is_quiet = fleet.random().Below(4) == 0;
+        if (is_quiet) fleet.AdvanceTo(now += seconds(3));
+        fleet.Disturb();
+        if (is_quiet) now += seconds(10);
+      }
+      // In every second part clients move from node to node, so that tokens
+      // are left behind at each.
+      constexpr int kPart = 2000;
+      constexpr int kStay = 150;
+      const auto node = (step / kPart) % 2 == 0
+                            ? static_cast<std::uint64_t>(step / kStay) % 6
+                            : fleet.random().Below(6);
+      if (step % kPart == 0) now += seconds(2);
+      fleet.Arrive(static_cast<int>(node),
                    names[fleet.random().Below(names.size())]);
     }
     CHECK(fleet.counts("large").admitted > 1000);
@@ -424,6 +447,45 @@
   CHECK(fleet.counts("flood").admitted > 0.95 * 160 * kSeconds);
 }
 
+// Guards against tokens that outlive their time: an answer that is late gives
+// nothing, and the time counts from the node's own request.
+TEST_CASE("tokens expire by the time of the node's request") {
+  TokenStock stock({}, 5);
+  const auto ticket =
+      std::get<TokenStock::Waiting>(stock.Request("a", At(0))).ticket;
+  const auto request = stock.TakeRequest(At(0));
+  REQUIRE(request.has_value());
+  stock.Withdraw(ticket);
+  SECTION("used in time, and handed back") {
+    REQUIRE(stock.OnGrant({.sequence = 5, .items = {{.tokens = 1}}}, At(150))
+                .empty());
+    const auto decision = stock.Request("a", At(199));
+    const auto* admitted = std::get_if<TokenStock::Admitted>(&decision);
+    REQUIRE(admitted != nullptr);
+    stock.Refund("a", admitted->expires_at, At(199));
+    CHECK(std::holds_alternative<TokenStock::Waiting>(
+        stock.Request("a", At(200))));
+  }
+  SECTION("used too late") {
+    stock.OnGrant({.sequence = 5, .items = {{.tokens = 1}}}, At(150));
+    CHECK(std::holds_alternative<TokenStock::Waiting>(
+        stock.Request("a", At(200))));
+  }
+  SECTION("an answer that comes twice") {
+    stock.OnGrant({.sequence = 5, .items = {{.tokens = 1}}}, At(1));
+    stock.OnGrant({.sequence = 5, .items = {{.tokens = 1}}}, At(2));
+    CHECK(std::holds_alternative<TokenStock::Admitted>(
+        stock.Request("a", At(3))));
+    CHECK(
+        std::holds_alternative<TokenStock::Waiting>(stock.Request("a", At(3))));
+  }
+  SECTION("an answer to an earlier life of the process") {
+    stock.OnGrant({.sequence = 4, .items = {{.tokens = 1}}}, At(1));
+    CHECK(
+        std::holds_alternative<TokenStock::Waiting>(stock.Request("a", At(3))));
+  }
+}
+
 // Guards against tokens that are asked for without end, and against a wait
 // without end, while there is no coordinator.
 TEST_CASE("without an answer a request is refused after a short wait") {
