--- a/libraries/mesh/outcome.cc
+++ b/libraries/mesh/outcome.cc
@@ -32,6 +32,8 @@
       return "cancelled";
     case Reason::kStopping:
       return "stopping";
+    case Reason::kLimitUnknown:
+      return "limit-unknown";
   }
   return "unknown-reason";
 }
--- a/libraries/mesh/outcome.h
+++ b/libraries/mesh/outcome.h
@@ -45,9 +45,11 @@
   kCancelled,
   // The receiver is about to stop.
   kStopping,
+  // No coordinator told whether the organisation is within its limit.
+  kLimitUnknown,
 };
 
-inline constexpr int kReasonCount = static_cast<int>(Reason::kStopping) + 1;
+inline constexpr int kReasonCount = static_cast<int>(Reason::kLimitUnknown) + 1;
 
 // Stable name for logs and metrics. Thread-safe.
 std::string_view ToString(Reason reason);
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -36,6 +36,7 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusGatewayTimeout = 504;
@@ -72,6 +73,10 @@
   // Of these, nodes that refused because they are stopping.
   int stopping_hops = 0;
   bool may_have_run = false;
+  // Set while the request waits for the decision on its organisation's limit.
+  std::optional<Limits::Stock::Ticket> limit_ticket;
+  // Set if a token of the limit was spent.
+  std::optional<BootTime> token_expires_at;
   // Answer of a backend server that failed, in case no other one does better.
   std::optional<mesh::Completed> failure;
   // The attempt in progress.
@@ -116,9 +121,9 @@
 }
 
 void Ingress::Refuse(HttpReply& reply, std::string_view request_id,
-                     Duration after) {
+                     Duration after, int status) {
   reply.Send(
-      {.status = kStatusUnavailable,
+      {.status = status,
        .headers = fmt::format("{}Retry-After: {:.3f}\r\n",
                               platform::EncodeRequestIdLine(request_id),
                               std::chrono::duration<double>(after).count())});
@@ -236,12 +241,55 @@
     GiveUp(exchange, mesh::Reason::kQuarantined, kQuarantineRetryAfter);
     return;
   }
-  Attempt(exchange);
+  if (limits_ != nullptr && organisation != nullptr &&
+      organisation->is_limited()) {
+    AskLimit(exchange);
+  } else {
+    Attempt(exchange);
+  }
   if (exchange->is_finished) return;
   exchange->reply.set_on_client_left(
       [this, exchange] { OnClientLeft(exchange); });
 }
 
+void Ingress::AskLimit(const ExchangePointer& exchange) {
+  const auto decision =
+      limits_->Request(exchange->call.organisation,
+                       [this, exchange](const Limits::Stock::Decision& later) {
+                         exchange->limit_ticket.reset();
+                         OnLimitDecision(exchange, later);
+                       });
+  OnLimitDecision(exchange, decision);
+}
+
+void Ingress::OnLimitDecision(const ExchangePointer& exchange,
+                              const Limits::Stock::Decision& decision) {
+  using Stock = Limits::Stock;
+  if (const auto* waiting = std::get_if<Stock::Waiting>(&decision)) {
+    exchange->limit_ticket = waiting->ticket;
+  } else if (const auto* admitted = std::get_if<Stock::Admitted>(&decision)) {
+    exchange->token_expires_at = admitted->expires_at;
+    Attempt(exchange);
+  } else if (const auto* over = std::get_if<Stock::OverLimit>(&decision)) {
+    Refuse(exchange->reply, exchange->call.request_id, over->retry_after,
+           kStatusTooManyRequests);
+    Finish(exchange);
+  } else {
+    GiveUp(exchange, mesh::Reason::kLimitUnknown, kAwayRetryAfter);
+  }
+}
+
+void Ingress::EndLimit(const ExchangePointer& exchange) {
+  if (limits_ == nullptr) return;
+  if (exchange->limit_ticket) {
+    limits_->Withdraw(*std::exchange(exchange->limit_ticket, std::nullopt));
+  }
+  if (exchange->token_expires_at && !exchange->may_have_run) {
+    limits_->Refund(exchange->call.organisation,
+                    *std::exchange(exchange->token_expires_at, std::nullopt));
+  }
+}
+
 void Ingress::StartDeadlineTimer(const ExchangePointer& exchange) {
   exchange->timer.Start(
       exchange->deadline - MonotonicClock::now() + kOutcomeGrace,
@@ -364,6 +412,7 @@
     exchange->statistics->answer_bytes.Add(
         static_cast<double>(completed.body.size()));
   }
+  exchange->may_have_run = true;
   parts_.metrics.answered.Add();
   parts_.metrics.answer_latency.Record(now - exchange->arrived, now);
   exchange->reply.Send({.status = completed.status,
@@ -418,14 +467,16 @@
 
 void Ingress::OnDeadline(const ExchangePointer& exchange) {
   CancelAttempt(exchange);
-  // The cancellation is not confirmed, so the request may run.
-  exchange->may_have_run = true;
+  // The cancellation is not confirmed, so the request may run, unless it was
+  // never sent.
+  if (exchange->hops > 0) exchange->may_have_run = true;
   GiveUp(exchange, mesh::Reason::kDeadlinePassed, Duration::zero());
 }
 
 void Ingress::OnClientLeft(const ExchangePointer& exchange) {
   if (exchange->is_finished) return;
   parts_.metrics.clients_left.Add();
+  if (exchange->hops > 0) exchange->may_have_run = true;
   CancelAttempt(exchange);
   Finish(exchange);
 }
@@ -441,6 +492,7 @@
 
 void Ingress::Finish(const ExchangePointer& exchange) {
   exchange->is_finished = true;
+  EndLimit(exchange);
   exchange->timer.Cancel();
   exchanges_.erase(exchange);
 }
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -28,6 +28,7 @@
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
+#include "sidecar/limits.h"
 #include "sidecar/link_client.h"
 #include "sidecar/node_metrics.h"
 #include "sidecar/receiver.h"
@@ -77,6 +78,10 @@
   // What other nodes told of their backend servers.
   mesh::Placement& placement() { return placement_; }
 
+  // From now on, organisations are held to their limits. `limits` outlives the
+  // ingress, or is taken away by nullptr.
+  void set_limits(Limits* limits) { limits_ = limits; }
+
   void set_service(std::string service) { service_ = std::move(service); }
 
   // The node stops: from now on `policy` decides which requests are taken, and
@@ -104,6 +109,14 @@
   bool RefuseKey(HttpReply& reply, const platform::ClientRequestHead& head,
                  const mesh::Route& route,
                  const mesh::Organisation* organisation);
+  // Asks whether a request is within the limit of its organisation, and goes on
+  // with it once that is known.
+  void AskLimit(const ExchangePointer& exchange);
+  void OnLimitDecision(const ExchangePointer& exchange,
+                       const Limits::Stock::Decision& decision);
+  // The request does not go on: stops waiting, or hands its token back if it
+  // certainly did not run.
+  void EndLimit(const ExchangePointer& exchange);
   void StartDeadlineTimer(const ExchangePointer& exchange);
   void Attempt(const ExchangePointer& exchange);
   void Send(const ExchangePointer& exchange, const std::string& node);
@@ -113,7 +126,9 @@
   void Deliver(const ExchangePointer& exchange, mesh::Completed completed);
   void GiveUp(const ExchangePointer& exchange, mesh::Reason reason,
               Duration until_room);
-  void Refuse(HttpReply& reply, std::string_view request_id, Duration after);
+  // Answers that the request was not run.
+  void Refuse(HttpReply& reply, std::string_view request_id, Duration after,
+              int status = 503);
   void CancelAttempt(const ExchangePointer& exchange);
   void Finish(const ExchangePointer& exchange);
   bool is_configuration_fresh() const;
@@ -127,6 +142,7 @@
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
   const std::optional<organisations::KeyTrust> key_trust_;
+  Limits* limits_ = nullptr;
   // References to entries stay valid.
   std::map<std::string, RouteStatistics, std::less<>> statistics_;
   std::unordered_set<ExchangePointer> exchanges_;
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -36,6 +36,13 @@
           "untrusted_keys_total",
           "Requests refused (503) because the configuration's keys were not "
           "confirmed recently")),
+      limit_admitted(registry.RegisterCounter(
+          "limit_admitted_total",
+          "Requests of organisations with a limit that were within it")),
+      limit_unavailable(registry.RegisterCounter(
+          "limit_unavailable_total",
+          "Requests refused (503) because no coordinator answered whether "
+          "they are within the limit of their organisation")),
       clients_left(registry.RegisterCounter(
           "clients_left_total",
           "Requests whose client left before the answer")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -22,6 +22,9 @@
   metrics::Counter& unknown_routes;
   metrics::Counter& unknown_keys;
   metrics::Counter& untrusted_keys;
+  // Of organisations with a limit; refusals are counted by organisation.
+  metrics::Counter& limit_admitted;
+  metrics::Counter& limit_unavailable;
   metrics::Counter& clients_left;
   metrics::LatencyAccumulator& answer_latency;
   // By reason.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -19,6 +19,7 @@
 #include "sidecar/coordination.h"
 #include "sidecar/http_server.h"
 #include "sidecar/ingress.h"
+#include "sidecar/limits.h"
 #include "sidecar/link_client.h"
 #include "sidecar/link_server.h"
 #include "sidecar/member_directory.h"
@@ -144,7 +145,18 @@
                        .random = random_,
                        .clock = store_clock_},
                       identity_, fmt::format("{:016x}", random_.Next())),
-        stop_timer_(loop) {}
+        stop_timer_(loop) {
+    if (!settings.deployment.has_limits) return;
+    limits_.emplace(
+        Limits::Parts{.loop = loop,
+                      .coordination = coordination_,
+                      .configuration = holder_,
+                      .metrics = metrics_,
+                      .random = random_},
+        Limits::Options{.configuration_limit =
+                            settings.deployment.configuration_limit});
+    ingress_.set_limits(&*limits_);
+  }
 
   Result<void> Start() {
     const auto& listen = settings_.listen;
@@ -324,6 +336,7 @@
             configuration.FindService(settings_.node.service)) {
       receiver_.set_health_path(service->health_path);
     }
+    if (limits_) limits_->OnConfigurationChanged();
     link_server_->Broadcast();
   }
 
@@ -453,6 +466,8 @@
   ConfigurationSource source_;
   MemberDirectory members_;
   Coordination coordination_;
+  // Only where limits are in force.
+  std::optional<Limits> limits_;
   std::unique_ptr<LinkServer> link_server_;
   std::unique_ptr<HttpServer> clients_;
   std::unique_ptr<HttpServer> readiness_;
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -30,6 +30,14 @@
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
 
+  // Returns the value of a row; empty if there is none.
+  std::string Get(const std::string& table, const std::string& key) const {
+    const auto rows = tables_.find(table);
+    if (rows == tables_.end()) return {};
+    const auto row = rows->second.find(key);
+    return row == rows->second.end() ? std::string() : row->second.value;
+  }
+
   // Answers every call with this status from now on; 0 ends that.
   void set_failure(int status) { failure_ = status; }
   // Performs writes and does not answer them.
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -60,6 +60,13 @@
       version, routes);
 }
 
+std::string ConfigurationWithOrganisations(int version,
+                                           std::string_view organisations) {
+  std::string text = ConfigurationText(version);
+  text.pop_back();
+  return fmt::format(R"({},"tenants":[{}]}})", text, organisations);
+}
+
 MeshFixture::MeshFixture()
     : loop_(1), store_(std::make_unique<FakeStore>(loop_)) {
   store_->Put("op", "config", ConfigurationText(1));
@@ -108,6 +115,7 @@
                              .deadline = seconds(2)};
   instance.settings.retries = {
       .ratio_percent = 10, .run_ratio_percent = 10, .saved = 3};
+  instance.settings.deployment = deployment_;
   instance.settings.placement = {.crossing_cost_percent = 1.6};
   StartNode(instance);
   return instance;
@@ -212,8 +220,10 @@
   HttpExchange exchange;
   exchange.head = fmt::format(
       "{} {} HTTP/1.1\r\nHost: a.example\r\nOleandertide-Request-Id: q{}\r\n"
-      "Oleandertide-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n",
-      method, target, next_request_++, deadline_ms, body.size());
+      "{}Oleandertide-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n",
+      method, target, next_request_++,
+      key_.empty() ? "" : fmt::format("Authorization: Token {}\r\n", key_),
+      deadline_ms, body.size());
   exchange.body = body;
   exchange.limit = milliseconds(deadline_ms + 1000);
   exchange.on_answer = [answer](const HttpResponse& response) {
--- a/tests/sidecar/mesh_fixture.h
+++ b/tests/sidecar/mesh_fixture.h
@@ -12,6 +12,7 @@
 
 #include "core/address.h"
 #include "core/time.h"
+#include "mesh/deployment.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/fake_store.h"
 #include "sidecar/http_connection.h"
@@ -28,6 +29,11 @@
 // /room/ of service `rooms`, as the operator writes it.
 std::string ConfigurationText(int version, std::string_view further_route = {});
 
+// The same with organisations; `organisations` is the list as the operator
+// writes it.
+std::string ConfigurationWithOrganisations(int version,
+                                           std::string_view organisations);
+
 // How a client's request ended.
 struct ClientAnswer {
   // 0 if the connection ended without answer.
@@ -55,6 +61,12 @@
   // requests; health checks are answered with 200.
   Instance& AddInstance(const std::string& service, RawServer::Script script,
                         const std::string& data_centre = "dc-1");
+  // Rules of the deployment for instances added from now on, e.g. limits.
+  void set_deployment(const mesh::Deployment& deployment) {
+    deployment_ = deployment;
+  }
+  // Requests from now on carry this key; none if it is empty.
+  void set_key(std::string key) { key_ = std::move(key); }
 
   // Ends the process of a node without notice.
   void KillNode(Instance& instance) { instance.node.reset(); }
@@ -103,6 +115,8 @@
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::shared_ptr<HttpConnection>> clients_;
   int next_request_ = 1;
+  mesh::Deployment deployment_;
+  std::string key_;
 };
 
 }  // namespace oleandertide::sidecar
