--- a/libraries/organisations/limit_messages.h
+++ b/libraries/organisations/limit_messages.h
@@ -16,6 +16,13 @@
 // grant, so no clock is compared and a late answer gives nothing.
 inline constexpr Duration kTokenLifetime = std::chrono::milliseconds(200);
 
+// Lowest demand for which a node holds a standing rate, in requests a second.
+inline constexpr double kLeastStandingRate = 2;
+
+// Depth of the bucket through which a node uses a standing rate, in seconds of
+// the rate; it is at least one request.
+inline constexpr double kStandingDepthSeconds = 0.2;
+
 // A node asks for tokens of some organisations. A token admits one request.
 struct TokenRequest {
   struct Ask {
@@ -24,6 +31,9 @@
     std::uint32_t needed = 0;
     // Further tokens for the demand expected soon.
     std::uint32_t spare = 0;
+    // Requests a second, if the node wants a standing rate or its renewal; 0
+    // otherwise.
+    double demand = 0;
 
     bool operator==(const Ask&) const = default;
   };
@@ -45,6 +55,11 @@
     Duration until_token{};
     // When those who got none should come back; not before `until_token`.
     Duration retry_after{};
+    // Requests a second that the node may admit by itself; 0 if none is granted
+    // with this answer.
+    double standing_rate = 0;
+    // The end of the standing rate by the store's clock.
+    std::uint64_t standing_until_ms = 0;
 
     bool operator==(const Item&) const = default;
   };
--- a/libraries/organisations/token_stock.cc
+++ b/libraries/organisations/token_stock.cc
@@ -7,8 +7,9 @@
 namespace oleandertide::organisations {
 namespace {
 
-// Time over which demand is averaged.
-constexpr double kDemandSeconds = 1;
+// Time over which demand is averaged. A standing rate that follows short peaks
+// keeps tokens from other nodes until it ends.
+constexpr double kDemandSeconds = 3;
 
 double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -47,6 +48,44 @@
   last_request = now;
 }
 
+void TokenStock::Entry::FillStanding(BootTime now) {
+  const BootTime until = std::min(now, standing_until);
+  const double gained =
+      standing_rate * std::max(0.0, ToSeconds(until - standing_filled_at));
+  standing_tokens =
+      std::min(std::max(1.0, standing_rate * kStandingDepthSeconds),
+               standing_tokens + gained);
+  standing_filled_at = std::max(standing_filled_at, now);
+  if (now >= standing_until) {
+    standing_rate = 0;
+    standing_tokens = 0;
+  }
+}
+
+bool TokenStock::Entry::TakeStanding(BootTime now) {
+  if (standing_rate <= 0) return false;
+  FillStanding(now);
+  if (standing_tokens < 1) return false;
+  standing_tokens -= 1;
+  return true;
+}
+
+bool TokenStock::WantsStanding(const Entry& entry, BootTime now) const {
+  if (entry.demand < kLeastStandingRate ||
+      now - entry.standing_asked_at < options_.standing_interval) {
+    return false;
+  }
+  return entry.standing_rate <= 0 ||
+         entry.standing_until - now < options_.renewal_limit;
+}
+
+void TokenStock::EndStandingRate(std::string_view organisation) {
+  const auto found = entries_.find(organisation);
+  if (found == entries_.end()) return;
+  found->second.standing_rate = 0;
+  found->second.standing_tokens = 0;
+}
+
 std::uint32_t TokenStock::ChooseSpare(Entry& entry, BootTime now) const {
   const auto wanted = static_cast<std::uint32_t>(
       std::min(1e4, entry.demand * ToSeconds(options_.spare_time)));
@@ -63,6 +102,8 @@
           ? found->second
           : entries_.try_emplace(std::string(organisation)).first->second;
   entry.CountRequest(now);
+  if (WantsStanding(entry, now)) to_ask_.emplace(organisation);
+  if (entry.TakeStanding(now)) return Admitted{now};
   if (const auto expires_at = entry.Take(now)) {
     if (entry.empty_until <= now && ChooseSpare(entry, now) > 0) {
       to_ask_.emplace(organisation);
@@ -107,9 +148,13 @@
     // One request for spare tokens at a time.
     const std::uint32_t spare =
         entry.unanswered.empty() ? ChooseSpare(entry, now) : 0;
-    if (needed == 0 && spare == 0) continue;
-    request.asks.push_back(
-        {.organisation = name, .needed = needed, .spare = spare});
+    const bool wants_standing = WantsStanding(entry, now);
+    if (needed == 0 && spare == 0 && !wants_standing) continue;
+    request.asks.push_back({.organisation = name,
+                            .needed = needed,
+                            .spare = spare,
+                            .demand = wants_standing ? entry.demand : 0});
+    if (wants_standing) entry.standing_asked_at = now;
     entry.unanswered.emplace(next_sequence_, needed);
   }
   if (request.asks.empty()) return std::nullopt;
@@ -134,8 +179,9 @@
   sent_.erase(sent);
 }
 
-std::vector<TokenStock::Settled> TokenStock::OnGrant(const TokenGrant& grant,
-                                                     BootTime now) {
+std::vector<TokenStock::Settled> TokenStock::OnGrant(
+    const TokenGrant& grant, std::optional<std::uint64_t> store_latest_ms,
+    BootTime now) {
   std::vector<Settled> settled;
   // An answer that came twice, late, or to an earlier life of the process.
   const auto found = sent_.find(grant.sequence);
@@ -154,6 +200,15 @@
     if (item.tokens > 0 && expires_at > now) {
       entry.Put({expires_at, item.tokens});
     }
+    if (item.standing_rate > 0 && store_latest_ms &&
+        *store_latest_ms < item.standing_until_ms) {
+      entry.FillStanding(now);
+      entry.standing_rate = item.standing_rate;
+      entry.standing_until =
+          now +
+          std::chrono::milliseconds(item.standing_until_ms - *store_latest_ms);
+      entry.standing_filled_at = now;
+    }
     const auto settle = [&](const Decision& decision) {
       const Ticket ticket = *entry.waiting.begin();
       settled.push_back({ticket, decision});
--- a/libraries/organisations/token_stock.h
+++ b/libraries/organisations/token_stock.h
@@ -45,6 +45,11 @@
     // Requests that wait at once, over all organisations. Further ones are
     // refused.
     std::size_t maximum_waiting = 1000;
+    // A standing rate is renewed once it has less time left than this. Leases
+    // of the coordinator last 3 s and are renewed each second.
+    Duration renewal_limit = std::chrono::milliseconds(1700);
+    // Standing rates are asked for at most this often.
+    Duration standing_interval = std::chrono::milliseconds(300);
     // Organisations without requests are forgotten after this time.
     Duration idle_limit = std::chrono::seconds(10);
   };
@@ -92,8 +97,15 @@
   // The request could not be sent: it may be asked again.
   void OnNotSent(std::uint64_t sequence);
 
-  // The coordinator answered. Returns the requests that this settles.
-  std::vector<Settled> OnGrant(const TokenGrant& grant, BootTime now);
+  // The coordinator answered; the store's clock shows at most
+  // `store_latest_ms`, if that is known. Returns the requests that this
+  // settles.
+  std::vector<Settled> OnGrant(const TokenGrant& grant,
+                               std::optional<std::uint64_t> store_latest_ms,
+                               BootTime now);
+
+  // The limit of an organisation changed: the node gives up its standing rate.
+  void EndStandingRate(std::string_view organisation);
 
   // Returns the requests that have waited too long. Also finds answers that
   // were lost; to be called every few milliseconds while requests wait.
@@ -116,13 +128,22 @@
     std::set<Ticket> waiting;
     // Tokens that were asked for and not answered, by time of the request.
     std::map<std::uint64_t, std::uint32_t> unanswered;
-    // Requests a second, mean of about the last second.
+    // Requests a second, mean of about the last three seconds.
     double demand = 0;
     BootTime last_request{};
     // Until then the coordinator has no token.
     BootTime empty_until{};
     BootTime retry_at{};
 
+    // Rate that the node may admit by itself, its end and its bucket.
+    double standing_rate = 0;
+    BootTime standing_until{};
+    double standing_tokens = 0;
+    BootTime standing_filled_at{};
+    BootTime standing_asked_at{};
+
+    bool TakeStanding(BootTime now);
+    void FillStanding(BootTime now);
     std::uint32_t stock(BootTime now);
     std::optional<BootTime> Take(BootTime now);
     void Put(Lot lot);
@@ -139,6 +160,8 @@
     BootTime since{};
   };
 
+  // Whether to ask for a standing rate or its renewal.
+  bool WantsStanding(const Entry& entry, BootTime now) const;
   std::uint32_t ChooseSpare(Entry& entry, BootTime now) const;
   void Forget(std::map<std::uint64_t, Sent>::iterator sent);
   void ForgetIdle(BootTime now);
--- a/libraries/sidecar/limits.capnp.h
+++ b/libraries/sidecar/limits.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -38,11 +38,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c25327ea66bd5925, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -54,12 +52,10 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad65412508f05ffa, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(ad65412508f05ffa, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -73,11 +69,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b59323fad5e7fb28, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -89,23 +83,21 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5128a1a66aa65f3, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(e5128a1a66aa65f3, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class TokenRequest::Reader {
- public:
+public:
   typedef TokenRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -117,14 +109,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
   inline bool hasAsks() const;
-  inline ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                       ::capnp::Kind::STRUCT>::Reader
-  getAsks() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Reader getAsks() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -137,45 +127,32 @@
 };
 
 class TokenRequest::Builder {
- public:
+public:
   typedef TokenRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSequence();
-  inline void setSequence(::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
   inline bool hasAsks();
-  inline ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                       ::capnp::Kind::STRUCT>::Builder
-  getAsks();
-  inline void setAsks(
-      ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                    ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                       ::capnp::Kind::STRUCT>::Builder
-  initAsks(unsigned int size);
-  inline void adoptAsks(
-      ::capnp::Orphan<
-          ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                        ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenRequest::Ask, ::capnp::Kind::STRUCT>>
-  disownAsks();
-
- private:
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Builder getAsks();
+  inline void setAsks( ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Builder initAsks(unsigned int size);
+  inline void adoptAsks(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>> disownAsks();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -186,14 +163,14 @@
 
 #if !CAPNP_LITE
 class TokenRequest::Pipeline {
- public:
+public:
   typedef TokenRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -202,11 +179,11 @@
 #endif  // !CAPNP_LITE
 
 class TokenRequest::Ask::Reader {
- public:
+public:
   typedef Ask Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -219,13 +196,15 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasOrganisation() const;
-  inline ::capnp::Text::Reader getOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline  ::uint32_t getNeeded() const;
 
-  inline ::uint32_t getNeeded() const;
+  inline  ::uint32_t getSpare() const;
 
-  inline ::uint32_t getSpare() const;
+  inline float getDemand() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -238,37 +217,38 @@
 };
 
 class TokenRequest::Ask::Builder {
- public:
+public:
   typedef Ask Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasOrganisation();
-  inline ::capnp::Text::Builder getOrganisation();
-  inline void setOrganisation(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOrganisation(unsigned int size);
-  inline void adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline  ::uint32_t getNeeded();
+  inline void setNeeded( ::uint32_t value);
 
-  inline ::uint32_t getNeeded();
-  inline void setNeeded(::uint32_t value);
+  inline  ::uint32_t getSpare();
+  inline void setSpare( ::uint32_t value);
 
-  inline ::uint32_t getSpare();
-  inline void setSpare(::uint32_t value);
+  inline float getDemand();
+  inline void setDemand(float value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -279,14 +259,14 @@
 
 #if !CAPNP_LITE
 class TokenRequest::Ask::Pipeline {
- public:
+public:
   typedef Ask Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -295,11 +275,11 @@
 #endif  // !CAPNP_LITE
 
 class TokenGrant::Reader {
- public:
+public:
   typedef TokenGrant Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -311,14 +291,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
   inline bool hasItems() const;
-  inline ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                       ::capnp::Kind::STRUCT>::Reader
-  getItems() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -331,45 +309,32 @@
 };
 
 class TokenGrant::Builder {
- public:
+public:
   typedef TokenGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getSequence();
-  inline void setSequence(::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
   inline bool hasItems();
-  inline ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                       ::capnp::Kind::STRUCT>::Builder
-  getItems();
-  inline void setItems(
-      ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                    ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                       ::capnp::Kind::STRUCT>::Builder
-  initItems(unsigned int size);
-  inline void adoptItems(
-      ::capnp::Orphan<
-          ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                        ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>
-  disownItems();
-
- private:
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>> disownItems();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -380,14 +345,14 @@
 
 #if !CAPNP_LITE
 class TokenGrant::Pipeline {
- public:
+public:
   typedef TokenGrant Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -396,11 +361,11 @@
 #endif  // !CAPNP_LITE
 
 class TokenGrant::Item::Reader {
- public:
+public:
   typedef Item Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -412,15 +377,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getTokens() const;
+  inline  ::uint32_t getTokens() const;
 
   inline bool getIsUnlimited() const;
 
-  inline ::uint32_t getUntilTokenUs() const;
+  inline  ::uint32_t getUntilTokenUs() const;
+
+  inline  ::uint32_t getRetryAfterUs() const;
+
+  inline float getStandingRate() const;
 
-  inline ::uint32_t getRetryAfterUs() const;
+  inline  ::uint64_t getStandingUntilMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -433,36 +402,40 @@
 };
 
 class TokenGrant::Item::Builder {
- public:
+public:
   typedef Item Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getTokens();
-  inline void setTokens(::uint32_t value);
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
 
   inline bool getIsUnlimited();
   inline void setIsUnlimited(bool value);
 
-  inline ::uint32_t getUntilTokenUs();
-  inline void setUntilTokenUs(::uint32_t value);
+  inline  ::uint32_t getUntilTokenUs();
+  inline void setUntilTokenUs( ::uint32_t value);
+
+  inline  ::uint32_t getRetryAfterUs();
+  inline void setRetryAfterUs( ::uint32_t value);
 
-  inline ::uint32_t getRetryAfterUs();
-  inline void setRetryAfterUs(::uint32_t value);
+  inline float getStandingRate();
+  inline void setStandingRate(float value);
 
- private:
+  inline  ::uint64_t getStandingUntilMs();
+  inline void setStandingUntilMs( ::uint64_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -473,14 +446,14 @@
 
 #if !CAPNP_LITE
 class TokenGrant::Item::Pipeline {
- public:
+public:
   typedef Item Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -490,285 +463,265 @@
 
 // =======================================================================================
 
-inline ::uint64_t TokenRequest::Reader::getSequence() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t TokenRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t TokenRequest::Builder::getSequence() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t TokenRequest::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TokenRequest::Builder::setSequence(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TokenRequest::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TokenRequest::Reader::hasAsks() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TokenRequest::Builder::hasAsks() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                     ::capnp::Kind::STRUCT>::Reader
-TokenRequest::Reader::getAsks() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                    ::capnp::Kind::STRUCT>>::get(_reader
-                                                     .getPointerField(
-                                                         ::capnp::bounded<0>() *
-                                                         ::capnp::POINTERS));
-}
-inline ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                     ::capnp::Kind::STRUCT>::Builder
-TokenRequest::Builder::getAsks() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                    ::capnp::Kind::STRUCT>>::get(_builder
-                                                     .getPointerField(
-                                                         ::capnp::bounded<0>() *
-                                                         ::capnp::POINTERS));
-}
-inline void TokenRequest::Builder::setAsks(
-    ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                    ::capnp::Kind::STRUCT>>::set(_builder
-                                                     .getPointerField(
-                                                         ::capnp::bounded<0>() *
-                                                         ::capnp::POINTERS),
-                                                 value);
-}
-inline ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                     ::capnp::Kind::STRUCT>::Builder
-TokenRequest::Builder::initAsks(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenRequest::Ask,
-      ::capnp::Kind::STRUCT>>::init(_builder
-                                        .getPointerField(::capnp::bounded<0>() *
-                                                         ::capnp::POINTERS),
-                                    size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Reader TokenRequest::Reader::getAsks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Builder TokenRequest::Builder::getAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenRequest::Builder::setAsks( ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>::Builder TokenRequest::Builder::initAsks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TokenRequest::Builder::adoptAsks(
-    ::capnp::Orphan<
-        ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                      ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                    ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<
-    ::oleandertide::sidecar::wire::TokenRequest::Ask, ::capnp::Kind::STRUCT>>
-TokenRequest::Builder::disownAsks() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::oleandertide::sidecar::wire::TokenRequest::Ask,
-                    ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>> TokenRequest::Builder::disownAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenRequest::Ask,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool TokenRequest::Ask::Reader::hasOrganisation() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TokenRequest::Ask::Builder::hasOrganisation() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::Text::Reader TokenRequest::Ask::Reader::getOrganisation()
-    const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder TokenRequest::Ask::Builder::getOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void TokenRequest::Ask::Builder::setOrganisation(
-    ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
-}
-inline ::capnp::Text::Builder TokenRequest::Ask::Builder::initOrganisation(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TokenRequest::Ask::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TokenRequest::Ask::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenRequest::Ask::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TokenRequest::Ask::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TokenRequest::Ask::Builder::adoptOrganisation(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-TokenRequest::Ask::Builder::disownOrganisation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TokenRequest::Ask::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t TokenRequest::Ask::Reader::getNeeded() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t TokenRequest::Ask::Reader::getNeeded() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t TokenRequest::Ask::Builder::getNeeded() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t TokenRequest::Ask::Builder::getNeeded() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TokenRequest::Ask::Builder::setNeeded(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TokenRequest::Ask::Builder::setNeeded( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t TokenRequest::Ask::Reader::getSpare() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t TokenRequest::Ask::Reader::getSpare() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t TokenRequest::Ask::Builder::getSpare() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t TokenRequest::Ask::Builder::getSpare() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TokenRequest::Ask::Builder::setSpare(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TokenRequest::Ask::Builder::setSpare( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t TokenGrant::Reader::getSequence() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline float TokenRequest::Ask::Reader::getDemand() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t TokenGrant::Builder::getSequence() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline float TokenRequest::Ask::Builder::getDemand() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Builder::setSequence(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TokenRequest::Ask::Builder::setDemand(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenGrant::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenGrant::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenGrant::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TokenGrant::Reader::hasItems() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TokenGrant::Builder::hasItems() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                     ::capnp::Kind::STRUCT>::Reader
-TokenGrant::Reader::getItems() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                     ::capnp::Kind::STRUCT>::Builder
-TokenGrant::Builder::getItems() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void TokenGrant::Builder::setItems(
-    ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                     ::capnp::Kind::STRUCT>::Builder
-TokenGrant::Builder::initItems(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Reader TokenGrant::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Builder TokenGrant::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenGrant::Builder::setItems( ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>::Builder TokenGrant::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TokenGrant::Builder::adoptItems(
-    ::capnp::Orphan<
-        ::capnp::List<::oleandertide::sidecar::wire::TokenGrant::Item,
-                      ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<
-    ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>
-TokenGrant::Builder::disownItems() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::oleandertide::sidecar::wire::TokenGrant::Item, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>> TokenGrant::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::TokenGrant::Item,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t TokenGrant::Item::Reader::getTokens() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Item::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t TokenGrant::Item::Builder::getTokens() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Item::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Item::Builder::setTokens(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TokenGrant::Item::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TokenGrant::Item::Reader::getIsUnlimited() const {
-  return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
 inline bool TokenGrant::Item::Builder::getIsUnlimited() {
-  return _builder.getDataField<bool>(::capnp::bounded<32>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 inline void TokenGrant::Item::Builder::setIsUnlimited(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t TokenGrant::Item::Reader::getUntilTokenUs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Item::Reader::getUntilTokenUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t TokenGrant::Item::Builder::getUntilTokenUs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Item::Builder::getUntilTokenUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Item::Builder::setUntilTokenUs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TokenGrant::Item::Builder::setUntilTokenUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t TokenGrant::Item::Reader::getRetryAfterUs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Item::Reader::getRetryAfterUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t TokenGrant::Item::Builder::getRetryAfterUs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t TokenGrant::Item::Builder::getRetryAfterUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void TokenGrant::Item::Builder::setRetryAfterUs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TokenGrant::Item::Builder::setRetryAfterUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-}  // namespace wire
-}  // namespace sidecar
-}  // namespace oleandertide
+inline float TokenGrant::Item::Reader::getStandingRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float TokenGrant::Item::Builder::getStandingRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TokenGrant::Item::Builder::setStandingRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenGrant::Item::Reader::getStandingUntilMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenGrant::Item::Builder::getStandingUntilMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TokenGrant::Item::Builder::setStandingUntilMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+}  // namespace
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/libraries/sidecar/limits.cc
+++ b/libraries/sidecar/limits.cc
@@ -170,11 +170,21 @@
 
 void Limits::OnConfigurationChanged() {
   const auto before = std::exchange(applied_, parts_.configuration.current());
-  if (!is_coordinator_) return;
   // Versions share unchanged organisations.
   if (before && applied_ && before->organisations == applied_->organisations) {
     return;
   }
+  if (before) {
+    for (const auto& [name, organisation] : before->organisations) {
+      const auto found = applied_->organisations.find(name);
+      if (found == applied_->organisations.end() ||
+          (found->second != organisation &&
+           found->second->rate < organisation->rate)) {
+        stock_.EndStandingRate(name);
+      }
+    }
+  }
+  if (!is_coordinator_) return;
   allocator_.SetLimits(MakeLimits(), BootClock::now());
 }
 
@@ -198,15 +208,21 @@
   }
   const auto request = DecodeTokenRequest(payload);
   if (!request) return;
+  const BootTime now = BootClock::now();
+  const organisations::TokenAllocator::Lease lease{
+      .end_ms = parts_.coordination.holder().lease_end_ms,
+      .earlier_rights_end_ms = parts_.coordination.earlier_rights_end_ms(),
+      .now_ms = parts_.store_clock.EarliestNow(now).value_or(0)};
   parts_.coordination.Send(
       node, CoordinationSubject::kLimits,
-      EncodeTokenGrant(allocator_.Grant(*request, BootClock::now())));
+      EncodeTokenGrant(allocator_.Grant(*request, node, lease, now)));
 }
 
 void Limits::OnMessage(std::string_view payload) {
   const auto grant = DecodeTokenGrant(payload);
   if (!grant) return;
-  Settle(stock_.OnGrant(*grant, BootClock::now()));
+  const BootTime now = BootClock::now();
+  Settle(stock_.OnGrant(*grant, parts_.store_clock.LatestNow(now), now));
   if (stock_.has_to_ask()) ScheduleAsk();
 }
 
--- a/libraries/sidecar/limits.h
+++ b/libraries/sidecar/limits.h
@@ -46,6 +46,7 @@
     const mesh::ConfigurationHolder& configuration;
     NodeMetrics& metrics;
     RandomSource& random;
+    const coordination::StoreClock& store_clock;
   };
 
   // Registers at the coordination, which must not have started.
--- a/libraries/sidecar/limits_codec.cc
+++ b/libraries/sidecar/limits_codec.cc
@@ -56,6 +56,7 @@
     asks[i].setOrganisation(request.asks[i].organisation);
     asks[i].setNeeded(request.asks[i].needed);
     asks[i].setSpare(request.asks[i].spare);
+    asks[i].setDemand(static_cast<float>(request.asks[i].demand));
   }
   return Write(message);
 }
@@ -70,6 +71,8 @@
     items[i].setIsUnlimited(grant.items[i].is_unlimited);
     items[i].setUntilTokenUs(ToUs(grant.items[i].until_token));
     items[i].setRetryAfterUs(ToUs(grant.items[i].retry_after));
+    items[i].setStandingRate(static_cast<float>(grant.items[i].standing_rate));
+    items[i].setStandingUntilMs(grant.items[i].standing_until_ms);
   }
   return Write(message);
 }
@@ -84,7 +87,8 @@
           request.asks.push_back(
               {.organisation = std::string(name.begin(), name.size()),
                .needed = ask.getNeeded(),
-               .spare = ask.getSpare()});
+               .spare = ask.getSpare(),
+               .demand = ask.getDemand()});
         }
         return request;
       });
@@ -100,7 +104,9 @@
               {.tokens = item.getTokens(),
                .is_unlimited = item.getIsUnlimited(),
                .until_token = Duration(item.getUntilTokenUs()),
-               .retry_after = Duration(item.getRetryAfterUs())});
+               .retry_after = Duration(item.getRetryAfterUs()),
+               .standing_rate = item.getStandingRate(),
+               .standing_until_ms = item.getStandingUntilMs()});
         }
         return grant;
       });
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -152,7 +152,8 @@
                       .coordination = coordination_,
                       .configuration = holder_,
                       .metrics = metrics_,
-                      .random = random_},
+                      .random = random_,
+                      .store_clock = store_clock_},
         Limits::Options{.configuration_limit =
                             settings.deployment.configuration_limit});
     ingress_.set_limits(&*limits_);
