organisations: Honour no key before the store has answered the process

A node that restarted while it and its peers were cut off from the store honoured keys for 0.8 of the revocation limit: the only store time it had was the confirmation that a peer passed on, and the earliest time that the store's clock may show made it look new. KeyTrust uses the latest time, which needs an answer of the store to this process, and StoreClient lets every row read set it, so that each node learns it when it reads the members.

--- a/libraries/organisations/key_trust.cc
+++ b/libraries/organisations/key_trust.cc
@@ -17,7 +17,9 @@
 bool KeyTrust::MayHonour(const coordination::StoreClock& clock,
                          std::uint64_t confirmed_store_time_ms,
                          BootTime now) const {
-  const auto store_now = clock.EarliestNow(now);
+  // The earliest time would not do: after a restart it rests on messages of any
+  // age alone.
+  const auto store_now = clock.LatestNow(now);
   if (!store_now || confirmed_store_time_ms == 0) return false;
   if (*store_now < confirmed_store_time_ms) return true;
   return std::chrono::milliseconds(*store_now - confirmed_store_time_ms) <=
--- a/libraries/organisations/key_trust.h
+++ b/libraries/organisations/key_trust.h
@@ -13,9 +13,10 @@
 // A key that a configuration took away must not be honoured by any node, also
 // not by one that cannot learn of it. So a node honours keys only while the
 // store is known to have confirmed its configuration recently, to this node or
-// to one that passed it on. The age of the confirmation is computed by the
-// store's clock: neither a late message nor a restart, a suspended machine or a
-// clock that was set back makes it look younger.
+// to one that passed it on. The age of the confirmation is computed from the
+// latest time that the store's clock may show, which is known only after an
+// answer of the store to this process: neither a late message nor a restart, a
+// suspended machine or a clock that was set back makes it look younger.
 //
 // Load pattern: nodes are cut off from the store, or the store is away or
 // refuses some of them, while keys are withdrawn.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -127,7 +127,7 @@
                  settings.placement.crossing_cost_percent / 100 / kBytesPerKb,
              .key_trust = MakeKeyTrust(settings.deployment)}),
         store_(loop, std::move(store), settings.store.address.ToString(),
-               metrics_),
+               metrics_, store_clock_),
         source_({.loop = loop,
                  .store = store_,
                  .holder = holder_,
--- a/libraries/sidecar/store_client.cc
+++ b/libraries/sidecar/store_client.cc
@@ -52,11 +52,13 @@
 }  // namespace
 
 StoreClient::StoreClient(EventLoop& loop, Tcp::endpoint endpoint,
-                         std::string host, NodeMetrics& metrics)
+                         std::string host, NodeMetrics& metrics,
+                         coordination::StoreClock& clock)
     : loop_(loop),
       endpoint_(std::move(endpoint)),
       host_(std::move(host)),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      clock_(clock) {}
 
 StoreClient::~StoreClient() {
   if (calls_connection_) calls_connection_->Close();
@@ -102,8 +104,15 @@
                            OnRows on_rows) {
   Enqueue(MakeExchange(
       fmt::format("GET {}", platform::RowsTarget(table, first_key)), {},
-      kCallLimit, [on_rows = std::move(on_rows)](Result<std::string> body) {
-        on_rows(ToRows(std::move(body)));
+      kCallLimit,
+      [this, sent_at = BootClock::now(),
+       on_rows = std::move(on_rows)](Result<std::string> body) {
+        auto rows = ToRows(std::move(body));
+        if (rows) {
+          clock_.ObserveAnswer(rows.value().store_time_ms, sent_at,
+                               BootClock::now());
+        }
+        on_rows(std::move(rows));
       }));
 }
 
--- a/libraries/sidecar/store_client.h
+++ b/libraries/sidecar/store_client.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <system_error>
 
+#include "coordination/store_clock.h"
 #include "core/result.h"
 #include "core/time.h"
 #include "platform/store_codec.h"
@@ -31,7 +32,7 @@
   using OnWritten = std::function<void(Result<platform::WriteReceipt>)>;
 
   StoreClient(EventLoop& loop, Tcp::endpoint endpoint, std::string host,
-              NodeMetrics& metrics);
+              NodeMetrics& metrics, coordination::StoreClock& clock);
   ~StoreClient();
 
   // Reads the rows of a table from `first_key` on.
@@ -59,6 +60,8 @@
   const Tcp::endpoint endpoint_;
   const std::string host_;
   NodeMetrics& metrics_;
+  // Learns the store's time from all rows that are read.
+  coordination::StoreClock& clock_;
   std::shared_ptr<HttpConnection> calls_connection_;
   std::shared_ptr<HttpConnection> changes_connection_;
   std::deque<HttpExchange> queue_;
--- a/tests/organisations/key_trust_test.cc
+++ b/tests/organisations/key_trust_test.cc
@@ -22,6 +22,21 @@
   CHECK_FALSE(trust.MayHonour(clock, 100'000, At(4500)));
 }
 
+TEST_CASE("a restarted node honours no key before an answer of the store") {
+  // Guards against messages of other nodes that are cut off as well: their last
+  // confirmation may be of any age.
+  const KeyTrust trust(seconds(5));
+  coordination::StoreClock clock;
+  clock.Observe(100'000, At(60'000));
+  CHECK_FALSE(trust.MayHonour(clock, 100'000, At(60'000)));
+  // The store answers a call that took 500 ms: it may have shown this time when
+  // the call was sent.
+  clock.ObserveAnswer(160'000, At(60'000), At(60'500));
+  CHECK_FALSE(trust.MayHonour(clock, 100'000, At(60'500)));
+  CHECK(trust.MayHonour(clock, 160'000, At(63'900)));
+  CHECK_FALSE(trust.MayHonour(clock, 160'000, At(64'100)));
+}
+
 TEST_CASE("a late message does not renew the trust in keys") {
   // Guards against status messages that a cut held up for seconds.
   const KeyTrust trust(seconds(5));
