organisations: Let requests within a share displace others at the ingress

While one organisation filled the queues of a service, the ingress refused requests of all organisations: load reports showed no room, and the fair queues of the receivers never saw them. ShareTracker sums recently admitted work by organisation. While one is far beyond its share, a request of one within its share is placed as if the waiting requests of its rank came after it. Under a general overload nothing changes, nor without organisations. Counted by displaced_total. Tested without network only.

--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -92,14 +92,17 @@
   return now - candidate.reported_at > kMaxReportAge;
 }
 
-Duration Placement::EstimateWait(const Candidate& candidate, int priority) {
+Duration Placement::EstimateWait(const Candidate& candidate,
+                                 const Request& request) {
+  const int priority = request.priority;
   const BackendLoad& load = candidate.load;
   // Waiting requests of less urgent routes do not delay this one.
   const int unreported = std::accumulate(
       candidate.unreported.begin(),
       candidate.unreported.begin() + ToPriorityClass(priority) + 1, 0);
-  const int ahead = load.running + load.waiting_before(priority) + unreported -
-                    load.slots + 1;
+  int ahead = load.running + load.waiting_before(priority) + unreported -
+              load.slots + 1;
+  if (request.is_displaced) ahead -= load.waiting[ToPriorityClass(priority)];
   if (ahead <= 0) return Duration::zero();
   return load.mean_run_time * ahead / std::max(load.slots, 1);
 }
@@ -171,7 +174,7 @@
     if (std::ranges::find(excluded, node) != excluded.end()) continue;
     if (IsReportStale(candidate, request.now) && !includes_stale) continue;
     is_any_accepting = true;
-    const Duration wait = EstimateWait(candidate, request.priority);
+    const Duration wait = EstimateWait(candidate, request);
     shortest_wait = std::min(shortest_wait, wait);
     if (wait > request.wait_allowance) continue;
     const Duration jitter(static_cast<std::int64_t>(
@@ -185,7 +188,7 @@
     lowest_cost = cost;
   }
   if (best != nullptr) {
-    const Duration wait = EstimateWait(*best, request.priority);
+    const Duration wait = EstimateWait(*best, request);
     ++best->unreported[ToPriorityClass(request.priority)];
     best->unreported_bytes += request.expected_bytes;
     return Choice{*best_node, wait};
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -48,6 +48,9 @@
     Duration wait_allowance{};
     // The client gets the full value of an answer within this time.
     Duration target_latency{};
+    // Whether the request goes before the waiting ones of its rank: the queue
+    // is full of requests of an organisation beyond its share.
+    bool is_displaced = false;
     // Time since the arrival of the request.
     Duration elapsed{};
     MonotonicTime now;
@@ -117,7 +120,8 @@
                        std::span<const std::string> excluded,
                        RandomSource& random, bool includes_stale);
   static bool IsReportStale(const Candidate& candidate, MonotonicTime now);
-  static Duration EstimateWait(const Candidate& candidate, int priority);
+  static Duration EstimateWait(const Candidate& candidate,
+                               const Request& request);
   // Returns the expected cost; `wait` includes the jitter.
   double Cost(const Candidate& candidate, const Request& request,
               Duration wait) const;
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -63,6 +63,11 @@
   std::shared_ptr<const mesh::Configuration> configuration;
   const mesh::Route* route = nullptr;
   RouteStatistics* statistics = nullptr;
+  // Of the organisation, see mesh::OrganisationPolicy.
+  double weight = 1;
+  // Whether the organisation's share is observed: not that of calls of backend
+  // servers, and not without organisations.
+  bool has_share = false;
   MonotonicTime arrived;
   MonotonicTime deadline;
   // Nodes that were tried.
@@ -231,6 +236,9 @@
                     .priority = rank.priority,
                     .is_backend_server_call = rank.is_backend_server_call,
                     .is_repeatable = mesh::is_repeatable(route->kind)};
+  exchange->weight = organisation_policy_.ChooseWeight(organisation);
+  exchange->has_share =
+      organisation_policy_.has_organisations() && !rank.is_backend_server_call;
   exchange->call.fingerprint = MakeFingerprint(exchange->call);
   retries_.RecordRequest(exchange->call.service);
   exchanges_.insert(exchange);
@@ -275,7 +283,7 @@
   placement_.Update(node_, parts_.receiver.service(),
                     {.is_in_own_data_centre = true}, parts_.receiver.load(),
                     now);
-  const mesh::Placement::Request request{
+  mesh::Placement::Request request{
       .service = call.service,
       .priority = call.priority,
       .expected_run = call.expected_run,
@@ -285,12 +293,27 @@
       .target_latency = route.target_latency,
       .elapsed = now - exchange->arrived,
       .now = now};
-  const auto decision =
-      placement_.Choose(request, exchange->tried, parts_.random);
+  auto decision = placement_.Choose(request, exchange->tried, parts_.random);
+  if (exchange->has_share) {
+    if (std::holds_alternative<mesh::Placement::NoRoom>(decision) &&
+        shares_.IsDisplaced(call.organisation, exchange->weight, now)) {
+      parts_.metrics.displaced.Add();
+      request.is_displaced = true;
+      decision = placement_.Choose(request, exchange->tried, parts_.random);
+    }
+    if (exchange->hops == 0 &&
+        std::holds_alternative<mesh::Placement::Choice>(decision)) {
+      shares_.Record(call.organisation, exchange->weight, call.expected_run,
+                     now);
+    }
+  }
   if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
-    call.wait_allowance =
-        mesh::ChooseWaitAllowance(exchange->hops - exchange->stopping_hops,
-                                  choice->expected_wait, call.wait_allowance);
+    // Another node has no free slot either for a displaced request.
+    if (!request.is_displaced) {
+      call.wait_allowance =
+          mesh::ChooseWaitAllowance(exchange->hops - exchange->stopping_hops,
+                                    choice->expected_wait, call.wait_allowance);
+    }
     Send(exchange, choice->node);
   } else if (const auto* no_room =
                  std::get_if<mesh::Placement::NoRoom>(&decision)) {
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -25,6 +25,7 @@
 #include "mesh/service_choice.h"
 #include "mesh/stop_policy.h"
 #include "organisations/key_trust.h"
+#include "organisations/share_tracker.h"
 #include "platform/http_codec.h"
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
@@ -131,6 +132,7 @@
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
   mesh::OrganisationPolicy organisation_policy_;
+  organisations::ShareTracker shares_;
   const std::optional<organisations::KeyTrust> key_trust_;
   // References to entries stay valid.
   std::map<std::string, RouteStatistics, std::less<>> statistics_;
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -36,6 +36,10 @@
           "untrusted_keys_total",
           "Requests refused (503) because the configuration's keys were not "
           "confirmed recently")),
+      displaced(registry.RegisterCounter(
+          "displaced_total",
+          "Attempts within an organisation's share that go before the waiting "
+          "requests of others")),
       clients_left(registry.RegisterCounter(
           "clients_left_total",
           "Requests whose client left before the answer")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -22,6 +22,7 @@
   metrics::Counter& unknown_routes;
   metrics::Counter& unknown_keys;
   metrics::Counter& untrusted_keys;
+  metrics::Counter& displaced;
   metrics::Counter& clients_left;
   metrics::LatencyAccumulator& answer_latency;
   // By reason.
--- a/tests/mesh/placement_test.cc
+++ b/tests/mesh/placement_test.cc
@@ -180,6 +180,25 @@
   REQUIRE(choice->expected_wait < milliseconds(10));
 }
 
+// Guards against organisations within their share that are refused at the
+// ingress because requests of one beyond its share wait everywhere.
+TEST_CASE("a displaced request goes before the waiting ones of its rank") {
+  Placement placement(kCrossingCostPerByte);
+  RandomSource random(3);
+  // 12 requests run and 40 of priority 2 wait: a further one waits 340 ms.
+  placement.Update("a", "rooms", kOwnDataCentre, MakeLoad(12, 40), kNow);
+  Placement::Request request = MakeRequest();
+  REQUIRE(std::holds_alternative<Placement::NoRoom>(
+      placement.Choose(request, {}, random)));
+  request.is_displaced = true;
+  REQUIRE(std::holds_alternative<Placement::Choice>(
+      placement.Choose(request, {}, random)));
+  // It does not go before those of more urgent ranks.
+  request.priority = 3;
+  REQUIRE(std::holds_alternative<Placement::NoRoom>(
+      placement.Choose(request, {}, random)));
+}
+
 // Guards against requests to nodes that are disconnected or paused, whose last
 // report still shows free capacity.
 TEST_CASE("a node with a stale report is chosen only if no other accepts") {
