--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -143,6 +143,87 @@
           "a%20b%26c%3D%25%0D%0A%2F%C3");
 }
 
+std::string DocumentWithTenants(const std::string& tenants,
+                                const std::string& route = kRoute) {
+  std::string document = Document(route);
+  document.insert(1, "\"tenants\":" + tenants + ",");
+  return document;
+}
+
+TEST_CASE("organisations are decoded with their keys, limits and priority") {
+  std::string route = kRoute;
+  route.insert(1, R"("public":true,)");
+  const auto decoded = DecodeConfiguration(DocumentWithTenants(
+      R"([{"name":"alpha","api_keys":["k1","k2"],"priority":1,"rate_per_s":
+      913.5,"burst":913},{"name":"beta"}])",
+      route));
+  REQUIRE(decoded.has_value());
+  const mesh::Configuration& configuration = decoded.value();
+  REQUIRE(configuration.organisations.size() == 2);
+  REQUIRE(configuration.keys.Find("k2")->name == "alpha");
+  REQUIRE(configuration.keys.Find("k2")->rate == 913.5);
+  REQUIRE(configuration.keys.Find("k2")->priority == 1);
+  REQUIRE(configuration.keys.Find("k3") == nullptr);
+  REQUIRE(configuration.keys.Find("") == nullptr);
+  REQUIRE_FALSE(configuration.organisations.at("beta")->priority.has_value());
+  REQUIRE_FALSE(configuration.organisations.at("beta")->is_limited());
+  REQUIRE(configuration.FindRoute("a.example", "/x/1")->is_public);
+}
+
+// Guards against a damaged document that puts a key in force for nobody or for
+// the wrong organisation, and against keys in error messages.
+TEST_CASE("bad organisations are rejected with path and without the key") {
+  const std::string tenants = GENERATE(
+      std::string(R"([{"name":"","api_keys":["secret-1"]}])"),
+      std::string(R"([{"api_keys":["secret-1"]}])"),
+      std::string(R"([{"name":7,"api_keys":["secret-1"]}])"),
+      std::string(R"([{"name":"a"},{"name":"a","api_keys":["secret-1"]}])"),
+      std::string(R"([{"name":"a","api_keys":["secret-1"]},
+                      {"name":"b","api_keys":["x","secret-1"]}])"),
+      std::string(R"([{"name":"a","api_keys":["secret-1",""]}])"),
+      std::string(R"([{"name":"a","api_keys":["secret-1",3]}])"),
+      std::string(R"([{"name":"a","api_keys":"secret-1"}])"),
+      std::string(R"([{"name":"a","api_keys":{"secret-1":"secret-1"}}])"),
+      std::string(R"([{"name":"a","api_keys":["secret-1"],"rate_per_s":-1}])"),
+      std::string(R"([{"name":"a","api_keys":["secret-1"],"rate_per_s":"9"}])"),
+      std::string(R"([{"name":"a","api_keys":["secret-1"],"burst":-0.5}])"),
+      std::string(R"([{"name":"a","api_keys":["secret-1"],"priority":"x"}])"),
+      std::string(R"(["secret-1"])"), std::string(R"({"a":"secret-1"})"),
+      std::string(R"("secret-1")"));
+  CAPTURE(tenants);
+  const auto decoded = DecodeConfiguration(DocumentWithTenants(tenants));
+  REQUIRE_FALSE(decoded.has_value());
+  REQUIRE_FALSE(decoded.error().empty());
+  REQUIRE(decoded.error().find("secret-1") == std::string::npos);
+}
+
+// Guards against a route that is public by a value that is no truth value.
+TEST_CASE("a route whose publicity is not a truth value is rejected") {
+  std::string route = kRoute;
+  route.insert(1, R"("public":"no",)");
+  REQUIRE_FALSE(
+      DecodeConfiguration(DocumentWithTenants("[]", route)).has_value());
+}
+
+// Guards against keys that are forwarded or taken from other schemes.
+TEST_CASE("the key is taken from the credentials and not forwarded") {
+  const auto decode = [](std::string_view credentials) {
+    boost::beast::http::fields fields;
+    fields.insert("Host", "a.example");
+    fields.insert("Oleandertide-Tenant", "forged");
+    fields.insert("oleandertide-tenant", "forged");
+    fields.insert("authorization", std::string(credentials));
+    return DecodeClientRequest(fields);
+  };
+  REQUIRE(decode("Token k1").key == "k1");
+  REQUIRE(decode("token   k1").key == "k1");
+  REQUIRE(decode("Token").key.empty());
+  REQUIRE(decode("Token ").key.empty());
+  REQUIRE(decode("Bearer k1").key.empty());
+  REQUIRE(decode("Tokenk1").key.empty());
+  REQUIRE(decode("Token k1").headers == "Host: a.example\r\n");
+}
+
 // Guards against headers of one connection, or of the system, that pass
 // through.
 TEST_CASE("headers of a connection and of the system are not forwarded") {
