--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -43,6 +43,10 @@
           "limit_unavailable_total",
           "Requests refused (503) because no coordinator answered whether "
           "they are within the limit of their organisation")),
+      displaced(registry.RegisterCounter(
+          "displaced_total",
+          "Attempts within an organisation's share that go before the waiting "
+          "requests of others")),
       clients_left(registry.RegisterCounter(
           "clients_left_total",
           "Requests whose client left before the answer")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -25,6 +25,7 @@
   // Of organisations with a limit; refusals are counted by organisation.
   metrics::Counter& limit_admitted;
   metrics::Counter& limit_unavailable;
+  metrics::Counter& displaced;
   metrics::Counter& clients_left;
   metrics::LatencyAccumulator& answer_latency;
   // By reason.
