--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -65,13 +65,14 @@
 
 void Placement::Update(std::string_view node, std::string_view service,
                        const Location& location, const BackendLoad& load,
-                       MonotonicTime now) {
+                       MonotonicTime now, std::string_view version) {
   auto found = candidates_.find(node);
   if (found == candidates_.end()) {
     found = candidates_.emplace(node, Candidate{}).first;
   }
   Candidate& candidate = found->second;
   candidate.service = service;
+  candidate.version = version;
   candidate.location = location;
   candidate.SetReport(load, now);
 }
@@ -168,6 +169,14 @@
   for (auto& [node, candidate] : candidates_) {
     if (candidate.service != request.service) continue;
     if (!candidate.load.accepts_requests) continue;
+    if (!request.version.empty() &&
+        (candidate.version == request.version) == request.is_version_excluded) {
+      continue;
+    }
+    if (!request.withheld_version.empty() &&
+        candidate.version == request.withheld_version) {
+      continue;
+    }
     if (std::ranges::find(excluded, node) != excluded.end()) continue;
     if (IsReportStale(candidate, request.now) && !includes_stale) continue;
     is_any_accepting = true;
@@ -194,6 +203,22 @@
   return NoRoom{shortest_wait - request.wait_allowance};
 }
 
+bool Placement::has_other_version(std::string_view service,
+                                  std::string_view version,
+                                  std::string_view withheld_version) const {
+  return std::ranges::any_of(candidates_, [&](const auto& entry) {
+    const Candidate& candidate = entry.second;
+    return candidate.service == service && candidate.version != version &&
+           (withheld_version.empty() || candidate.version != withheld_version);
+  });
+}
+
+std::string_view Placement::version(std::string_view node) const {
+  const auto found = candidates_.find(node);
+  return found == candidates_.end() ? std::string_view()
+                                    : found->second.version;
+}
+
 bool Placement::has_backend_server(std::string_view service) const {
   return std::ranges::any_of(candidates_, [&](const auto& entry) {
     return entry.second.service == service &&
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -51,6 +51,12 @@
     // Time since the arrival of the request.
     Duration elapsed{};
     MonotonicTime now;
+    // If not empty, only backend servers of this version are considered, or
+    // only those of other versions; see rollout/exposure.h.
+    std::string_view version{};
+    bool is_version_excluded = false;
+    // If not empty, a version that is not considered in any case.
+    std::string_view withheld_version{};
   };
 
   struct Choice {
@@ -81,7 +87,7 @@
   // Applies a report on the backend server on the instance of `node`.
   void Update(std::string_view node, std::string_view service,
               const Location& location, const BackendLoad& load,
-              MonotonicTime now);
+              MonotonicTime now, std::string_view version = {});
 
   // Applies the load that `node` sent with an answer.
   void UpdateLoad(std::string_view node, const BackendLoad& load,
@@ -94,12 +100,21 @@
   Decision Choose(const Request& request, std::span<const std::string> excluded,
                   RandomSource& random);
 
+  // Whether a backend server of `service` is known that is of neither version,
+  // whether it takes requests or not.
+  bool has_other_version(std::string_view service, std::string_view version,
+                         std::string_view withheld_version) const;
+
+  // Version of the backend server beside `node`; empty if it is not known.
+  std::string_view version(std::string_view node) const;
+
   // Whether some backend server of `service` takes requests.
   bool has_backend_server(std::string_view service) const;
 
  private:
   struct Candidate {
     std::string service;
+    std::string version;
     Location location;
     BackendLoad load;
     MonotonicTime reported_at;
--- /dev/null
+++ b/libraries/rollout/exposure.h
@@ -0,0 +1,67 @@
+// Which version of a service an ingress sends a request to.
+
+#ifndef OLEANDERTIDE_ROLLOUT_EXPOSURE_H_
+#define OLEANDERTIDE_ROLLOUT_EXPOSURE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "rollout/order.h"
+
+namespace oleandertide::rollout {
+
+// Which backend servers may get a request.
+enum class VersionRule : std::uint8_t {
+  // Versions make no difference.
+  kAny,
+  // Only those of another version than the order's.
+  kOldOnly,
+  // Those of the order's version; if none has room, the others.
+  kNewFirst,
+  // Only those of the order's version.
+  kNewOnly,
+};
+
+// Bounds what a version on trial gets. Each ingress gives it at most a share of
+// the requests that it sends itself to the service, repeats included, counted
+// from zero for each order; so the sum over all ingresses cannot exceed the
+// share, whatever they know of each other. Nothing is given on credit.
+//
+// Expected load: a fleet of unequal ingresses, of which any may be partitioned,
+// restarted or late in learning of an order.
+//
+// Not thread-safe.
+class Exposure {
+ public:
+  // `max_share` bounds the share whatever the order's state names.
+  explicit Exposure(double max_share) : max_share_(max_share) {}
+
+  // Returns which backend servers the next request may be sent to. `state` is
+  // the order of the service, nullptr if there is none. `has_old` tells whether
+  // a backend server of another version is known. An order whose version is the
+  // only one that this ingress has seen since does not hold it back: after a
+  // restart of all nodes the state of a completed order may not be known yet.
+  VersionRule Choose(const OrderState* state, bool has_old);
+
+  // Records that a request was sent to a backend server of the service.
+  void RecordSent(const OrderState& state, std::string_view version);
+
+ private:
+  struct Counts {
+    std::uint64_t order_version = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t sent_to_new = 0;
+    bool has_seen_old = false;
+  };
+
+  Counts& Find(const OrderState& state);
+
+  const double max_share_;
+  std::map<std::string, Counts, std::less<>> counts_;
+};
+
+}  // namespace oleandertide::rollout
+
+#endif  // OLEANDERTIDE_ROLLOUT_EXPOSURE_H_
--- /dev/null
+++ b/libraries/rollout/order_book.cc
@@ -0,0 +1,98 @@
+#include "rollout/order_book.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace oleandertide::rollout {
+namespace {
+
+auto Rank(const OrderState& state) {
+  return std::tuple(state.order.version, state.step, state.share_permille,
+                    state.over_at_ms, std::string_view(state.withheld));
+}
+
+}  // namespace
+
+bool OrderBook::Put(const Order& order) { return Apply({.order = order}); }
+
+bool OrderBook::Cancel(OrderState& state, StoreMoment moment) {
+  // The order may be newer than what the store knew.
+  if (state.order.version > moment.version || state.over_at_ms != 0) {
+    return false;
+  }
+  const auto duration_ms =
+      static_cast<std::uint64_t>(ToMilliseconds(state.order.duration));
+  state.over_at_ms = moment.time_ms + std::max<std::uint64_t>(1, duration_ms);
+  state.step = std::max(state.step, Step::kCancelled);
+  return true;
+}
+
+bool OrderBook::Remove(std::string_view service, StoreMoment moment) {
+  const auto found = states_.find(service);
+  return found != states_.end() && Cancel(found->second, moment);
+}
+
+bool OrderBook::RemoveOthers(std::span<const std::string> services,
+                             StoreMoment moment) {
+  bool is_changed = false;
+  for (auto& [service, state] : states_) {
+    if (std::ranges::find(services, service) != services.end()) continue;
+    is_changed |= Cancel(state, moment);
+  }
+  return is_changed;
+}
+
+void OrderBook::RecordRead(StoreMoment moment) {
+  if (moment.version > read_.version) read_ = moment;
+}
+
+bool OrderBook::Merge(OrderState state) {
+  const auto found = states_.find(state.order.service);
+  const bool is_known = found != states_.end() &&
+                        found->second.order.version >= state.order.version;
+  if (!is_known) Cancel(state, read_);
+  return Apply(std::move(state));
+}
+
+bool OrderBook::Apply(OrderState state) {
+  const auto found = states_.find(state.order.service);
+  if (found == states_.end()) {
+    if (states_.size() >= kMaxOrders) return false;
+    std::string service = state.order.service;
+    states_.emplace(std::move(service), std::move(state));
+    return true;
+  }
+  OrderState& known = found->second;
+  const bool is_later = state.order.version > known.order.version;
+  if (is_later && known.step != Step::kCompleted && !is_over(known) &&
+      known.order.to != state.order.to && state.withheld.empty()) {
+    state.withheld = known.order.to;
+  }
+  // Nodes that knew the earlier order tell the others.
+  if (state.order.version == known.order.version && state.withheld.empty()) {
+    state.withheld = known.withheld;
+  }
+  if (Rank(state) <= Rank(known)) return false;
+  known = std::move(state);
+  return true;
+}
+
+void OrderBook::Advance(std::uint64_t store_time_ms) {
+  store_time_ms_ = std::max(store_time_ms_, store_time_ms);
+}
+
+const OrderState* OrderBook::Find(std::string_view service) const {
+  const auto found = states_.find(service);
+  if (found == states_.end() || is_over(found->second)) return nullptr;
+  return &found->second;
+}
+
+std::vector<OrderState> OrderBook::states() const {
+  std::vector<OrderState> states;
+  states.reserve(states_.size());
+  for (const auto& [service, state] : states_) states.push_back(state);
+  return states;
+}
+
+}  // namespace oleandertide::rollout
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -7,6 +7,7 @@
 #include "mesh/reader_election.h"
 #include "platform/configuration_codec.h"
 #include "platform/names.h"
+#include "platform/rollout_codec.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -35,6 +36,14 @@
 // a second, and a second copy beside it would hold up all requests.
 constexpr Duration kWholeRequestLimit = std::chrono::milliseconds(1000);
 
+// Time between attempts to read the orders for a backend server that waits for
+// them.
+constexpr Duration kOrderRetryInterval = std::chrono::milliseconds(400);
+
+// No key of the table lies between a key and the same with this suffix: keys
+// have no control characters.
+constexpr char kNextKeySuffix = '\x01';
+
 }  // namespace
 
 ConfigurationSource::ConfigurationSource(const Parts& parts, NodeIdentity self,
@@ -57,6 +66,7 @@
 
 void ConfigurationSource::Tick() {
   ScheduleTick(kTickInterval);
+  ReadOrders();
   const MonotonicTime now = MonotonicClock::now();
   const Duration age = parts_.holder.confirmation_age(now);
   constexpr double kUnconfirmedSeconds = 1e9;
@@ -90,14 +100,125 @@
   return peers;
 }
 
+void ConfigurationSource::ReadTable(Reading reading, OnTable on_table) {
+  const std::string first_key = reading.first_key;
+  parts_.store.ReadRows(
+      platform::kOperatorTable, first_key,
+      [this, reading = std::move(reading),
+       on_table = std::move(on_table)](const Result<platform::RowList>& list) {
+        if (!list) {
+          on_table(list.error());
+          return;
+        }
+        const platform::RowList& part = list.value();
+        parts_.clock.ObserveAnswer(part.store_time_ms, reading.sent_at,
+                                   BootClock::now());
+        Reading so_far = reading;
+        // The version of the first answer: what changed between two answers is
+        // among the changes after it.
+        if (so_far.moment.version == 0) {
+          so_far.moment = {part.store_version, part.store_time_ms};
+        }
+        so_far.rows.insert(so_far.rows.end(), part.rows.begin(),
+                           part.rows.end());
+        if (!part.has_more || part.rows.empty()) {
+          on_table(so_far);
+          return;
+        }
+        so_far.first_key = part.rows.back().key + kNextKeySuffix;
+        ReadTable(std::move(so_far), on_table);
+      });
+}
+
 void ConfigurationSource::ReadAll() {
   is_reading_ = true;
   asked_at_ = BootClock::now();
-  parts_.store.ReadRows(platform::kOperatorTable, platform::kConfigurationKey,
-                        [this](const Result<platform::RowList>& rows) {
-                          if (rows) followed_ = rows.value().store_version;
-                          OnRows(rows);
-                        });
+  ReadTable({.sent_at = asked_at_,
+             .first_key = std::string(platform::kConfigurationKey)},
+            [this](const Result<Reading>& result) {
+              is_reading_ = false;
+              if (!result) {
+                OnReadFailed(result.error());
+                return;
+              }
+              const Reading& reading = result.value();
+              failures_ = 0;
+              followed_ = reading.moment.version;
+              for (const platform::Row& row : reading.rows) {
+                if (row.key == platform::kConfigurationKey && !row.is_deleted) {
+                  OnText(row.value);
+                }
+              }
+              PutAllOrders(reading);
+              parts_.holder.Confirm(parts_.holder.version(),
+                                    reading.moment.time_ms,
+                                    MonotonicClock::now(), Duration::zero());
+              Tick();
+            });
+}
+
+void ConfigurationSource::ReadOrders() {
+  if (parts_.orders == nullptr || is_reading_orders_) return;
+  if (MonotonicClock::now() < order_backoff_until_) return;
+  if (!order_callbacks_.needs_read()) return;
+  is_reading_orders_ = true;
+  ReadTable({.sent_at = BootClock::now(),
+             .first_key = std::string(platform::kConfigurationKey)},
+            [this](const Result<Reading>& result) {
+              is_reading_orders_ = false;
+              if (result) {
+                PutAllOrders(result.value());
+                return;
+              }
+              logging::Log(Level::kWarning, "store", "orders not read",
+                           {{"error", result.error().message()}});
+              order_backoff_until_ =
+                  MonotonicClock::now() +
+                  parts_.random.Between(kOrderRetryInterval / 2,
+                                        kOrderRetryInterval);
+            });
+}
+
+void ConfigurationSource::PutAllOrders(const Reading& reading) {
+  if (parts_.orders == nullptr) return;
+  std::vector<std::string> services;
+  for (const platform::Row& row : reading.rows) {
+    const auto service = platform::FindOrderedService(row.key);
+    if (!service || row.is_deleted) continue;
+    services.emplace_back(*service);
+    PutOrder(row, reading.moment);
+  }
+  parts_.orders->RemoveOthers(services, reading.moment);
+  parts_.orders->RecordRead(reading.moment);
+  order_callbacks_.on_read(reading.sent_at);
+}
+
+void ConfigurationSource::PutOrder(const platform::Row& row,
+                                   rollout::StoreMoment moment) {
+  const auto service = platform::FindOrderedService(row.key);
+  if (parts_.orders == nullptr || !service) return;
+  bool is_changed = false;
+  if (row.is_deleted) {
+    is_changed = parts_.orders->Remove(*service, moment);
+  } else {
+    const auto order = platform::DecodeOrder(*service, row.value, row.version);
+    if (!order) {
+      parts_.metrics.malformed_orders.Add();
+      logging::Log(Level::kError, "rollout", "order is not readable",
+                   {{"service", *service},
+                    {"row_version", row.version},
+                    {"why", order.error()}});
+      return;
+    }
+    is_changed = parts_.orders->Put(order.value());
+  }
+  if (!is_changed) return;
+  const rollout::OrderState* state = parts_.orders->Find(*service);
+  logging::Log(Level::kInfo, "rollout",
+               row.is_deleted ? "order removed" : "order known",
+               {{"service", *service},
+                {"to", state == nullptr ? "" : state->order.to},
+                {"row_version", row.version}});
 }
 
 void ConfigurationSource::Follow() {
@@ -108,36 +229,48 @@
       [this](const Result<platform::RowList>& rows) { OnRows(rows); });
 }
 
+void ConfigurationSource::OnReadFailed(std::error_code error) {
+  const MonotonicTime now = MonotonicClock::now();
+  logging::Log(Level::kWarning, "store", "read failed",
+               {{"error", error.message()},
+                {"version", parts_.holder.version()},
+                {"followed", followed_.value_or(0)}});
+  followed_.reset();
+  const bool is_reader =
+      mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
+                     PeersOfDataCentre(), Duration::zero());
+  backoff_until_ =
+      now + mesh::ChooseReadPause(is_reader, failures_++,
+                                  links_->known_count(self_.data_centre),
+                                  parts_.random.Unit());
+}
+
 void ConfigurationSource::OnRows(const Result<platform::RowList>& rows) {
   is_reading_ = false;
-  const MonotonicTime now = MonotonicClock::now();
   if (!rows) {
-    logging::Log(Level::kWarning, "store", "read failed",
-                 {{"error", rows.error().message()},
-                  {"version", parts_.holder.version()},
-                  {"followed", followed_.value_or(0)}});
-    followed_.reset();
-    const bool is_reader =
-        mesh::IsReader({.node = self_.name, .link_mbps = self_.link_mbps},
-                       PeersOfDataCentre(), Duration::zero());
-    backoff_until_ =
-        now + mesh::ChooseReadPause(is_reader, failures_++,
-                                    links_->known_count(self_.data_centre),
-                                    parts_.random.Unit());
+    OnReadFailed(rows.error());
     return;
   }
+  const platform::RowList& list = rows.value();
   failures_ = 0;
-  parts_.clock.ObserveAnswer(rows.value().store_time_ms, asked_at_,
-                             BootClock::now());
-  for (const platform::Row& row : rows.value().rows) {
+  parts_.clock.ObserveAnswer(list.store_time_ms, asked_at_, BootClock::now());
+  for (const platform::Row& row : list.rows) {
     // Only a row that was seen moves the point from which changes are followed.
     // The store's version in an empty answer would skip what it did not tell.
     followed_ = std::max(followed_.value_or(0), row.version);
+    PutOrder(row, {row.version, list.store_time_ms});
     if (row.key != platform::kConfigurationKey || row.is_deleted) continue;
     OnText(row.value);
   }
-  parts_.holder.Confirm(parts_.holder.version(), rows.value().store_time_ms,
-                        now, Duration::zero());
+  // What the answer left out may be a newer configuration or an order.
+  if (!list.has_more) {
+    parts_.holder.Confirm(parts_.holder.version(), list.store_time_ms,
+                          MonotonicClock::now(), Duration::zero());
+    if (parts_.orders != nullptr) {
+      parts_.orders->RecordRead({*followed_, list.store_time_ms});
+      order_callbacks_.on_read(asked_at_);
+    }
+  }
   // The next call starts at once, so that no change goes unnoticed.
   Tick();
 }
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -8,6 +8,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
+#include <utility>
 #include <vector>
 
 #include "coordination/store_clock.h"
@@ -15,6 +17,8 @@
 #include "core/time.h"
 #include "mesh/configuration_holder.h"
 #include "mesh/reader_election.h"
+#include "platform/store_codec.h"
+#include "rollout/order_book.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/link_client.h"
 #include "sidecar/node_identity.h"
@@ -36,6 +40,17 @@
     NodeMetrics& metrics;
     RandomSource& random;
     coordination::StoreClock& clock;
+    // Where orders to roll out a version are put; nullptr if the deployment has
+    // none.
+    rollout::OrderBook* orders = nullptr;
+  };
+
+  // What becomes of the orders.
+  struct OrderCallbacks {
+    // The store told all orders in the answer to a call sent at `sent_at`.
+    std::function<void(BootTime sent_at)> on_read;
+    // Whether the store should be asked now, whoever else reads it.
+    std::function<bool()> needs_read;
   };
 
   // `self` is this node; `on_changed` is called when a version comes in force.
@@ -48,6 +63,14 @@
   // Precondition: `links` outlives this object; called before Start.
   void set_links(LinkClient& links) { links_ = &links; }
 
+  // Sets what becomes of orders. Precondition: called before Start.
+  void set_on_orders(OrderCallbacks callbacks) {
+    order_callbacks_ = std::move(callbacks);
+  }
+
+  // Reads the store now if the orders ask for it.
+  void ReadOrders();
+
   // Starts to read the store.
   void Start();
 
@@ -60,8 +83,23 @@
  private:
   void ScheduleTick(Duration interval);
   void Tick();
+  // Rows of a table, over one or several answers.
+  struct Reading {
+    BootTime sent_at{};
+    rollout::StoreMoment moment{};
+    std::vector<platform::Row> rows{};
+    std::string first_key{};
+  };
+  using OnTable = std::function<void(const Result<Reading>&)>;
+
+  // Reads the whole table from the configuration on.
+  void ReadTable(Reading reading, OnTable on_table);
   void ReadAll();
   void Follow();
+  void OnReadFailed(std::error_code error);
+  void PutAllOrders(const Reading& reading);
+  // Takes in an order; a removal if the row is deleted.
+  void PutOrder(const platform::Row& row, rollout::StoreMoment moment);
   void Offer(mesh::Configuration configuration, std::string_view source);
   void OnText(std::string_view text);
   // Nodes of the own data centre with an open link.
@@ -76,6 +114,7 @@
   const Parts parts_;
   const NodeIdentity self_;
   std::function<void()> on_changed_;
+  OrderCallbacks order_callbacks_;
   LinkClient* links_ = nullptr;
   Timer timer_;
   // Until a node of another data centre is asked.
@@ -86,6 +125,8 @@
   // When the call in progress was sent.
   BootTime asked_at_{};
   bool is_reading_ = false;
+  bool is_reading_orders_ = false;
+  MonotonicTime order_backoff_until_;
   bool is_request_scheduled_ = false;
   MonotonicTime backoff_until_;
   // Until then, a missing confirmation does not make this node read.
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -87,6 +87,7 @@
       data_centre_(options.data_centre),
       service_(options.service),
       placement_(options.crossing_cost_per_byte),
+      exposure_(options.max_trial_share),
       retries_(options.retries),
       key_trust_(options.key_trust) {}
 
@@ -248,6 +249,32 @@
       [this, exchange] { OnDeadline(exchange); });
 }
 
+mesh::Placement::Decision Ingress::Place(
+    mesh::Placement::Request request, const std::vector<std::string>& tried) {
+  const rollout::OrderState* state =
+      parts_.orders == nullptr ? nullptr : parts_.orders->Find(request.service);
+  if (state == nullptr) return placement_.Choose(request, tried, parts_.random);
+  const std::string& to = state->order.to;
+  const bool has_old =
+      placement_.has_other_version(request.service, to, state->withheld);
+  const auto rule = exposure_.Choose(state, has_old);
+  request.withheld_version = state->withheld;
+  if (rule != rollout::VersionRule::kAny) request.version = to;
+  request.is_version_excluded = rule == rollout::VersionRule::kOldOnly;
+  auto decision = placement_.Choose(request, tried, parts_.random);
+  if (rule == rollout::VersionRule::kNewFirst &&
+      !std::holds_alternative<mesh::Placement::Choice>(decision)) {
+    request.is_version_excluded = true;
+    decision = placement_.Choose(request, tried, parts_.random);
+  }
+  if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
+    const std::string_view version = placement_.version(choice->node);
+    exposure_.RecordSent(*state, version);
+    if (version == to) parts_.metrics.trial_requests.Add();
+  }
+  return decision;
+}
+
 void Ingress::Attempt(const ExchangePointer& exchange) {
   const MonotonicTime now = MonotonicClock::now();
   const mesh::Route& route = *exchange->route;
@@ -265,7 +292,7 @@
                            .expected_run = call.expected_run});
   placement_.Update(node_, parts_.receiver.service(),
                     {.is_in_own_data_centre = true}, parts_.receiver.load(),
-                    now);
+                    now, parts_.receiver.backend_version());
   const mesh::Placement::Request request{
       .service = call.service,
       .priority = route.priority,
@@ -276,8 +303,7 @@
       .target_latency = route.target_latency,
       .elapsed = now - exchange->arrived,
       .now = now};
-  const auto decision =
-      placement_.Choose(request, exchange->tried, parts_.random);
+  const auto decision = Place(request, exchange->tried);
   if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
     call.wait_allowance =
         mesh::ChooseWaitAllowance(exchange->hops - exchange->stopping_hops,
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -25,6 +25,8 @@
 #include "mesh/stop_policy.h"
 #include "organisations/key_trust.h"
 #include "platform/http_codec.h"
+#include "rollout/exposure.h"
+#include "rollout/order_book.h"
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
@@ -50,6 +52,8 @@
     // See organisations::KeyTrust; without it, keys are honoured as the
     // configuration in force says.
     std::optional<organisations::KeyTrust> key_trust{};
+    // Greatest share of requests for a version on trial.
+    double max_trial_share = 0;
   };
 
   // What the ingress works with; all outlive it.
@@ -62,6 +66,8 @@
     NodeMetrics& metrics;
     RandomSource& random;
     const coordination::StoreClock& store_clock;
+    // Orders to roll out a version; nullptr if the deployment has none.
+    const rollout::OrderBook* orders = nullptr;
   };
 
   Ingress(const Parts& parts, const Options& options);
@@ -105,6 +111,9 @@
                  const mesh::Route& route,
                  const mesh::Organisation* organisation);
   void StartDeadlineTimer(const ExchangePointer& exchange);
+  // Chooses a node with regard to an order to roll out a version.
+  mesh::Placement::Decision Place(mesh::Placement::Request request,
+                                  const std::vector<std::string>& tried);
   void Attempt(const ExchangePointer& exchange);
   void Send(const ExchangePointer& exchange, const std::string& node);
   void OnOutcome(const ExchangePointer& exchange, mesh::Outcome outcome);
@@ -124,6 +133,7 @@
   std::string service_;
   std::optional<mesh::StopPolicy> stop_;
   mesh::Placement placement_;
+  rollout::Exposure exposure_;
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
   const std::optional<organisations::KeyTrust> key_trust_;
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -72,6 +72,24 @@
   # The coordinator of the fleet as the node knows it; see
   # coordination/election.h.
   coordinator @8 :Coordinator;
+  # Orders to roll out a version, while there are any.
+  rollouts @9 :List(Rollout);
+}
+
+# An order and how far it is; see rollout/order.h.
+struct Rollout {
+  service @0 :Text;
+  to @1 :Text;
+  durationMs @2 :UInt32;
+  # The store's version of the order's row.
+  version @3 :UInt64;
+  step @4 :UInt8;
+  sharePermille @5 :UInt16;
+  # A removed order has no effect once the store's clock shows this; 0 for an
+  # order that exists.
+  overAtMs @6 :UInt64;
+  # Version of an earlier, unfinished order.
+  withheld @7 :Text;
 }
 
 struct Coordinator {
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(c5dec65f0f9772d2);
 CAPNP_DECLARE_SCHEMA(e26735599c25665d);
 CAPNP_DECLARE_SCHEMA(a279f3b106171c7e);
+CAPNP_DECLARE_SCHEMA(ba1e9e9ed5bb80d6);
 CAPNP_DECLARE_SCHEMA(8b6525762c7c866b);
 CAPNP_DECLARE_SCHEMA(d3e9d7b4eb6bdb15);
 CAPNP_DECLARE_SCHEMA(e70b6789b3437c1b);
@@ -118,7 +119,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a279f3b106171c7e, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(a279f3b106171c7e, 3, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Rollout {
+  Rollout() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba1e9e9ed5bb80d6, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -821,6 +837,9 @@
   inline bool hasCoordinator() const;
   inline  ::oleandertide::sidecar::wire::Coordinator::Reader getCoordinator() const;
 
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -896,6 +915,13 @@
   inline void adoptCoordinator(::capnp::Orphan< ::oleandertide::sidecar::wire::Coordinator>&& value);
   inline ::capnp::Orphan< ::oleandertide::sidecar::wire::Coordinator> disownCoordinator();
 
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>> disownRollouts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -924,6 +950,132 @@
 };
 #endif  // !CAPNP_LITE
 
+class Rollout::Reader {
+public:
+  typedef Rollout Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasTo() const;
+  inline  ::capnp::Text::Reader getTo() const;
+
+  inline  ::uint32_t getDurationMs() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint8_t getStep() const;
+
+  inline  ::uint16_t getSharePermille() const;
+
+  inline  ::uint64_t getOverAtMs() const;
+
+  inline bool hasWithheld() const;
+  inline  ::capnp::Text::Reader getWithheld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Rollout::Builder {
+public:
+  typedef Rollout Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasTo();
+  inline  ::capnp::Text::Builder getTo();
+  inline void setTo( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTo(unsigned int size);
+  inline void adoptTo(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTo();
+
+  inline  ::uint32_t getDurationMs();
+  inline void setDurationMs( ::uint32_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint8_t getStep();
+  inline void setStep( ::uint8_t value);
+
+  inline  ::uint16_t getSharePermille();
+  inline void setSharePermille( ::uint16_t value);
+
+  inline  ::uint64_t getOverAtMs();
+  inline void setOverAtMs( ::uint64_t value);
+
+  inline bool hasWithheld();
+  inline  ::capnp::Text::Builder getWithheld();
+  inline void setWithheld( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWithheld(unsigned int size);
+  inline void adoptWithheld(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWithheld();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Rollout::Pipeline {
+public:
+  typedef Rollout Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Coordinator::Reader {
 public:
   typedef Coordinator Reads;
@@ -3206,6 +3358,212 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Status::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Status::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader Status::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder Status::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Status::Builder::setRollouts( ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder Status::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Status::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>> Status::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::wire::Rollout,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool Rollout::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rollout::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Rollout::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Rollout::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Rollout::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Rollout::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Rollout::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rollout::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Rollout::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Rollout::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Rollout::Builder::setTo( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Rollout::Builder::initTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptTo(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Rollout::Reader::getDurationMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Rollout::Builder::getDurationMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setDurationMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Rollout::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Rollout::Reader::getStep() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Rollout::Builder::getStep() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setStep( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Rollout::Reader::getSharePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Rollout::Builder::getSharePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setSharePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Rollout::Reader::getOverAtMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getOverAtMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setOverAtMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Rollout::Reader::hasWithheld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rollout::Builder::hasWithheld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Rollout::Reader::getWithheld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Rollout::Builder::getWithheld() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Rollout::Builder::setWithheld( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Rollout::Builder::initWithheld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptWithheld(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownWithheld() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Coordinator::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -106,6 +106,47 @@
                                     : mesh::Reason::kNone;
 }
 
+void EncodeRollouts(const std::vector<rollout::OrderState>& states,
+                    wire::Status::Builder status) {
+  auto builders = status.initRollouts(static_cast<unsigned>(states.size()));
+  for (unsigned i = 0; i < builders.size(); ++i) {
+    const rollout::OrderState& state = states[i];
+    builders[i].setService(state.order.service);
+    builders[i].setTo(state.order.to);
+    builders[i].setDurationMs(ToMs(state.order.duration));
+    builders[i].setVersion(state.order.version);
+    builders[i].setStep(static_cast<std::uint8_t>(state.step));
+    builders[i].setSharePermille(Saturate<std::uint16_t>(state.share_permille));
+    builders[i].setOverAtMs(state.over_at_ms);
+    if (!state.withheld.empty()) builders[i].setWithheld(state.withheld);
+  }
+}
+
+// Nothing if a later version of a node sent a step that this one does not know.
+std::optional<rollout::OrderState> DecodeRollout(wire::Rollout::Reader reader) {
+  const auto step = static_cast<rollout::Step>(reader.getStep());
+  switch (step) {
+    case rollout::Step::kOrdered:
+    case rollout::Step::kTrial:
+    case rollout::Step::kReplacing:
+    case rollout::Step::kRollingBack:
+    case rollout::Step::kCancelled:
+    case rollout::Step::kCompleted:
+    case rollout::Step::kRolledBack:
+      return rollout::OrderState{
+          .order = {.service = ToString(reader.getService()),
+                    .to = ToString(reader.getTo()),
+                    .duration =
+                        std::chrono::milliseconds(reader.getDurationMs()),
+                    .version = reader.getVersion()},
+          .step = step,
+          .share_permille = reader.getSharePermille(),
+          .over_at_ms = reader.getOverAtMs(),
+          .withheld = ToString(reader.getWithheld())};
+  }
+  return std::nullopt;
+}
+
 // Writes the part of an answer that depends on the outcome.
 struct OutcomeEncoder {
   wire::Answer::Builder builder;
@@ -274,6 +315,7 @@
     coordinator.setTerm(status.coordinator.term);
     coordinator.setLeaseEndMs(status.coordinator.lease_end_ms);
   }
+  if (!status.rollouts.empty()) EncodeRollouts(status.rollouts, builder);
   if (status.crash_reports.empty()) return;
   auto reports = builder.initCrashReports(
       static_cast<unsigned>(status.crash_reports.size()));
@@ -304,6 +346,11 @@
                           .term = coordinator.getTerm(),
                           .lease_end_ms = coordinator.getLeaseEndMs()};
   }
+  for (const auto rollout : reader.getRollouts()) {
+    if (const auto state = DecodeRollout(rollout)) {
+      status.rollouts.push_back(*state);
+    }
+  }
   for (const auto report : reader.getCrashReports()) {
     status.crash_reports.push_back(
         {.fingerprint = report.getFingerprint(),
--- a/libraries/sidecar/link_codec.h
+++ b/libraries/sidecar/link_codec.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "mesh/configuration_update.h"
 #include "mesh/outcome.h"
+#include "rollout/order.h"
 #include "routing/quarantine.h"
 #include "sidecar/call.h"
 #include "sidecar/link.capnp.h"
@@ -41,6 +42,8 @@
   std::vector<routing::CrashReport> crash_reports{};
   // The coordinator as the node knows it; term 0 if it knows none.
   coordination::Holder coordinator{};
+  // Orders to roll out a version, as the node knows them.
+  std::vector<rollout::OrderState> rollouts{};
 };
 
 void Encode(const NodeIdentity& node, wire::Hello::Builder builder);
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -80,6 +80,16 @@
       links(registry.RegisterGauge("links", "Open links to other nodes")),
       known_nodes(registry.RegisterGauge(
           "known_nodes", "Other nodes that are known, reached or not")),
+      malformed_orders(registry.RegisterCounter(
+          "malformed_orders_total",
+          "Orders to roll out a version that were not readable")),
+      backend_held(registry.RegisterGauge(
+          "backend_held",
+          "Whether the backend server beside the node is held back because of "
+          "its version")),
+      trial_requests(registry.RegisterCounter(
+          "trial_requests_total",
+          "Requests sent to a version under an order to roll it out")),
       store_calls(
           registry.RegisterCounter("store_calls_total", "Calls to the store")),
       store_failures(registry.RegisterCounter(
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -47,6 +47,9 @@
   metrics::Gauge& confirmation_age;
   metrics::Gauge& links;
   metrics::Gauge& known_nodes;
+  metrics::Counter& malformed_orders;
+  metrics::Gauge& backend_held;
+  metrics::Counter& trial_requests;
   metrics::Counter& store_calls;
   metrics::Counter& store_failures;
 
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -71,7 +71,8 @@
 
 mesh::BackendLoad Receiver::load() const {
   mesh::BackendLoad load = queue_.load();
-  load.accepts_requests = backend_.is_accepting() && !is_stopping_;
+  load.accepts_requests =
+      backend_.is_accepting() && !is_stopping_ && may_accept();
   if (backend_.is_accepting() &&
       backend_.cold_remaining(MonotonicClock::now()) > Duration::zero()) {
     // A backend server runs at half its speed while it is cold.
@@ -87,7 +88,8 @@
     return mesh::Reason::kStopping;
   }
   const MonotonicTime now = MonotonicClock::now();
-  if (!backend_.is_dispatch_allowed(now) || call.service != service()) {
+  if (!backend_.is_dispatch_allowed(now) || call.service != service() ||
+      !may_accept()) {
     return mesh::Reason::kBackendServerAway;
   }
   if (quarantine_.IsRefused(now, call.fingerprint)) {
@@ -367,6 +369,11 @@
   if (on_standing_changed_) on_standing_changed_();
 }
 
+void Receiver::OnConditionChanged() {
+  RejectUnservable();
+  if (on_standing_changed_) on_standing_changed_();
+}
+
 void Receiver::OnReplaced(std::string_view cause) {
   queue_.ResetStatistics();
   client_.CloseIdle();
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -68,6 +68,16 @@
     on_standing_changed_ = std::move(on_changed);
   }
 
+  // Sets a further condition on which the backend server gets requests. It is
+  // asked for each call and each report of the load.
+  void set_may_accept(
+      std::function<bool(const mesh::Announcement&)> may_accept) {
+    may_accept_ = std::move(may_accept);
+  }
+
+  // The condition may hold now, or not hold any more.
+  void OnConditionChanged();
+
   // Service of the backend server; empty if none has announced itself.
   std::string_view service() const;
 
@@ -92,6 +102,10 @@
     BackendClient::ExchangeId exchange = 0;
   };
 
+  // Precondition: the backend server's standing is not kUnknown.
+  bool may_accept() const {
+    return !may_accept_ || may_accept_(backend_.announcement());
+  }
   // Returns why a call may not be handed over now, if so.
   std::optional<mesh::Reason> FindRefusal(const Call& call,
                                           MonotonicTime deadline) const;
@@ -127,6 +141,7 @@
   mesh::AdmissionQueue queue_;
   std::string health_path_ = "/health";
   std::function<void()> on_standing_changed_;
+  std::function<bool(const mesh::Announcement&)> may_accept_;
   CallId next_id_ = 1;
   std::unordered_map<CallId, Pending> calls_;
   Timer fence_timer_;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -14,6 +14,8 @@
 #include "mesh/stop_policy.h"
 #include "platform/announcement_codec.h"
 #include "platform/names.h"
+#include "rollout/order_book.h"
+#include "rollout/version_gate.h"
 #include "routing/quarantine.h"
 #include "sidecar/configuration_source.h"
 #include "sidecar/coordination.h"
@@ -115,7 +117,8 @@
              .quarantine = quarantine_,
              .metrics = metrics_,
              .random = random_,
-             .store_clock = store_clock_},
+             .store_clock = store_clock_,
+             .orders = settings.deployment.has_rollouts ? &orders_ : nullptr},
             {.node = identity_.name,
              .data_centre = identity_.data_centre,
              .service = settings.node.service,
@@ -125,17 +128,20 @@
                              static_cast<double>(settings.retries.saved)},
              .crossing_cost_per_byte =
                  settings.placement.crossing_cost_percent / 100 / kBytesPerKb,
-             .key_trust = MakeKeyTrust(settings.deployment)}),
+             .key_trust = MakeKeyTrust(settings.deployment),
+             .max_trial_share = settings.deployment.exposure_share}),
         store_(loop, std::move(store), settings.store.address.ToString(),
                metrics_),
-        source_({.loop = loop,
-                 .store = store_,
-                 .holder = holder_,
-                 .metrics = metrics_,
-                 .random = random_,
-                 .clock = store_clock_},
-                identity_, settings.node.is_first_start,
-                [this] { OnConfigurationChanged(); }),
+        source_(
+            {.loop = loop,
+             .store = store_,
+             .holder = holder_,
+             .metrics = metrics_,
+             .random = random_,
+             .clock = store_clock_,
+             .orders = settings.deployment.has_rollouts ? &orders_ : nullptr},
+            identity_, settings.node.is_first_start,
+            [this] { OnConfigurationChanged(); }),
         members_(loop, store_, random_, identity_, settings.node.is_first_start,
                  [this](const NodeIdentity& node) { links_.Learn(node); }),
         coordination_({.loop = loop,
@@ -166,8 +172,13 @@
                    coordination_.OnReport(node, message);
                  }}));
     link_server_ = std::move(link_server);
-    receiver_.set_on_standing_changed([this] { link_server_->Broadcast(); });
+    receiver_.set_on_standing_changed([this] {
+      link_server_->Broadcast();
+      // A backend server that has just started waits for the orders.
+      source_.ReadOrders();
+    });
     source_.set_links(links_);
+    if (settings_.deployment.has_rollouts) WatchOrders();
     OLEANDERTIDE_TRY(clients,
                      HttpServer::Create(
                          loop_, listen.clients,
@@ -273,12 +284,15 @@
   }
 
   void OnPeerStatus(const NodeIdentity& node, const NodeStatus& status) {
+    // Before the load: a node that accepts requests for a version on trial
+    // tells of the order in the same message.
+    if (settings_.deployment.has_rollouts) MergeOrders(status);
     ingress_.placement().Update(
         node.name, status.service,
         {.is_in_own_data_centre = node.data_centre == identity_.data_centre,
          .link_mbps = static_cast<double>(
              std::min(node.link_mbps, identity_.link_mbps))},
-        status.load, MonotonicClock::now());
+        status.load, MonotonicClock::now(), status.backend_version);
     if (!status.crash_reports.empty()) {
       quarantine_.Merge(MonotonicClock::now(), status.crash_reports);
     }
@@ -286,6 +300,63 @@
     coordination_.OnHolderTold(status.coordinator);
   }
 
+  // Holds the backend server back while its version may be on trial.
+  void WatchOrders() {
+    receiver_.set_may_accept([this](const mesh::Announcement& backend) {
+      const BootTime now = BootClock::now();
+      version_gate_.OnBackend({.id = backend.id,
+                               .service = backend.service,
+                               .version = backend.version,
+                               .started_at_ms = backend.started_at_ms},
+                              now);
+      return version_gate_.MayAccept(orders_.Find(backend.service), now);
+    });
+    source_.set_on_orders(
+        {.on_read =
+             [this](BootTime sent_at) {
+               version_gate_.OnConfirmed(sent_at);
+               OnOrdersChanged();
+             },
+         .needs_read = [this] { return version_gate_.needs_confirmation(); }});
+  }
+
+  void MergeOrders(const NodeStatus& status) {
+    if (status.load.slots > 0 && !status.backend_version.empty()) {
+      version_gate_.OnOtherVersion(status.service, status.backend_version);
+    }
+    AdvanceOrders();
+    bool is_changed = false;
+    for (const rollout::OrderState& state : status.rollouts) {
+      is_changed |= orders_.Merge(state);
+    }
+    if (is_changed) OnOrdersChanged();
+  }
+
+  // Ends the effect of orders whose time is over.
+  void AdvanceOrders() {
+    if (const auto now = store_clock_.EarliestNow(BootClock::now())) {
+      orders_.Advance(*now);
+    }
+  }
+
+  // Orders or what is known of them may have changed.
+  void OnOrdersChanged() {
+    AdvanceOrders();
+    auto states = orders_.states();
+    const bool accepts = receiver_.load().accepts_requests;
+    if (states == told_orders_ && accepts == told_accepts_) return;
+    told_orders_ = std::move(states);
+    if (accepts != told_accepts_) {
+      logging::Log(Level::kInfo, "rollout",
+                   accepts ? "backend server may take requests"
+                           : "backend server is held back",
+                   {{"service", receiver_.service()},
+                    {"version", receiver_.backend_version()}});
+    }
+    told_accepts_ = accepts;
+    receiver_.OnConditionChanged();
+  }
+
   // Only these features ask for a node that decides for the fleet.
   bool is_coordination_needed() const {
     return settings_.deployment.has_limits || settings_.deployment.has_rollouts;
@@ -295,11 +366,16 @@
   void UpdateGauges() {
     metrics_.links.set_value(static_cast<double>(links_.connected().size()));
     metrics_.known_nodes.set_value(static_cast<double>(links_.known_count()));
+    const bool is_serving =
+        receiver_.standing() == mesh::BackendStanding::kServing;
+    metrics_.backend_held.set_value(
+        is_serving && !receiver_.load().accepts_requests ? 1 : 0);
     metrics_.backend_serving.set_value(receiver_.load().accepts_requests ? 1
                                                                          : 0);
   }
 
   NodeStatus MakeStatus() {
+    AdvanceOrders();
     const MonotonicTime now = MonotonicClock::now();
     mesh::BackendLoad load = receiver_.load();
     load.link_wait = link_server_->link_wait();
@@ -310,7 +386,8 @@
             .confirmation_age = holder_.confirmation_age(now),
             .confirmed_store_time = holder_.confirmed_store_time(),
             .crash_reports = quarantine_.TakeReports(now, kReportsInStatus),
-            .coordinator = coordination_.holder()};
+            .coordinator = coordination_.holder(),
+            .rollouts = orders_.states()};
   }
 
   void OnConfigurationChanged() {
@@ -445,6 +522,11 @@
   routing::Quarantine quarantine_;
   coordination::StoreClock store_clock_;
   mesh::ConfigurationHolder holder_;
+  rollout::OrderBook orders_;
+  rollout::VersionGate version_gate_;
+  // What was last told to other nodes of the orders and of the backend server.
+  std::vector<rollout::OrderState> told_orders_;
+  bool told_accepts_ = false;
   Receiver receiver_;
   mesh::LinkBacklog backlog_;
   LinkClient links_;
--- a/tests/mesh/placement_test.cc
+++ b/tests/mesh/placement_test.cc
@@ -216,5 +216,33 @@
       placement.Choose(MakeRequest(), tried, random)));
 }
 
+// Guards against requests for one group of backend servers that are placed in
+// another, also when the group has no room.
+TEST_CASE("a request is placed among one group of versions") {
+  Placement placement(kCrossingCostPerByte);
+  RandomSource random(3);
+  placement.Update("old", "rooms", kOwnDataCentre, MakeLoad(11), kNow, "v1");
+  placement.Update("new", "rooms", kOwnDataCentre, MakeLoad(0), kNow, "v2");
+  placement.Update("bad", "rooms", kOwnDataCentre, MakeLoad(0), kNow, "v0");
+  Placement::Request request = MakeRequest();
+  request.version = "v2";
+  request.withheld_version = "v0";
+  for (int i = 0; i < 10; ++i) {
+    const auto choice = placement.Choose(request, {}, random);
+    REQUIRE(std::get<Placement::Choice>(choice).node == "new");
+  }
+  request.is_version_excluded = true;
+  const auto choice = placement.Choose(request, {}, random);
+  REQUIRE(std::get<Placement::Choice>(choice).node == "old");
+  placement.UpdateLoad("old", MakeLoad(12, 40), kNow);
+  REQUIRE(std::holds_alternative<Placement::NoRoom>(
+      placement.Choose(request, {}, random)));
+  REQUIRE(placement.version("new") == "v2");
+  REQUIRE(placement.has_other_version("rooms", "v2", "v0"));
+  placement.Remove("old");
+  REQUIRE_FALSE(placement.has_other_version("rooms", "v2", "v0"));
+  REQUIRE(placement.has_other_version("rooms", "v2", ""));
+}
+
 }  // namespace
 }  // namespace oleandertide::mesh
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -6,6 +6,7 @@
 #include "platform/announcement_codec.h"
 #include "platform/configuration_codec.h"
 #include "platform/http_codec.h"
+#include "platform/rollout_codec.h"
 #include "platform/store_codec.h"
 
 namespace oleandertide::platform {
@@ -198,5 +199,28 @@
       R"("value":"bm9kZS0x"}]})");
 }
 
+// Guards against an order that is applied to another service, or whose version
+// is empty and so stands for every backend server that does not tell its own.
+TEST_CASE("an order to roll out a version is decoded") {
+  REQUIRE(FindOrderedService("rollout/acervo") == "acervo");
+  REQUIRE_FALSE(FindOrderedService("rollout/").has_value());
+  REQUIRE_FALSE(FindOrderedService("config").has_value());
+  const auto decoded = DecodeOrder(
+      "acervo", R"({"service":"acervo","to":"v2","duration_s":12.5})", 7);
+  REQUIRE(decoded.has_value());
+  REQUIRE(decoded.value() == rollout::Order{.service = "acervo",
+                                            .to = "v2",
+                                            .duration = milliseconds(12'500),
+                                            .version = 7});
+  for (const std::string text :
+       {"", "[]", R"({"service":"provas","to":"v2","duration_s":12})",
+        R"({"service":"acervo","to":"","duration_s":12})",
+        R"({"service":"acervo","to":2,"duration_s":12})",
+        R"({"service":"acervo","to":"v2"})",
+        R"({"service":"acervo","to":"v2","duration_s":-1})"}) {
+    REQUIRE_FALSE(DecodeOrder("acervo", text, 7).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace oleandertide::platform
--- /dev/null
+++ b/tests/rollout/exposure_test.cc
@@ -0,0 +1,84 @@
+#include "rollout/exposure.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <vector>
+
+namespace oleandertide::rollout {
+namespace {
+
+OrderState MakeState(Step step, std::uint32_t share = 0) {
+  return {.order = {.service = "acervo", .to = "v2", .version = 5},
+          .step = step,
+          .share_permille = share};
+}
+
+// Guards against a bad version that gets more than its share of the requests:
+// over many ingresses of unequal traffic, whatever share the state names.
+TEST_CASE("a version on trial gets at most its share over the fleet") {
+  std::mt19937 random(7);
+  for (const std::uint32_t share : {0U, 30U, 90U, 1000U}) {
+    constexpr double kMaxShare = 0.1;
+    std::vector<Exposure> ingresses(60, Exposure(kMaxShare));
+    const OrderState state = MakeState(Step::kTrial, share);
+    int sent = 0;
+    int sent_to_new = 0;
+    std::geometric_distribution<std::size_t> ingress_of(0.1);
+    for (int i = 0; i < 5000; ++i) {
+      Exposure& ingress = ingresses[ingress_of(random) % ingresses.size()];
+      const auto rule = ingress.Choose(&state, true);
+      const bool is_new = rule == VersionRule::kNewFirst;
+      REQUIRE((is_new || rule == VersionRule::kOldOnly));
+      ingress.RecordSent(state, is_new ? "v2" : "v1");
+      ++sent;
+      sent_to_new += is_new ? 1 : 0;
+      REQUIRE(sent_to_new <= kMaxShare * sent);
+    }
+    // Most ingresses that have traffic take part.
+    if (share > 0) REQUIRE(sent_to_new > 0);
+    if (share == 0) REQUIRE(sent_to_new == 0);
+  }
+}
+
+// Guards against credit from before a trial: requests of an earlier order do
+// not count for the next one.
+TEST_CASE("the count starts at zero for each order") {
+  Exposure ingress(0.1);
+  OrderState state = MakeState(Step::kTrial, 100);
+  for (int i = 0; i < 1000; ++i) ingress.RecordSent(state, "v1");
+  REQUIRE(ingress.Choose(&state, true) == VersionRule::kNewFirst);
+  state.order.version = 6;
+  REQUIRE(ingress.Choose(&state, true) == VersionRule::kOldOnly);
+}
+
+TEST_CASE("each step names the version that gets requests") {
+  Exposure ingress(0.1);
+  REQUIRE(ingress.Choose(nullptr, true) == VersionRule::kAny);
+  const auto choose = [&](Step step) {
+    const OrderState state = MakeState(step);
+    return ingress.Choose(&state, true);
+  };
+  REQUIRE(choose(Step::kOrdered) == VersionRule::kOldOnly);
+  REQUIRE(choose(Step::kTrial) == VersionRule::kOldOnly);
+  REQUIRE(choose(Step::kReplacing) == VersionRule::kNewOnly);
+  REQUIRE(choose(Step::kCompleted) == VersionRule::kNewOnly);
+  REQUIRE(choose(Step::kRollingBack) == VersionRule::kOldOnly);
+  REQUIRE(choose(Step::kRolledBack) == VersionRule::kOldOnly);
+  REQUIRE(choose(Step::kCancelled) == VersionRule::kOldOnly);
+}
+
+// Guards against an outage after a restart of all nodes: the order of a
+// completed roll-out is still in the store, and the old version is gone. And
+// against the opposite: when all old backend servers are lost during a trial,
+// the new version does not get their share.
+TEST_CASE("the only version seen since the order serves") {
+  const OrderState state = MakeState(Step::kOrdered);
+  Exposure restarted(0.1);
+  REQUIRE(restarted.Choose(&state, false) == VersionRule::kAny);
+  Exposure ingress(0.1);
+  REQUIRE(ingress.Choose(&state, true) == VersionRule::kOldOnly);
+  REQUIRE(ingress.Choose(&state, false) == VersionRule::kOldOnly);
+}
+
+}  // namespace
+}  // namespace oleandertide::rollout
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -70,6 +70,12 @@
   WakeWaiters();
 }
 
+void FakeStore::Remove(const std::string& table, const std::string& key) {
+  tables_[table][key] = {
+      .value = {}, .version = ++version_, .is_deleted = true};
+  WakeWaiters();
+}
+
 void FakeStore::Handle(const HttpRequest& request, HttpReply reply) {
   ++calls_;
   if (failure_ != 0) {
@@ -96,7 +102,7 @@
   json rows = json::array();
   bool has_more = false;
   for (const auto& [key, row] : tables_[table]) {
-    if (key < from) continue;
+    if (key < from || row.is_deleted) continue;
     if (rows.size() == rows_per_answer_) {
       has_more = true;
       break;
@@ -130,6 +136,14 @@
   if (found != tables_.end() && !hides_changes_) {
     for (const auto& [key, row] : found->second) {
       if (row.version <= after) continue;
+      if (row.is_deleted) {
+        rows.push_back({{"table", table},
+                        {"part", ""},
+                        {"key", key},
+                        {"deleted", true},
+                        {"ver", row.version}});
+        continue;
+      }
       rows.push_back({{"table", table},
                       {"part", ""},
                       {"key", key},
@@ -177,7 +191,9 @@
     const auto& table = tables_[row.at("table")];
     const auto found = table.find(row.at("key"));
     const std::uint64_t version =
-        found == table.end() ? 0 : found->second.version;
+        found == table.end() || found->second.is_deleted
+            ? 0
+            : found->second.version;
     if (version != row.at("ver")) {
       reply.Send(JsonAnswer(412, {{"rows", json::array()}, {"ver", version_}}));
       return;
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -30,6 +30,9 @@
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
 
+  // Removes a row as the operator does.
+  void Remove(const std::string& table, const std::string& key);
+
   // Answers every call with this status from now on; 0 ends that.
   void set_failure(int status) { failure_ = status; }
   // Performs writes and does not answer them.
@@ -53,6 +56,7 @@
   struct Row {
     std::string value;
     std::uint64_t version;
+    bool is_deleted = false;
   };
   struct Waiter {
     std::string table;
