--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -27,6 +27,8 @@
 #include "organisations/key_trust.h"
 #include "organisations/share_tracker.h"
 #include "platform/http_codec.h"
+#include "rollout/exposure.h"
+#include "rollout/order_book.h"
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
@@ -53,6 +55,8 @@
     // See organisations::KeyTrust; without it, keys are honoured as the
     // configuration in force says.
     std::optional<organisations::KeyTrust> key_trust{};
+    // Greatest share of requests for a version on trial.
+    double max_trial_share = 0;
   };
 
   // What the ingress works with; all outlive it.
@@ -65,6 +69,8 @@
     NodeMetrics& metrics;
     RandomSource& random;
     const coordination::StoreClock& store_clock;
+    // Orders to roll out a version; nullptr if the deployment has none.
+    const rollout::OrderBook* orders = nullptr;
   };
 
   Ingress(const Parts& parts, const Options& options);
@@ -123,6 +129,9 @@
   // certainly did not run.
   void EndLimit(const ExchangePointer& exchange);
   void StartDeadlineTimer(const ExchangePointer& exchange);
+  // Chooses a node with regard to an order to roll out a version.
+  mesh::Placement::Decision Place(mesh::Placement::Request request,
+                                  const std::vector<std::string>& tried);
   void Attempt(const ExchangePointer& exchange);
   void Send(const ExchangePointer& exchange, const std::string& node);
   void OnOutcome(const ExchangePointer& exchange, mesh::Outcome outcome);
@@ -144,6 +153,7 @@
   std::string service_;
   std::optional<mesh::StopPolicy> stop_;
   mesh::Placement placement_;
+  rollout::Exposure exposure_;
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
   mesh::OrganisationPolicy organisation_policy_;
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -38,6 +38,9 @@
     return row == rows->second.end() ? std::string() : row->second.value;
   }
 
+  // Removes a row as the operator does.
+  void Remove(const std::string& table, const std::string& key);
+
   // Answers every call with this status from now on; 0 ends that.
   void set_failure(int status) { failure_ = status; }
   // Performs writes and does not answer them.
@@ -61,6 +64,7 @@
   struct Row {
     std::string value;
     std::uint64_t version;
+    bool is_deleted = false;
   };
   struct Waiter {
     std::string table;
