--- a/tests/sidecar/limits_test.cc
+++ b/tests/sidecar/limits_test.cc
@@ -269,7 +269,7 @@
   // Guards against a process that ends because of a damaged message.
   const std::string encoded = EncodeTokenRequest(request);
   for (std::size_t size = 0; size < encoded.size(); ++size) {
-    DecodeTokenRequest(std::string_view(encoded).substr(0, size));
+    DecodeTokenRequest(encoded.substr(0, size));
     std::string damaged = encoded;
     damaged[size] = static_cast<char>(damaged[size] ^ 0x55);
     DecodeTokenRequest(damaged);
