rollout: Carry out orders on the coordinator

An ordered version got no requests, and operators saw no status.

The coordinator runs a decider for each order: a trial at two backend servers with 0.8 of the bound on the exposure, a sequential test by route for failures and slowness against the old version in the same time, replacement, and the end when all nodes act on it and the old backend servers are empty; or the roll-back. Nodes report counts under the subject of roll-outs. Status rows are written under the version that was read, `running` first; a final one is never written over.

--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -166,6 +166,7 @@
   double lowest_cost = 0;
   Duration shortest_wait = Duration::max();
   bool is_any_accepting = false;
+  int considered = 0;
   for (auto& [node, candidate] : candidates_) {
     if (candidate.service != request.service) continue;
     if (!candidate.load.accepts_requests) continue;
@@ -177,8 +178,9 @@
         candidate.version == request.withheld_version) {
       continue;
     }
-    if (std::ranges::find(excluded, node) != excluded.end()) continue;
     if (IsReportStale(candidate, request.now) && !includes_stale) continue;
+    if (request.max_nodes > 0 && ++considered > request.max_nodes) break;
+    if (std::ranges::find(excluded, node) != excluded.end()) continue;
     is_any_accepting = true;
     const Duration wait = EstimateWait(candidate, request.priority);
     shortest_wait = std::min(shortest_wait, wait);
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -57,6 +57,10 @@
     bool is_version_excluded = false;
     // If not empty, a version that is not considered in any case.
     std::string_view withheld_version{};
+    // If not 0, only this many backend servers that take requests are
+    // considered, the first by their nodes' names: those of a version on trial
+    // get enough requests to run under load.
+    int max_nodes = 0;
   };
 
   struct Choice {
--- /dev/null
+++ b/libraries/rollout/decider.cc
@@ -0,0 +1,170 @@
+#include "rollout/decider.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleandertide::rollout {
+namespace {
+
+// Outcomes of both versions within a window are compared.
+constexpr std::uint64_t kWindowMs = 250;
+
+// Two servers must take part, since a single one may be at fault itself.
+constexpr std::size_t kMinTrialServers = 2;
+
+}  // namespace
+
+Decider::Decider(const Options& options, OrderState state,
+                 std::uint64_t known_at_ms)
+    : options_(options), state_(std::move(state)), known_at_ms_(known_at_ms) {}
+
+std::uint64_t Decider::TimeAt(double share) const {
+  return known_at_ms_ +
+         static_cast<std::uint64_t>(share * static_cast<double>(ToMilliseconds(
+                                                state_.order.duration)));
+}
+
+void Decider::OnReport(const std::string& node, const NodeReport& report,
+                       std::uint64_t now_ms) {
+  if (report.order_version != state_.order.version) return;
+  for (const RouteOutcome& outcome : report.outcomes) {
+    analysis_.Add(outcome.route, outcome.server, outcome.is_new,
+                  outcome.counts);
+  }
+  Node& known = nodes_[node];
+  known.report = report;
+  known.report.outcomes.clear();
+  known.reported_at_ms = now_ms;
+}
+
+Decider::Decision Decider::Enter(Step step, std::string_view reason,
+                                 std::uint64_t now_ms) {
+  state_.step = step;
+  state_.share_permille = step == Step::kTrial ? options_.trial_permille : 0;
+  entered_at_ms_ = now_ms;
+  return {.state = state_, .reason = reason};
+}
+
+std::size_t Decider::CountNewServers(std::uint64_t now_ms) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(nodes_, [&](const auto& entry) {
+        const Node& node = entry.second;
+        return !is_lost(node, now_ms) && node.report.has_backend &&
+               node.report.accepts &&
+               node.report.backend_version == state_.order.to;
+      }));
+}
+
+bool Decider::has_new_capacity(std::uint64_t now_ms) const {
+  std::uint64_t old_slots = 0;
+  std::uint64_t new_slots = 0;
+  for (const auto& [name, node] : nodes_) {
+    if (is_lost(node, now_ms) || !node.report.has_backend) continue;
+    if (node.report.backend_version != state_.order.to) {
+      old_slots += node.report.slots;
+    } else if (node.report.accepts) {
+      new_slots += node.report.slots;
+    }
+  }
+  return new_slots > 0 &&
+         static_cast<double>(new_slots) >=
+             options_.min_capacity_share * static_cast<double>(old_slots);
+}
+
+bool Decider::has_ended(std::uint64_t now_ms) const {
+  return std::ranges::all_of(nodes_, [&](const auto& entry) {
+    const Node& node = entry.second;
+    if (is_lost(node, now_ms)) return true;
+    // An ingress that acts on an earlier step may still send to the old ones.
+    if (node.report.step < Step::kReplacing) return false;
+    return !node.report.has_backend ||
+           node.report.backend_version == state_.order.to ||
+           (node.report.is_empty && !node.report.accepts);
+  });
+}
+
+std::optional<Decider::Decision> Decider::TickTrial(std::uint64_t now_ms) {
+  const bool is_last = now_ms >= TimeAt(options_.last_decision_share);
+  const Verdict verdict = analysis_.verdict(is_last);
+  if (verdict == Verdict::kBad) {
+    return Enter(Step::kRollingBack, "worse than the old version", now_ms);
+  }
+  const bool is_long_enough = now_ms >= entered_at_ms_ + options_.min_trial_ms;
+  if (verdict == Verdict::kGood && is_long_enough && has_new_capacity(now_ms)) {
+    return Enter(Step::kReplacing, "as good as the old version", now_ms);
+  }
+  if (is_last && is_long_enough) {
+    return Enter(Step::kRollingBack,
+                 verdict == Verdict::kGood ? "too few backend servers"
+                                           : "too little evidence",
+                 now_ms);
+  }
+  return std::nullopt;
+}
+
+std::optional<Decider::Decision> Decider::TickReplacing(std::uint64_t now_ms) {
+  if (wanted_ == Status::kCompleted) return std::nullopt;
+  if (analysis_.verdict() == Verdict::kBad) {
+    return Enter(Step::kRollingBack, "worse than the old version", now_ms);
+  }
+  // All nodes report several times within the time that a lost one is given.
+  const bool have_all_reported = now_ms >= entered_at_ms_ + kWindowMs;
+  if (have_all_reported && !nodes_.empty() && has_ended(now_ms)) {
+    wanted_ = Status::kCompleted;
+  }
+  return std::nullopt;
+}
+
+void Decider::Adopt(const OrderState& state, std::uint64_t now_ms) {
+  if (state.order.version != state_.order.version) return;
+  if (state.step <= state_.step) return;
+  state_ = state;
+  entered_at_ms_ = now_ms;
+}
+
+std::optional<Decider::Decision> Decider::Tick(std::optional<Status> status,
+                                               std::uint64_t now_ms) {
+  if (entered_at_ms_ == 0) entered_at_ms_ = now_ms;
+  if (window_end_ms_ == 0) window_end_ms_ = now_ms + kWindowMs;
+  if (now_ms >= window_end_ms_) {
+    analysis_.EndWindow();
+    window_end_ms_ = now_ms + kWindowMs;
+  }
+  if (!status) return std::nullopt;
+  // What the store says is final, whoever wrote it.
+  if (*status != Status::kRunning) {
+    const Step final_step =
+        *status == Status::kCompleted ? Step::kCompleted : Step::kRolledBack;
+    wanted_ = *status;
+    if (state_.step == final_step) return std::nullopt;
+    return Enter(final_step, "written to the store", now_ms);
+  }
+  switch (state_.step) {
+    case Step::kOrdered: {
+      const std::size_t servers = CountNewServers(now_ms);
+      if (servers >= kMinTrialServers) {
+        return Enter(Step::kTrial, "backend servers are ready", now_ms);
+      }
+      if (now_ms >= TimeAt(options_.last_decision_share)) {
+        return Enter(Step::kRollingBack, "too few backend servers", now_ms);
+      }
+      return std::nullopt;
+    }
+    case Step::kTrial:
+      return TickTrial(now_ms);
+    case Step::kReplacing:
+      return TickReplacing(now_ms);
+    case Step::kRollingBack:
+      if (now_ms >= entered_at_ms_ + options_.rollback_notice_ms) {
+        wanted_ = Status::kRolledBack;
+      }
+      return std::nullopt;
+    case Step::kCancelled:
+    case Step::kCompleted:
+    case Step::kRolledBack:
+      break;
+  }
+  return std::nullopt;
+}
+
+}  // namespace oleandertide::rollout
--- /dev/null
+++ b/libraries/rollout/decider.h
@@ -0,0 +1,136 @@
+// Carries out one order: trial, judgement, replacement or roll-back.
+
+#ifndef OLEANDERTIDE_ROLLOUT_DECIDER_H_
+#define OLEANDERTIDE_ROLLOUT_DECIDER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/time.h"
+#include "rollout/canary_analysis.h"
+#include "rollout/order.h"
+#include "rollout/status_writer.h"
+
+namespace oleandertide::rollout {
+
+struct RouteOutcome {
+  std::string route{};
+  // Node beside the backend server.
+  std::string server{};
+  bool is_new = false;
+  OutcomeCounts counts{};
+};
+
+// What a node tells the decider of one order.
+struct NodeReport {
+  std::string service{};
+  std::uint64_t order_version = 0;
+  // The step that the node acts on.
+  Step step = Step::kOrdered;
+  // Whether a backend server of the service is beside it, and of which version.
+  bool has_backend = false;
+  std::string backend_version{};
+  // Whether it accepts requests.
+  bool accepts = false;
+  // Whether nothing runs at it and nothing waits for it.
+  bool is_empty = false;
+  std::uint32_t slots = 0;
+  // Since the last report.
+  std::vector<RouteOutcome> outcomes{};
+};
+
+// Decides on one order at the coordinator. Begins from what the states that
+// other nodes told and the status row say, so another coordinator goes on where
+// one ended; the evidence is gathered again. All times are of the store's
+// clock, in milliseconds, so that the deadline is the same for each decider.
+//
+// Load pattern: orders of 12 to 16 s; backend servers of the new version start
+// within the first seconds and turn bad at once, late, on one route or under
+// load; a good version on a bad day. Nodes are lost, partitioned and restarted.
+//
+// Not thread-safe.
+class Decider {
+ public:
+  struct Options {
+    // Share of requests for the version on trial; below the bound, since the
+    // counts of the store's users and of ingresses may differ by some requests.
+    std::uint32_t trial_permille = 80;
+    // Least time of a trial: a version that turns bad 3 s after its start is
+    // bad for long enough to be seen.
+    std::uint64_t min_trial_ms = 4500;
+    // Share of the order's duration after which the trial is decided: what
+    // remains is for the runs of the old version.
+    double last_decision_share = 0.7;
+    // A node that has not reported for this long is lost.
+    std::uint64_t silence_ms = 2000;
+    // Time for nodes to learn that a version is rolled back before the store
+    // is told.
+    std::uint64_t rollback_notice_ms = 600;
+    // New slots, as a share of the old ones, that a replacement needs.
+    double min_capacity_share = 0.7;
+  };
+
+  // Why the step is what it is, for the log.
+  struct Decision {
+    OrderState state;
+    std::string_view reason;
+  };
+
+  // `state` is the order as this node knows it; `known_at_ms` is when a node
+  // first knew it.
+  Decider(const Options& options, OrderState state, std::uint64_t known_at_ms);
+
+  // Takes in what a node reports.
+  void OnReport(const std::string& node, const NodeReport& report,
+                std::uint64_t now_ms);
+
+  // Takes over a later step that another decider, or the operator, took.
+  void Adopt(const OrderState& state, std::uint64_t now_ms);
+
+  // Called some times a second. `status` is what the store is known to have.
+  // Returns the next step, if it changed.
+  std::optional<Decision> Tick(std::optional<Status> status,
+                               std::uint64_t now_ms);
+
+  // The status that the store should have now.
+  Status wanted_status() const { return wanted_; }
+
+  const OrderState& state() const { return state_; }
+  std::uint64_t known_at_ms() const { return known_at_ms_; }
+  CanaryAnalysis::Evidence evidence() const { return analysis_.evidence(); }
+
+ private:
+  struct Node {
+    NodeReport report;
+    std::uint64_t reported_at_ms = 0;
+  };
+
+  Decision Enter(Step step, std::string_view reason, std::uint64_t now_ms);
+  std::optional<Decision> TickTrial(std::uint64_t now_ms);
+  std::optional<Decision> TickReplacing(std::uint64_t now_ms);
+  bool has_ended(std::uint64_t now_ms) const;
+  bool has_new_capacity(std::uint64_t now_ms) const;
+  std::size_t CountNewServers(std::uint64_t now_ms) const;
+  bool is_lost(const Node& node, std::uint64_t now_ms) const {
+    return now_ms > node.reported_at_ms + options_.silence_ms;
+  }
+  // Time at which the share of the order's duration has passed.
+  std::uint64_t TimeAt(double share) const;
+
+  const Options options_;
+  OrderState state_;
+  const std::uint64_t known_at_ms_;
+  std::uint64_t entered_at_ms_ = 0;
+  std::uint64_t window_end_ms_ = 0;
+  Status wanted_ = Status::kRunning;
+  CanaryAnalysis analysis_;
+  std::map<std::string, Node, std::less<>> nodes_;
+};
+
+}  // namespace oleandertide::rollout
+
+#endif  // OLEANDERTIDE_ROLLOUT_DECIDER_H_
--- a/libraries/rollout/order.h
+++ b/libraries/rollout/order.h
@@ -49,6 +49,9 @@
   // A removed order has no effect once the store's clock shows this; 0 for an
   // order that exists.
   std::uint64_t over_at_ms = 0;
+  // By the store's clock, when a node first knew the order; 0 if unknown. The
+  // earliest that any node tells holds.
+  std::uint64_t known_at_ms = 0;
   // Version that an earlier, unfinished order was about: it gets nothing.
   std::string withheld{};
 
--- a/libraries/rollout/order_book.cc
+++ b/libraries/rollout/order_book.cc
@@ -14,7 +14,9 @@
 
 }  // namespace
 
-bool OrderBook::Put(const Order& order) { return Apply({.order = order}); }
+bool OrderBook::Put(const Order& order, std::uint64_t time_ms) {
+  return Apply({.order = order, .known_at_ms = time_ms});
+}
 
 bool OrderBook::Cancel(OrderState& state, StoreMoment moment) {
   // The order may be newer than what the store knew.
@@ -73,7 +75,16 @@
   if (state.order.version == known.order.version && state.withheld.empty()) {
     state.withheld = known.withheld;
   }
-  if (Rank(state) <= Rank(known)) return false;
+  bool is_known_earlier = false;
+  if (state.order.version == known.order.version) {
+    const std::uint64_t earliest =
+        state.known_at_ms == 0 || known.known_at_ms == 0
+            ? std::max(state.known_at_ms, known.known_at_ms)
+            : std::min(state.known_at_ms, known.known_at_ms);
+    is_known_earlier = earliest != known.known_at_ms;
+    state.known_at_ms = known.known_at_ms = earliest;
+  }
+  if (Rank(state) <= Rank(known)) return is_known_earlier;
   known = std::move(state);
   return true;
 }
--- a/libraries/rollout/order_book.h
+++ b/libraries/rollout/order_book.h
@@ -37,8 +37,9 @@
   // status messages stay small.
   static constexpr std::size_t kMaxOrders = 64;
 
-  // Applies an order as the store has it. Returns whether anything changed.
-  bool Put(const Order& order);
+  // Applies an order as the store had it when its clock showed `time_ms`.
+  // Returns whether anything changed.
+  bool Put(const Order& order, std::uint64_t time_ms = 0);
 
   // Applies that the store has no order for `service` at `version`. An order
   // that was not completed is cancelled: its version is held back until the
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -210,7 +210,7 @@
                     {"why", order.error()}});
       return;
     }
-    is_changed = parts_.orders->Put(order.value());
+    is_changed = parts_.orders->Put(order.value(), moment.time_ms);
   }
   if (!is_changed) return;
   const rollout::OrderState* state = parts_.orders->Find(*service);
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -33,9 +33,15 @@
 constexpr Duration kAwayRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(5);
 
+// Backend servers of a version on trial that get requests. Two are needed to
+// tell a fault of the version from one of a server; more of them would run far
+// below their usual load.
+constexpr int kTrialServers = 2;
+
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
+constexpr int kFirstServerError = 500;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusGatewayTimeout = 504;
@@ -78,6 +84,10 @@
   std::string node;
   CallId attempt = 0;
   bool is_in_progress = false;
+  // Order under which it was sent, 0 if there was none, and whether to its
+  // version.
+  std::uint64_t order_version = 0;
+  bool is_new_version = false;
   bool is_finished = false;
 };
 
@@ -261,10 +271,14 @@
   request.withheld_version = state->withheld;
   if (rule != rollout::VersionRule::kAny) request.version = to;
   request.is_version_excluded = rule == rollout::VersionRule::kOldOnly;
+  if (rule == rollout::VersionRule::kNewFirst) {
+    request.max_nodes = kTrialServers;
+  }
   auto decision = placement_.Choose(request, tried, parts_.random);
   if (rule == rollout::VersionRule::kNewFirst &&
       !std::holds_alternative<mesh::Placement::Choice>(decision)) {
     request.is_version_excluded = true;
+    request.max_nodes = 0;
     decision = placement_.Choose(request, tried, parts_.random);
   }
   if (const auto* choice = std::get_if<mesh::Placement::Choice>(&decision)) {
@@ -321,6 +335,12 @@
   exchange->tried.push_back(node);
   exchange->node = node;
   exchange->is_in_progress = true;
+  const rollout::OrderState* order =
+      parts_.orders == nullptr ? nullptr
+                               : parts_.orders->Find(exchange->call.service);
+  exchange->order_version = order == nullptr ? 0 : order->order.version;
+  exchange->is_new_version =
+      order != nullptr && placement_.version(node) == order->order.to;
   ++exchange->hops;
   const int hop = exchange->hops;
   // The outcome may come before the call returns; a later attempt has then
@@ -338,6 +358,7 @@
                         mesh::Outcome outcome) {
   if (exchange->is_finished) return;
   exchange->is_in_progress = false;
+  CountOutcome(exchange, outcome);
   const auto* not_run = std::get_if<mesh::NotRun>(&outcome);
   const auto* unknown = std::get_if<mesh::Unknown>(&outcome);
   const bool has_reached =
@@ -380,6 +401,27 @@
   Attempt(exchange);
 }
 
+void Ingress::CountOutcome(const ExchangePointer& exchange,
+                           const mesh::Outcome& outcome) {
+  if (exchange->order_version == 0) return;
+  const rollout::SentRequest sent{.service = exchange->call.service,
+                                  .order_version = exchange->order_version,
+                                  .route = exchange->route->name,
+                                  .server = exchange->node,
+                                  .is_new = exchange->is_new_version};
+  if (const auto* completed = std::get_if<mesh::Completed>(&outcome)) {
+    parts_.outcomes->RecordAnswer(sent, completed->status >= kFirstServerError,
+                                  completed->run_time);
+  } else if (const auto* unknown = std::get_if<mesh::Unknown>(&outcome)) {
+    // A lost link or a client that left is no fault of the backend server.
+    if (unknown->reason == mesh::Reason::kConnectionLost ||
+        unknown->reason == mesh::Reason::kAnswerUnusable ||
+        unknown->reason == mesh::Reason::kDeadlinePassed) {
+      parts_.outcomes->RecordFailure(sent);
+    }
+  }
+}
+
 void Ingress::Deliver(const ExchangePointer& exchange,
                       mesh::Completed completed) {
   const MonotonicTime now = MonotonicClock::now();
@@ -443,6 +485,9 @@
 }
 
 void Ingress::OnDeadline(const ExchangePointer& exchange) {
+  if (exchange->is_in_progress) {
+    CountOutcome(exchange, mesh::Unknown{mesh::Reason::kDeadlinePassed});
+  }
   CancelAttempt(exchange);
   // The cancellation is not confirmed, so the request may run.
   exchange->may_have_run = true;
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -27,6 +27,7 @@
 #include "platform/http_codec.h"
 #include "rollout/exposure.h"
 #include "rollout/order_book.h"
+#include "rollout/outcome_collector.h"
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
@@ -68,6 +69,8 @@
     const coordination::StoreClock& store_clock;
     // Orders to roll out a version; nullptr if the deployment has none.
     const rollout::OrderBook* orders = nullptr;
+    // Where outcomes of requests under an order are counted; set with `orders`.
+    rollout::OutcomeCollector* outcomes = nullptr;
   };
 
   Ingress(const Parts& parts, const Options& options);
@@ -117,6 +120,10 @@
   void Attempt(const ExchangePointer& exchange);
   void Send(const ExchangePointer& exchange, const std::string& node);
   void OnOutcome(const ExchangePointer& exchange, mesh::Outcome outcome);
+  // Counts the outcome of the attempt that ended, if it was sent under an
+  // order; nothing if there was none.
+  void CountOutcome(const ExchangePointer& exchange,
+                    const mesh::Outcome& outcome);
   void OnDeadline(const ExchangePointer& exchange);
   void OnClientLeft(const ExchangePointer& exchange);
   void Deliver(const ExchangePointer& exchange, mesh::Completed completed);
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -90,6 +90,8 @@
   overAtMs @6 :UInt64;
   # Version of an earlier, unfinished order.
   withheld @7 :Text;
+  # By the store's clock, when a node first knew the order.
+  knownAtMs @8 :UInt64;
 }
 
 struct Coordinator {
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -134,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba1e9e9ed5bb80d6, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ba1e9e9ed5bb80d6, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -986,6 +986,8 @@
   inline bool hasWithheld() const;
   inline  ::capnp::Text::Reader getWithheld() const;
 
+  inline  ::uint64_t getKnownAtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1050,6 +1052,9 @@
   inline void adoptWithheld(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownWithheld();
 
+  inline  ::uint64_t getKnownAtMs();
+  inline void setKnownAtMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3564,6 +3569,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Rollout::Reader::getKnownAtMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getKnownAtMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setKnownAtMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Coordinator::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -118,6 +118,7 @@
     builders[i].setStep(static_cast<std::uint8_t>(state.step));
     builders[i].setSharePermille(Saturate<std::uint16_t>(state.share_permille));
     builders[i].setOverAtMs(state.over_at_ms);
+    builders[i].setKnownAtMs(state.known_at_ms);
     if (!state.withheld.empty()) builders[i].setWithheld(state.withheld);
   }
 }
@@ -142,6 +143,7 @@
           .step = step,
           .share_permille = reader.getSharePermille(),
           .over_at_ms = reader.getOverAtMs(),
+          .known_at_ms = reader.getKnownAtMs(),
           .withheld = ToString(reader.getWithheld())};
   }
   return std::nullopt;
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -90,6 +90,9 @@
       trial_requests(registry.RegisterCounter(
           "trial_requests_total",
           "Requests sent to a version under an order to roll it out")),
+      rollout_steps(registry.RegisterCounter(
+          "rollout_steps_total",
+          "Steps of roll-outs that this node decided as coordinator")),
       store_calls(
           registry.RegisterCounter("store_calls_total", "Calls to the store")),
       store_failures(registry.RegisterCounter(
--- /dev/null
+++ b/libraries/sidecar/rollouts.cc
@@ -0,0 +1,323 @@
+#include "sidecar/rollouts.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "logging/log.h"
+#include "platform/names.h"
+#include "platform/rollout_codec.h"
+#include "sidecar/rollouts.capnp.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using logging::Level;
+
+// Interval of reports and decisions: a bad version is stopped well within the
+// five seconds that it is allowed.
+constexpr Duration kTickInterval = std::chrono::milliseconds(200);
+
+// The share during the trial, as a part of the bound on the exposure.
+constexpr double kTrialPart = 0.8;
+constexpr double kPermille = 1000;
+
+// A report has at most this many words; it has some hundred at most.
+constexpr std::uint64_t kMaxReportWords = 1U << 18U;
+
+bool is_in_progress(const rollout::OrderState& state) {
+  return state.step < rollout::Step::kCancelled && state.over_at_ms == 0;
+}
+
+std::string_view ToString(rollout::Step step) {
+  switch (step) {
+    case rollout::Step::kOrdered:
+      return "ordered";
+    case rollout::Step::kTrial:
+      return "trial";
+    case rollout::Step::kReplacing:
+      return "replacing";
+    case rollout::Step::kRollingBack:
+      return "rolling-back";
+    case rollout::Step::kCancelled:
+      return "cancelled";
+    case rollout::Step::kCompleted:
+      return "completed";
+    case rollout::Step::kRolledBack:
+      return "rolled-back";
+  }
+  return "unknown";
+}
+
+std::string ToText(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
+void Encode(const rollout::NodeReport& report,
+            rollout_wire::OrderReport::Builder builder) {
+  builder.setService(report.service);
+  builder.setOrderVersion(report.order_version);
+  builder.setStep(static_cast<std::uint8_t>(report.step));
+  builder.setHasBackend(report.has_backend);
+  builder.setBackendVersion(report.backend_version);
+  builder.setAccepts(report.accepts);
+  builder.setIsEmpty(report.is_empty);
+  builder.setSlots(report.slots);
+  auto outcomes =
+      builder.initOutcomes(static_cast<unsigned>(report.outcomes.size()));
+  for (unsigned i = 0; i < outcomes.size(); ++i) {
+    const rollout::RouteOutcome& outcome = report.outcomes[i];
+    outcomes[i].setRoute(outcome.route);
+    outcomes[i].setServer(outcome.server);
+    outcomes[i].setIsNew(outcome.is_new);
+    outcomes[i].setTotal(outcome.counts.total);
+    outcomes[i].setFailed(outcome.counts.failed);
+    outcomes[i].setSlow(outcome.counts.slow);
+  }
+}
+
+rollout::NodeReport Decode(rollout_wire::OrderReport::Reader reader) {
+  rollout::NodeReport report{
+      .service = ToText(reader.getService()),
+      .order_version = reader.getOrderVersion(),
+      .step = static_cast<rollout::Step>(reader.getStep()),
+      .has_backend = reader.getHasBackend(),
+      .backend_version = ToText(reader.getBackendVersion()),
+      .accepts = reader.getAccepts(),
+      .is_empty = reader.getIsEmpty(),
+      .slots = reader.getSlots()};
+  for (const auto outcome : reader.getOutcomes()) {
+    report.outcomes.push_back({.route = ToText(outcome.getRoute()),
+                               .server = ToText(outcome.getServer()),
+                               .is_new = outcome.getIsNew(),
+                               .counts = {.total = outcome.getTotal(),
+                                          .failed = outcome.getFailed(),
+                                          .slow = outcome.getSlow()}});
+  }
+  return report;
+}
+
+}  // namespace
+
+Rollouts::Rollouts(const Parts& parts, const mesh::Deployment& deployment,
+                   std::function<void()> on_changed)
+    : parts_(parts), on_changed_(std::move(on_changed)), timer_(parts.loop) {
+  options_.trial_permille = static_cast<std::uint32_t>(
+      deployment.exposure_share * kTrialPart * kPermille);
+}
+
+void Rollouts::Start() {
+  parts_.coordination.Register(
+      CoordinationSubject::kRollouts,
+      {.on_report = [this](
+                        const std::string& node,
+                        std::string_view payload) { OnReport(node, payload); },
+       .on_message = {},
+       .on_changed = {}});
+  Tick();
+}
+
+void Rollouts::Tick() {
+  timer_.Start(kTickInterval, [this] { Tick(); });
+  Report();
+  Decide();
+}
+
+void Rollouts::Report() {
+  std::vector<rollout::NodeReport> reports;
+  const mesh::BackendLoad load = parts_.receiver.load();
+  for (const rollout::OrderState& state : parts_.orders.states()) {
+    if (!is_in_progress(state)) continue;
+    const rollout::Order& order = state.order;
+    reports.push_back(
+        {.service = order.service,
+         .order_version = order.version,
+         .step = state.step,
+         .has_backend = parts_.receiver.service() == order.service,
+         .backend_version = std::string(parts_.receiver.backend_version()),
+         .accepts = load.accepts_requests,
+         .is_empty = parts_.receiver.is_idle(),
+         .slots = static_cast<std::uint32_t>(std::max(0, load.slots)),
+         .outcomes = parts_.outcomes.Take(order.service, order.version)});
+  }
+  if (reports.empty()) return;
+  capnp::MallocMessageBuilder message;
+  auto orders = message.initRoot<rollout_wire::Report>().initOrders(
+      static_cast<unsigned>(reports.size()));
+  for (unsigned i = 0; i < orders.size(); ++i) Encode(reports[i], orders[i]);
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, message);
+  const auto bytes = stream.getArray();
+  parts_.coordination.Report(
+      CoordinationSubject::kRollouts,
+      {reinterpret_cast<const char*>(bytes.begin()), bytes.size()});
+}
+
+void Rollouts::OnReport(const std::string& node, std::string_view payload) {
+  const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
+  if (!now_ms) return;
+  const auto error = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream stream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(payload.data()), payload.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxReportWords;
+    capnp::PackedMessageReader message(stream, options);
+    for (const auto order :
+         message.getRoot<rollout_wire::Report>().getOrders()) {
+      const rollout::NodeReport report = Decode(order);
+      const auto found = active_.find(report.service);
+      if (found != active_.end()) {
+        found->second.decider.OnReport(node, report, *now_ms);
+      }
+    }
+  });
+  if (error != nullptr) {
+    logging::Log(Level::kWarning, "rollout", "report is not readable",
+                 {{"node", node}});
+  }
+}
+
+void Rollouts::Decide() {
+  const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
+  if (!parts_.coordination.is_coordinator() || !now_ms) {
+    active_.clear();
+    return;
+  }
+  const auto states = parts_.orders.states();
+  std::erase_if(active_, [&](const auto& entry) {
+    return std::ranges::none_of(states, [&](const rollout::OrderState& state) {
+      return state.order.service == entry.first && is_in_progress(state);
+    });
+  });
+  for (const rollout::OrderState& state : states) {
+    if (is_in_progress(state)) DecideOn(state, *now_ms);
+  }
+}
+
+void Rollouts::DecideOn(const rollout::OrderState& state,
+                        std::uint64_t now_ms) {
+  const std::string& service = state.order.service;
+  auto found = active_.find(service);
+  if (found != active_.end() &&
+      found->second.decider.state().order.version != state.order.version) {
+    active_.erase(found);
+    found = active_.end();
+  }
+  if (found == active_.end()) {
+    found =
+        active_
+            .emplace(
+                service,
+                Active{.decider = rollout::Decider(
+                           options_, state,
+                           state.known_at_ms == 0 ? now_ms : state.known_at_ms),
+                       .writer = rollout::StatusWriter(state.order.to,
+                                                       state.order.version),
+                       .generation = next_generation_++})
+            .first;
+    logging::Log(Level::kInfo, "rollout", "deciding",
+                 {{"service", service},
+                  {"to", state.order.to},
+                  {"row_version", state.order.version},
+                  {"step", ToString(state.step)}});
+  }
+  Active& active = found->second;
+  // Another decider may have gone further before this one was elected.
+  active.decider.Adopt(state, now_ms);
+  const auto decision = active.decider.Tick(active.writer.status(), now_ms);
+  if (decision) {
+    const auto evidence = active.decider.evidence();
+    parts_.metrics.rollout_steps.Add();
+    logging::Log(Level::kInfo, "rollout", "step",
+                 {{"service", service},
+                  {"to", decision->state.order.to},
+                  {"row_version", decision->state.order.version},
+                  {"step", ToString(decision->state.step)},
+                  {"reason", decision->reason},
+                  {"share_permille", decision->state.share_permille},
+                  {"elapsed_ms", now_ms - active.decider.known_at_ms()},
+                  {"route", evidence.route},
+                  {"kind", evidence.is_slowness ? "slow" : "failed"},
+                  {"evidence", evidence.sum},
+                  {"bad", evidence.bad},
+                  {"total", evidence.total},
+                  {"old_share", evidence.old_share}});
+    parts_.orders.Merge(decision->state);
+    on_changed_();
+  }
+  Perform(service, active);
+}
+
+Rollouts::Active* Rollouts::Find(const std::string& service,
+                                 std::uint64_t generation) {
+  const auto found = active_.find(service);
+  if (found == active_.end() || found->second.generation != generation) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void Rollouts::Perform(const std::string& service, Active& active) {
+  const auto effect = active.writer.Tick(active.decider.wanted_status());
+  const std::string key = std::string(platform::kRolloutKeyPrefix) + service;
+  const BootTime sent_at = BootClock::now();
+  const std::uint64_t generation = active.generation;
+  if (std::holds_alternative<rollout::StatusWriter::Read>(effect)) {
+    parts_.store.ReadRows(
+        platform::kStatusTable, key,
+        [this, service, generation, key,
+         sent_at](const Result<platform::RowList>& rows) {
+          if (rows) {
+            parts_.clock.ObserveAnswer(rows.value().store_time_ms, sent_at,
+                                       BootClock::now());
+          }
+          Active* found = Find(service, generation);
+          if (found == nullptr) return;
+          if (!rows) {
+            found->writer.OnRead(rows.error());
+            return;
+          }
+          std::optional<rollout::StatusRow> status;
+          for (const platform::Row& row : rows.value().rows) {
+            if (row.key != key || row.is_deleted) continue;
+            status = platform::DecodeStatus(row.value, row.version);
+          }
+          found->writer.OnRead(status);
+        });
+  } else if (const auto* write =
+                 std::get_if<rollout::StatusWriter::Write>(&effect)) {
+    const std::string value = platform::EncodeStatus(write->row);
+    parts_.store.Write(
+        {.table = platform::kStatusTable,
+         .key = key,
+         .expected_version = write->expected_version,
+         .value = &value},
+        [this, service, generation, value,
+         sent_at](const Result<platform::WriteReceipt>& receipt) {
+          if (receipt) {
+            parts_.clock.ObserveAnswer(receipt.value().store_time_ms, sent_at,
+                                       BootClock::now());
+          }
+          logging::Log(
+              Level::kInfo, "rollout", "status written",
+              {{"service", service},
+               {"value", value},
+               {"result", receipt ? "done" : receipt.error().message()}});
+          Active* found = Find(service, generation);
+          if (found == nullptr) return;
+          if (receipt) {
+            found->writer.OnWritten(receipt.value().version);
+          } else {
+            found->writer.OnWritten(receipt.error());
+          }
+        });
+  }
+}
+
+}  // namespace oleandertide::sidecar
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -15,6 +15,7 @@
 #include "platform/announcement_codec.h"
 #include "platform/names.h"
 #include "rollout/order_book.h"
+#include "rollout/outcome_collector.h"
 #include "rollout/version_gate.h"
 #include "routing/quarantine.h"
 #include "sidecar/configuration_source.h"
@@ -26,6 +27,7 @@
 #include "sidecar/member_directory.h"
 #include "sidecar/node_metrics.h"
 #include "sidecar/receiver.h"
+#include "sidecar/rollouts.h"
 #include "sidecar/store_client.h"
 #include "sidecar/timer.h"
 
@@ -118,7 +120,8 @@
              .metrics = metrics_,
              .random = random_,
              .store_clock = store_clock_,
-             .orders = settings.deployment.has_rollouts ? &orders_ : nullptr},
+             .orders = settings.deployment.has_rollouts ? &orders_ : nullptr,
+             .outcomes = &outcomes_},
             {.node = identity_.name,
              .data_centre = identity_.data_centre,
              .service = settings.node.service,
@@ -150,6 +153,15 @@
                        .random = random_,
                        .clock = store_clock_},
                       identity_, fmt::format("{:016x}", random_.Next())),
+        rollouts_({.loop = loop,
+                   .store = store_,
+                   .coordination = coordination_,
+                   .receiver = receiver_,
+                   .orders = orders_,
+                   .outcomes = outcomes_,
+                   .clock = store_clock_,
+                   .metrics = metrics_},
+                  settings.deployment, [this] { OnOrdersChanged(); }),
         stop_timer_(loop) {}
 
   Result<void> Start() {
@@ -221,6 +233,7 @@
     metrics_server_ = std::move(metrics_server);
     source_.Start();
     members_.Start();
+    if (settings_.deployment.has_rollouts) rollouts_.Start();
     if (is_coordination_needed()) coordination_.Start(*link_server_);
     return Success();
   }
@@ -524,6 +537,7 @@
   mesh::ConfigurationHolder holder_;
   rollout::OrderBook orders_;
   rollout::VersionGate version_gate_;
+  rollout::OutcomeCollector outcomes_;
   // What was last told to other nodes of the orders and of the backend server.
   std::vector<rollout::OrderState> told_orders_;
   bool told_accepts_ = false;
@@ -535,6 +549,7 @@
   ConfigurationSource source_;
   MemberDirectory members_;
   Coordination coordination_;
+  Rollouts rollouts_;
   std::unique_ptr<LinkServer> link_server_;
   std::unique_ptr<HttpServer> clients_;
   std::unique_ptr<HttpServer> readiness_;
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -70,6 +70,14 @@
   WakeWaiters();
 }
 
+std::string FakeStore::Find(const std::string& table,
+                            const std::string& key) const {
+  const auto rows = tables_.find(table);
+  if (rows == tables_.end()) return {};
+  const auto row = rows->second.find(key);
+  return row == rows->second.end() ? std::string() : row->second.value;
+}
+
 void FakeStore::Remove(const std::string& table, const std::string& key) {
   tables_[table][key] = {
       .value = {}, .version = ++version_, .is_deleted = true};
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -30,6 +30,9 @@
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
 
+  // Value of a row; empty if there is none.
+  std::string Find(const std::string& table, const std::string& key) const;
+
   // Removes a row as the operator does.
   void Remove(const std::string& table, const std::string& key);
 
--- a/tests/sidecar/rollout_test.cc
+++ b/tests/sidecar/rollout_test.cc
@@ -4,7 +4,14 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "sidecar/mesh_fixture.h"
 
@@ -57,7 +64,7 @@
     });
   }
 
-  MeshFixture mesh;
+  mutable MeshFixture mesh;
 
  private:
   const bool has_rollouts_;
@@ -161,5 +168,140 @@
   fixture.AwaitMetric(old_instance, "malformed_orders_total");
 }
 
+// A service of two old and two new backend servers, with an order.
+class TrialFixture : public RolloutFixture {
+ public:
+  // `answers_bad` tells whether a request to a new backend server fails.
+  explicit TrialFixture(std::function<bool()> answers_bad) {
+    const auto add = [&](int& runs, std::string_view version,
+                         std::function<bool()> is_bad) {
+      Instance& instance = mesh.AddInstance(
+          "booking",
+          [&runs, is_bad = std::move(is_bad)](const RawRequest& request) {
+            ++runs;
+            constexpr int kFailure = 500;
+            constexpr int kSuccess = 200;
+            const bool is_long = request.target() == "/once/long";
+            return RawReply{
+                .bytes = StampedAnswer(request.target(),
+                                       is_bad() ? kFailure : kSuccess),
+                .delay = milliseconds(is_long ? 900 : 10)};
+          });
+      instance.settings.deployment.has_rollouts = true;
+      mesh.KillNode(instance);
+      mesh.StartNode(instance);
+      REQUIRE(Announce(instance, version) == 200);
+      instances.push_back(&instance);
+    };
+    for (int i = 0; i < 2; ++i) add(old_runs, "v1", [] { return false; });
+    mesh.AwaitService(*instances[0], "/idem/0");
+    mesh.store().Put("op", "rollout/booking",
+                     R"({"service":"booking","to":"v2","duration_s":16})");
+    for (int i = 0; i < 2; ++i) add(new_runs, "v2", answers_bad);
+  }
+
+  std::string status() const {
+    return mesh.store().Find("status", "rollout/booking");
+  }
+
+  bool has_status(std::string_view state) const {
+    return status().find(state) != std::string::npos;
+  }
+
+  // Keeps four requests in progress until the condition holds.
+  void RunTraffic(const std::function<bool()>& condition,
+                  Duration limit = std::chrono::seconds(20)) {
+    std::vector<std::shared_ptr<std::optional<ClientAnswer>>> requests;
+    std::size_t next = 0;
+    mesh.RunUntil(
+        [&] {
+          std::erase_if(requests, [&](const auto& answer) {
+            if (!answer->has_value()) return false;
+            ++answered[(*answer)->status];
+            return true;
+          });
+          while (requests.size() < 4) {
+            requests.push_back(mesh.Begin(*instances[next++ % ingress_count],
+                                          "GET", "/idem/1"));
+          }
+          return condition();
+        },
+        limit);
+    mesh.RunFor(milliseconds(100));
+  }
+
+  std::vector<Instance*> instances;
+  // The ingresses that get requests: the first ones.
+  std::size_t ingress_count = 2;
+  std::map<int, int> answered;
+  int old_runs = 0;
+  int new_runs = 0;
+};
+
+// Guards against an order that is never completed, and against requests of the
+// old version that are cut off at the end.
+TEST_CASE("a good version is completed after the old one has finished") {
+  TrialFixture fixture([] { return false; });
+  MeshFixture& mesh = fixture.mesh;
+  std::shared_ptr<std::optional<ClientAnswer>> running;
+  int exposed = 0;
+  fixture.RunTraffic([&] {
+    if (fixture.has_status("completed")) return true;
+    // Requests that run at the old version at any moment, also at the last.
+    if (!running || running->has_value()) {
+      if (running) REQUIRE((*running)->status == 200);
+      running =
+          mesh.Begin(*fixture.instances[0], "POST", "/once/long", "x", 3000);
+    }
+    if (fixture.has_status("running")) exposed = fixture.new_runs;
+    return false;
+  });
+  REQUIRE(exposed > 0);
+  const int old_runs = fixture.old_runs;
+  mesh.RunUntil([&] { return running->has_value(); });
+  REQUIRE((*running)->status == 200);
+  REQUIRE(fixture.SendMany(*fixture.instances[1], 30) == 30);
+  REQUIRE(fixture.old_runs == old_runs);
+}
+
+// Guards against a bad version that stays in service, or gets more than its
+// share before it is rolled back.
+TEST_CASE("a version that fails is rolled back") {
+  int count = 0;
+  TrialFixture fixture([&] { return ++count % 2 == 0; });
+  fixture.RunTraffic([&] { return fixture.has_status("rolled_back"); });
+  REQUIRE(fixture.new_runs > 0);
+  REQUIRE(fixture.new_runs <= 50 + (fixture.old_runs + fixture.new_runs) / 10);
+  const int new_runs = fixture.new_runs;
+  REQUIRE(fixture.SendMany(*fixture.instances[2], 30) == 30);
+  REQUIRE(fixture.new_runs == new_runs);
+}
+
+// Guards against an order that nobody carries on: the process of the
+// coordinator ends at different moments of the roll-out and starts again.
+TEST_CASE("a roll-out survives the death of its decider") {
+  const milliseconds delay(GENERATE(100, 2500, 4900));
+  TrialFixture fixture([] { return false; });
+  MeshFixture& mesh = fixture.mesh;
+  fixture.RunTraffic([&] { return fixture.has_status("running"); });
+  const MonotonicTime moment = MonotonicClock::now() + delay;
+  fixture.RunTraffic([&] { return MonotonicClock::now() >= moment; });
+  REQUIRE(fixture.has_status("running"));
+  const std::string lease =
+      mesh.store().Find("oleandertide-coordination", "coordinator");
+  for (Instance* instance : fixture.instances) {
+    if (lease.find('"' + instance->settings.node.name + '"') ==
+        std::string::npos) {
+      continue;
+    }
+    mesh.KillNode(*instance);
+    mesh.StartNode(*instance);
+    const bool is_new =
+        instance == fixture.instances[2] || instance == fixture.instances[3];
+    REQUIRE(fixture.Announce(*instance, is_new ? "v2" : "v1") == 200);
+  }
+  fixture.RunTraffic([&] { return fixture.has_status("completed"); });
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
