rollout: Judge by most servers and keep the trial's load even

A good version could be rolled back: two of many backend servers at fault, or the slow first seconds of new ones, counted against it. The share that ingresses had not used came to the two backend servers on trial all at once. A decider that had just been elected could take the nodes that it knew for all.

A bad version must show at most of its backend servers; slowness counts only 2.5 s after the begin of the trial; at most two requests of an unused share are kept; a decider gathers reports for 2.5 s before it ends an order.

--- a/libraries/rollout/canary_analysis.cc
+++ b/libraries/rollout/canary_analysis.cc
@@ -24,6 +24,11 @@
 // With more bad outcomes of the old version, an excess cannot be told.
 constexpr double kMaxOldShare = 0.65;
 
+// Outcomes from which a server is judged, and evidence from which it shows a
+// fault: on a bad day some servers of a good version are at fault themselves.
+constexpr std::uint64_t kMinServerOutcomes = 8;
+constexpr double kMinServerSum = 2.3;
+
 std::uint32_t BadCount(const OutcomeCounts& counts, bool is_slow) {
   return std::min(is_slow ? counts.slow : counts.failed, counts.total);
 }
@@ -47,7 +52,7 @@
                       (route.old_total + kPriorOutcomes));
 }
 
-void CanaryAnalysis::EndWindow() {
+void CanaryAnalysis::EndWindow(bool is_warming) {
   for (auto& [route_name, route] : routes_) {
     const OutcomeCounts old_window = route.old_window;
     route.old_window = {};
@@ -65,7 +70,8 @@
       const double loss = std::log((1 - same) / (1 - worse));
       for (auto& [server_name, server] : route.servers) {
         const std::uint32_t bad = BadCount(server.window, kind == kSlow);
-        const double change = bad * gain - (server.window.total - bad) * loss;
+        double change = bad * gain - (server.window.total - bad) * loss;
+        if (is_warming && kind == kSlow) change = std::min(change, 0.0);
         double& bad_sum = server.bad_sum[kind];
         double& good_sum = server.good_sum[kind];
         bad_sum = std::max(0.0, bad_sum + change);
@@ -75,11 +81,23 @@
     }
     for (auto& [server_name, server] : route.servers) {
       route.new_total += server.window.total;
+      server.total += server.window.total;
       server.window = {};
     }
   }
 }
 
+bool CanaryAnalysis::IsShownByMost(const Route& route, Kind kind) {
+  std::size_t judged = 0;
+  std::size_t showing = 0;
+  for (const auto& [name, server] : route.servers) {
+    if (server.total < kMinServerOutcomes) continue;
+    ++judged;
+    if (server.bad_sum[kind] >= kMinServerSum) ++showing;
+  }
+  return showing >= 2 && 2 * showing > judged;
+}
+
 double CanaryAnalysis::SumWithoutGreatest(const Route& route, Kind kind) {
   double total = 0;
   double greatest = 0;
@@ -108,7 +126,8 @@
             kMinRouteShare * static_cast<double>(old_count_) &&
         (!is_last || route.new_total >= kMinOutcomes);
     for (const Kind kind : {kFailed, kSlow}) {
-      if (SumWithoutGreatest(route, kind) >= kBadThreshold) {
+      if (SumWithoutGreatest(route, kind) >= kBadThreshold &&
+          IsShownByMost(route, kind)) {
         return Verdict::kBad;
       }
       if (TotalGoodSum(route, kind) < kGoodThreshold) {
--- a/libraries/rollout/canary_analysis.h
+++ b/libraries/rollout/canary_analysis.h
@@ -30,7 +30,7 @@
 //
 // A fault of a single backend server is no fault of its version: sums are kept
 // for each server, and the greatest one does not count. A version is bad if the
-// others together reach kBadThreshold, so at least two servers must show it.
+// others together reach kBadThreshold, and most of the servers show it.
 // With the old share as the null hypothesis, a sum reaches the threshold in one
 // of N outcomes with a probability of at most N * exp(-kBadThreshold), which is
 // 0.001 for 1,000 outcomes of a trial.
@@ -64,8 +64,9 @@
            const OutcomeCounts& counts);
 
   // Ends the window, in which outcomes of both versions are compared: some
-  // hundred milliseconds.
-  void EndWindow();
+  // hundred milliseconds. While the new backend servers warm up, slowness is no
+  // evidence for a bad version.
+  void EndWindow(bool is_warming = false);
 
   // Returns what the outcomes show. If it is the last moment for a decision, a
   // route with less than kMinOutcomes outcomes of the new version is left out.
@@ -89,6 +90,7 @@
 
   struct Server {
     OutcomeCounts window;
+    std::uint64_t total = 0;
     // Evidence for a bad version, at least 0.
     std::array<double, kKindCount> bad_sum{};
     // Evidence against it since it was last 0.
@@ -106,6 +108,8 @@
   };
 
   static double OldShare(const Route& route, Kind kind);
+  // Whether most servers with some outcomes show that the version is bad.
+  static bool IsShownByMost(const Route& route, Kind kind);
   // Of the evidence for a bad version.
   static double SumWithoutGreatest(const Route& route, Kind kind);
   // Of the evidence against it.
--- a/libraries/rollout/decider.cc
+++ b/libraries/rollout/decider.cc
@@ -107,8 +107,8 @@
   if (analysis_.verdict() == Verdict::kBad) {
     return Enter(Step::kRollingBack, "worse than the old version", now_ms);
   }
-  // All nodes report several times within the time that a lost one is given.
-  const bool have_all_reported = now_ms >= entered_at_ms_ + kWindowMs;
+  const bool have_all_reported =
+      now_ms >= created_at_ms_ + options_.gathering_ms;
   if (have_all_reported && !nodes_.empty() && has_ended(now_ms)) {
     wanted_ = Status::kCompleted;
   }
@@ -124,10 +124,12 @@
 
 std::optional<Decider::Decision> Decider::Tick(std::optional<Status> status,
                                                std::uint64_t now_ms) {
+  if (created_at_ms_ == 0) created_at_ms_ = now_ms;
   if (entered_at_ms_ == 0) entered_at_ms_ = now_ms;
   if (window_end_ms_ == 0) window_end_ms_ = now_ms + kWindowMs;
   if (now_ms >= window_end_ms_) {
-    analysis_.EndWindow();
+    analysis_.EndWindow(state_.step == Step::kTrial &&
+                        now_ms < entered_at_ms_ + options_.warming_ms);
     window_end_ms_ = now_ms + kWindowMs;
   }
   if (!status) return std::nullopt;
--- a/libraries/rollout/decider.h
+++ b/libraries/rollout/decider.h
@@ -66,7 +66,13 @@
     // remains is for the runs of the old version.
     double last_decision_share = 0.7;
     // A node that has not reported for this long is lost.
-    std::uint64_t silence_ms = 2000;
+    std::uint64_t silence_ms = 3000;
+    // Time for which a decider waits for reports before it takes the nodes that
+    // it knows for all: after an election, nodes open links to the coordinator.
+    std::uint64_t gathering_ms = 2500;
+    // Time since the begin of the trial in which slowness does not count: new
+    // backend servers run at half their speed at first.
+    std::uint64_t warming_ms = 2500;
     // Time for nodes to learn that a version is rolled back before the store
     // is told.
     std::uint64_t rollback_notice_ms = 600;
@@ -124,6 +130,7 @@
   const Options options_;
   OrderState state_;
   const std::uint64_t known_at_ms_;
+  std::uint64_t created_at_ms_ = 0;
   std::uint64_t entered_at_ms_ = 0;
   std::uint64_t window_end_ms_ = 0;
   Status wanted_ = Status::kRunning;
--- a/libraries/rollout/exposure.cc
+++ b/libraries/rollout/exposure.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace oleandertide::rollout {
+namespace {
+
+// Requests for the new version that an ingress may make up for.
+constexpr double kMaxCredit = 2;
+
+}  // namespace
 
 Exposure::Counts& Exposure::Find(const OrderState& state) {
   Counts& counts = counts_[state.order.service];
@@ -12,6 +18,11 @@
   return counts;
 }
 
+double Exposure::ShareOf(const OrderState& state) const {
+  constexpr double kPermille = 1000;
+  return std::min(state.share_permille / kPermille, max_share_);
+}
+
 VersionRule Exposure::Choose(const OrderState* state, bool has_old) {
   if (state == nullptr) return VersionRule::kAny;
   Counts& counts = Find(*state);
@@ -21,11 +32,7 @@
       return counts.has_seen_old ? VersionRule::kOldOnly : VersionRule::kAny;
     case Step::kTrial: {
       if (!counts.has_seen_old) return VersionRule::kAny;
-      constexpr double kPermille = 1000;
-      const double share =
-          std::min(state->share_permille / kPermille, max_share_);
-      const bool is_within = static_cast<double>(counts.sent_to_new + 1) <=
-                             share * static_cast<double>(counts.sent + 1);
+      const bool is_within = counts.credit + ShareOf(*state) >= 1;
       return is_within ? VersionRule::kNewFirst : VersionRule::kOldOnly;
     }
     case Step::kReplacing:
@@ -41,8 +48,9 @@
 
 void Exposure::RecordSent(const OrderState& state, std::string_view version) {
   Counts& counts = Find(state);
-  ++counts.sent;
-  if (version == state.order.to) ++counts.sent_to_new;
+  if (state.step != Step::kTrial) return;
+  counts.credit = std::min(counts.credit + ShareOf(state), kMaxCredit);
+  if (version == state.order.to) counts.credit -= 1;
 }
 
 }  // namespace oleandertide::rollout
--- a/libraries/rollout/exposure.h
+++ b/libraries/rollout/exposure.h
@@ -27,7 +27,9 @@
 // Bounds what a version on trial gets. Each ingress gives it at most a share of
 // the requests that it sends itself to the service, repeats included, counted
 // from zero for each order; so the sum over all ingresses cannot exceed the
-// share, whatever they know of each other. Nothing is given on credit.
+// share, whatever they know of each other. Of the share that was not used, only
+// the part of a few requests is kept: backend servers on trial that had no room
+// for a while do not get all of it at once.
 //
 // Expected load: a fleet of unequal ingresses, of which any may be partitioned,
 // restarted or late in learning of an order.
@@ -51,13 +53,15 @@
  private:
   struct Counts {
     std::uint64_t order_version = 0;
-    std::uint64_t sent = 0;
-    std::uint64_t sent_to_new = 0;
+    // Requests that the new version may get; below one, none.
+    double credit = 0;
     bool has_seen_old = false;
   };
 
   Counts& Find(const OrderState& state);
 
+  double ShareOf(const OrderState& state) const;
+
   const double max_share_;
   std::map<std::string, Counts, std::less<>> counts_;
 };
--- a/tests/rollout/exposure_test.cc
+++ b/tests/rollout/exposure_test.cc
@@ -80,5 +80,23 @@
   REQUIRE(ingress.Choose(&state, false) == VersionRule::kOldOnly);
 }
 
+// Guards against a burst at the few backend servers on trial: the share of the
+// requests before the trial, or while there was no room, came all at once.
+TEST_CASE("a share that was not used is not made up for") {
+  Exposure ingress(0.1);
+  const OrderState ordered = MakeState(Step::kOrdered);
+  ingress.Choose(&ordered, true);
+  for (int i = 0; i < 1000; ++i) ingress.RecordSent(ordered, "v1");
+  const OrderState trial = MakeState(Step::kTrial, 100);
+  REQUIRE(ingress.Choose(&trial, true) == VersionRule::kOldOnly);
+  for (int i = 0; i < 1000; ++i) ingress.RecordSent(trial, "v1");
+  int burst = 0;
+  while (ingress.Choose(&trial, true) == VersionRule::kNewFirst) {
+    ingress.RecordSent(trial, "v2");
+    ++burst;
+  }
+  REQUIRE(burst <= 2);
+}
+
 }  // namespace
 }  // namespace oleandertide::rollout
