--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -37,6 +37,8 @@
     const auto row = rows->second.find(key);
     return row == rows->second.end() ? std::string() : row->second.value;
   }
+  // Value of a row; empty if there is none.
+  std::string Find(const std::string& table, const std::string& key) const;
 
   // Removes a row as the operator does.
   void Remove(const std::string& table, const std::string& key);
