mesh, sidecar: Learn the room and the pace of the backend server

Callers saw requests with an unknown outcome when a backend server reset connections because it was full below its announced slots, and late answers while a backend server was slow. BackendRoom learns from prompt refusals how many requests to hand over at once (on by default: without refusals nothing changes); Pace measures the slowness from running and recent requests (off by default).

--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -56,6 +56,10 @@
           "Connections to the local backend server lost during a run")),
       crashes(registry.RegisterCounter("backend_crashes_total",
                                        "Crashes of the local backend server")),
+      room_reductions(registry.RegisterCounter(
+          "backend_room_reductions_total",
+          "Times that the local backend server was found to be full below its "
+          "announced slots")),
       running(registry.RegisterGauge("running", "Requests that hold a slot")),
       waiting(
           registry.RegisterGauge("waiting", "Requests that wait for a slot")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -34,6 +34,7 @@
   metrics::LatencyAccumulator& run_latency;
   metrics::Counter& connections_lost;
   metrics::Counter& crashes;
+  metrics::Counter& room_reductions;
   metrics::Gauge& running;
   metrics::Gauge& waiting;
 
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -35,6 +35,9 @@
 
 constexpr Duration kRelaxInterval = std::chrono::milliseconds(250);
 
+// A backend server runs at half its speed while it is cold.
+constexpr double kColdSlowness = 2;
+
 constexpr int kStatusMisdirected = 421;
 constexpr int kStatusFirstServerError = 500;
 constexpr int kStatusGatewayTimeout = 504;
@@ -51,6 +54,8 @@
       max_answer_bytes_(options.max_answer_bytes),
       client_(loop, options.backend_server),
       backend_(options.standing),
+      learns_room_(options.learns_room),
+      measures_pace_(options.measures_pace),
       fence_timer_(loop),
       relax_timer_(loop),
       verify_timer_(loop),
@@ -72,10 +77,11 @@
 mesh::BackendLoad Receiver::load() const {
   mesh::BackendLoad load = queue_.load();
   load.accepts_requests = backend_.is_accepting() && !is_stopping_;
-  if (backend_.is_accepting() &&
-      backend_.cold_remaining(MonotonicClock::now()) > Duration::zero()) {
-    // A backend server runs at half its speed while it is cold.
-    constexpr double kColdSlowness = 2;
+  const MonotonicTime now = MonotonicClock::now();
+  if (measures_pace_) {
+    load.slowness = pace_.slowness(now);
+  } else if (backend_.is_accepting() &&
+             backend_.cold_remaining(now) > Duration::zero()) {
     load.slowness = std::max(load.slowness, kColdSlowness);
   }
   return load;
@@ -110,6 +116,7 @@
       .wait_allowance = call.wait_allowance,
       .remaining = call.remaining,
       .expected_run = call.expected_run};
+  UpdateRoom(call.is_repeatable);
   const auto verdict = queue_.Offer(now, id, request);
   if (verdict == mesh::AdmissionQueue::Verdict::kReject) {
     on_outcome(mesh::NotRun{mesh::Reason::kNoRoom});
@@ -138,6 +145,8 @@
   const MonotonicTime now = MonotonicClock::now();
   const Duration remaining = pending.deadline - now;
   pending.is_running = true;
+  pending.in_hand = queue_.running();
+  pace_.RecordStart(now, id, call.expected_run);
   pending.started = now;
   HttpExchange exchange;
   exchange.head = platform::EncodeBackendRequest(
@@ -183,6 +192,7 @@
   const int status = static_cast<int>(response.result_int());
   if (head.is_not_executed) {
     queue_.RecordResult(false);
+    if (status != kStatusMisdirected) RecordRefusal(pending);
     if (status == kStatusMisdirected) {
       backend_.RecordDown();
       OnStandingChanged("another backend server answers at its address");
@@ -198,6 +208,7 @@
   const bool is_failure =
       status >= kStatusFirstServerError && status != kStatusGatewayTimeout;
   queue_.RecordResult(!is_failure);
+  if (!is_failure) room_.RecordAnswer(pending.in_hand);
   quarantine_.RecordCompletion(now, pending.call.fingerprint);
   metrics_.run_latency.Record(run_time, now);
   Finish(id,
@@ -227,6 +238,7 @@
     case HttpFailure::kConnectionLost:
       metrics_.connections_lost.Add();
       queue_.RecordResult(false);
+      RecordRefusal(pending);
       OnConnectionLost(fingerprint);
       Finish(id, mesh::Unknown{mesh::Reason::kConnectionLost}, false);
       return;
@@ -245,6 +257,7 @@
   Pending& pending = node.mapped();
   const Duration run_time = MonotonicClock::now() - pending.started;
   queue_.Finish(run_time, pending.call.expected_run, is_sample);
+  pace_.RecordEnd(MonotonicClock::now(), id, is_sample);
   StartWaiting();
   if (pending.on_outcome) pending.on_outcome(std::move(outcome));
 }
@@ -255,6 +268,7 @@
     RejectWaiting(mesh::Reason::kBackendServerAway);
     return;
   }
+  UpdateRoom();
   mesh::AdmissionQueue::Dropped dropped;
   while (const auto id = queue_.StartNext(now, dropped)) Start(*id);
   RejectDropped(dropped);
@@ -293,8 +307,43 @@
   }
 }
 
+void Receiver::UpdateRoom(bool is_repeatable) {
+  if (!learns_room_) return;
+  const MonotonicTime now = MonotonicClock::now();
+  const int limit = room_.limit(now);
+  const int safe = room_.safe_limit(now);
+  // The two differ only for some seconds after a refusal.
+  const bool is_trial_possible =
+      limit > safe && is_repeatable &&
+      std::ranges::all_of(calls_, [](const auto& entry) {
+        return entry.second.is_running || entry.second.call.is_repeatable;
+      });
+  queue_.set_slots(is_trial_possible ? limit : safe);
+}
+
+void Receiver::RecordRefusal(const Pending& pending) {
+  if (!learns_room_) return;
+  const MonotonicTime now = MonotonicClock::now();
+  const int before = room_.limit(now);
+  room_.RecordRefusal(now, {.in_hand = pending.in_hand,
+                            .elapsed = now - pending.started,
+                            .run_time = queue_.load().mean_run_time});
+  const int after = room_.limit(now);
+  if (after >= before) return;
+  metrics_.room_reductions.Add();
+  logging::Log(Level::kInfo, "backend", "is full below its announced slots",
+               {{"announced", backend_.announcement().slots},
+                {"in_hand", pending.in_hand},
+                {"limit", after}});
+}
+
 void Receiver::UseAnnouncement() {
+  room_.set_announced(backend_.announcement().slots);
   queue_.set_slots(backend_.announcement().slots);
+  UpdateRoom();
+  const bool is_cold =
+      backend_.cold_remaining(MonotonicClock::now()) > Duration::zero();
+  pace_.set_assumed_slowness(is_cold ? kColdSlowness : 1);
   // The service may be another one.
   RejectUnservable();
 }
@@ -369,6 +418,8 @@
 
 void Receiver::OnReplaced(std::string_view cause) {
   queue_.ResetStatistics();
+  room_.Reset();
+  pace_.Reset();
   client_.CloseIdle();
   OnStandingChanged(cause);
 }
@@ -408,6 +459,8 @@
   expiry_timer_.Start(kExpiryInterval, [this] {
     is_expiry_scheduled_ = false;
     RejectDropped(queue_.DropLateRequests(MonotonicClock::now()));
+    // The room may have grown without a run that ended.
+    if (learns_room_) StartWaiting();
     ScheduleExpiry();
   });
 }
@@ -415,6 +468,11 @@
 void Receiver::ScheduleRelaxation() {
   relax_timer_.Start(kRelaxInterval, [this] {
     queue_.DecayStatistics(kRelaxInterval);
+    pace_.Relax(kRelaxInterval);
+    UpdateRoom();
+    const bool is_cold =
+        backend_.cold_remaining(MonotonicClock::now()) > Duration::zero();
+    pace_.set_assumed_slowness(is_cold ? kColdSlowness : 1);
     metrics_.running.set_value(queue_.running());
     metrics_.waiting.set_value(queue_.waiting());
     ScheduleRelaxation();
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -14,7 +14,9 @@
 
 #include "core/time.h"
 #include "mesh/admission_queue.h"
+#include "mesh/backend_room.h"
 #include "mesh/local_backend.h"
+#include "mesh/pace.h"
 #include "mesh/stop_policy.h"
 #include "routing/quarantine.h"
 #include "sidecar/backend_client.h"
@@ -34,6 +36,11 @@
     Tcp::endpoint backend_server;
     mesh::LocalBackend::Options standing;
     std::string backend_address;
+    // Whether refusals of the backend server lower the number of requests that
+    // it is sent at once.
+    bool learns_room = false;
+    // Whether its slowness is measured by mesh::Pace.
+    bool measures_pace = false;
     // A larger answer is unusable.
     std::size_t max_answer_bytes = 0;
   };
@@ -89,6 +96,8 @@
     MonotonicTime deadline;
     MonotonicTime started{};
     bool is_running = false;
+    // Requests at the backend server when this one was handed over, with it.
+    int in_hand = 0;
     BackendClient::ExchangeId exchange = 0;
   };
 
@@ -104,6 +113,12 @@
   void RejectWaiting(mesh::Reason reason);
   // Rejects the waiting calls that could not be handed over now.
   void RejectUnservable();
+  // Sets the slots that the queue may fill now. More than are known to be safe
+  // are used only if all waiting calls, and the one that arrives, are
+  // repeatable.
+  void UpdateRoom(bool is_repeatable = true);
+  // Records that the backend server refused a call or reset its connection.
+  void RecordRefusal(const Pending& pending);
   // Takes over slots and service from the last announcement.
   void UseAnnouncement();
   void OnAnswer(CallId id, HttpResponse response);
@@ -125,6 +140,10 @@
   BackendClient client_;
   mesh::LocalBackend backend_;
   mesh::AdmissionQueue queue_;
+  const bool learns_room_;
+  mesh::BackendRoom room_;
+  const bool measures_pace_;
+  mesh::Pace pace_;
   std::string health_path_ = "/health";
   std::function<void()> on_standing_changed_;
   CallId next_id_ = 1;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -115,6 +115,18 @@
        Assign<&Settings::placement,
               &Settings::Placement::crossing_cost_percent>::To},
 
+      {{"pace", "learn-room", BooleanRule{},
+        "whether refusals and resets of a full backend server lower the number "
+        "of requests that it is sent at once",
+        "true"},
+       Assign<&Settings::pace, &Settings::Pace::learns_room>::To},
+      {{"pace", "measure-speed", BooleanRule{},
+        "whether the slowness of the backend server is measured from running "
+        "and recent requests; otherwise from completions, and as 2 while it is "
+        "cold",
+        "false"},
+       Assign<&Settings::pace, &Settings::Pace::measures_speed>::To},
+
       {{"log", "level", ChoiceRule{{"debug", "info", "warning", "error"}},
         "least severe events that are logged", "info"},
        Assign<&Settings::log, &Settings::Log::level>::To},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -62,6 +62,10 @@
     // in time.
     double crossing_cost_percent = 0;
   };
+  struct Pace {
+    bool learns_room = false;
+    bool measures_speed = false;
+  };
   struct Log {
     std::string level;
   };
@@ -75,6 +79,7 @@
   Drain drain;
   Retries retries;
   Placement placement;
+  Pace pace;
   Log log;
 
   // Reads settings in INI; all errors are reported together. Thread-safe.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -101,6 +101,8 @@
                                     !settings.node.is_first_start,
                                 .drain_fence = settings.drain.fence},
                    .backend_address = settings.backend.address.ToString(),
+                   .learns_room = settings.pace.learns_room,
+                   .measures_pace = settings.pace.measures_speed,
                    .max_answer_bytes =
                        static_cast<std::size_t>(settings.backend.max_answer_kb)
                        << 10U},
