--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 #include <numeric>
+#include <utility>
 
 #include "mesh/link_backlog.h"
 
@@ -130,7 +132,7 @@
       kFailureLoss * std::max(0.0, load.failure_share - kMaxSoundFailureShare);
   if (!candidate.location.is_in_own_data_centre) {
     before_run += kCrossDataCentreRoundTripUs;
-    cost += crossing_cost_per_byte_ *
+    cost += options_.crossing_cost_per_byte *
             (request.request_bytes + request.expected_bytes + kOverheadBytes);
   }
   const double target = std::max(ToMicroseconds(request.target_latency), 1.0);
@@ -160,12 +162,12 @@
 Placement::Decision Placement::ChooseAmong(
     const Request& request, std::span<const std::string> excluded,
     RandomSource& random, bool includes_stale) {
-  Candidate* best = nullptr;
-  const std::string* best_node = nullptr;
-  double lowest_cost = 0;
+  std::vector<CandidateMap::iterator> own;
+  std::vector<CandidateMap::iterator> other;
   Duration shortest_wait = Duration::max();
   bool is_any_accepting = false;
-  for (auto& [node, candidate] : candidates_) {
+  for (auto entry = candidates_.begin(); entry != candidates_.end(); ++entry) {
+    const auto& [node, candidate] = *entry;
     if (candidate.service != request.service) continue;
     if (!candidate.load.accepts_requests) continue;
     if (std::ranges::find(excluded, node) != excluded.end()) continue;
@@ -174,24 +176,48 @@
     const Duration wait = EstimateWait(candidate, request.priority);
     shortest_wait = std::min(shortest_wait, wait);
     if (wait > request.wait_allowance) continue;
+    (candidate.location.is_in_own_data_centre ? own : other).push_back(entry);
+  }
+  if (own.empty() && other.empty()) {
+    if (!is_any_accepting) return NoBackendServer{};
+    return NoRoom{shortest_wait - request.wait_allowance};
+  }
+  Sample(own, random);
+  Sample(other, random);
+  own.insert(own.end(), other.begin(), other.end());
+  auto best = own.front();
+  double lowest_cost = std::numeric_limits<double>::infinity();
+  for (const auto& entry : own) {
+    const Candidate& candidate = entry->second;
+    const Duration wait = EstimateWait(candidate, request.priority);
     const Duration jitter(static_cast<std::int64_t>(
         random.Unit() * kJitterShare *
         std::max(ToMicroseconds(candidate.load.mean_run_time),
                  kMinJitterRunTimeUs)));
     const double cost = Cost(candidate, request, wait + jitter);
-    if (best != nullptr && cost >= lowest_cost) continue;
-    best = &candidate;
-    best_node = &node;
+    if (cost >= lowest_cost) continue;
+    best = entry;
     lowest_cost = cost;
   }
-  if (best != nullptr) {
-    const Duration wait = EstimateWait(*best, request.priority);
-    ++best->unreported[ToPriorityClass(request.priority)];
-    best->unreported_bytes += request.expected_bytes;
-    return Choice{*best_node, wait};
+  Candidate& chosen = best->second;
+  const Duration wait = EstimateWait(chosen, request.priority);
+  ++chosen.unreported[ToPriorityClass(request.priority)];
+  chosen.unreported_bytes += request.expected_bytes;
+  return Choice{best->first, wait};
+}
+
+void Placement::Sample(std::vector<CandidateMap::iterator>& candidates,
+                       RandomSource& random) const {
+  const auto size = static_cast<std::size_t>(options_.sample);
+  if (size == 0 || candidates.size() <= size ||
+      candidates_.size() < static_cast<std::size_t>(options_.sample_from)) {
+    return;
+  }
+  for (std::size_t i = 0; i < size; ++i) {
+    std::swap(candidates[i],
+              candidates[i + random.Below(candidates.size() - i)]);
   }
-  if (!is_any_accepting) return NoBackendServer{};
-  return NoRoom{shortest_wait - request.wait_allowance};
+  candidates.resize(size);
 }
 
 bool Placement::has_backend_server(std::string_view service) const {
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "core/random.h"
 #include "core/time.h"
@@ -24,7 +25,9 @@
 // Requests thus stay in their own data centre while their answers are likely to
 // be in time. All ingresses use reports that are some milliseconds old, so each
 // time gets random jitter: otherwise all ingresses would send to the one
-// backend server that has just become free.
+// backend server that has just become free. With many ingresses the jitter is
+// not enough: they compare a few random candidates (power of two choices), own
+// data centre and others separately, so that few requests cross.
 //
 // Nodes report three times a second. A node that has missed a report may be
 // disconnected or paused; it gets requests only if no other node accepts them.
@@ -73,10 +76,23 @@
     double link_mbps = 0;
   };
 
-  // `crossing_cost_per_byte` is the cost of a byte sent between data centres,
-  // as a share of the value of an answer in time.
+  struct Options {
+    // Cost of a byte sent between data centres, as a share of the value of an
+    // answer in time.
+    double crossing_cost_per_byte = 0;
+    // Number of random candidates with room that are compared in the own data
+    // centre, and as many in the others; 0 compares all.
+    int sample = 0;
+    // Number of reporting nodes from which the sample is used. With few
+    // ingresses, comparing all is as good or better.
+    int sample_from = 0;
+  };
+
+  explicit Placement(const Options& options) : options_(options) {}
+
+  // Compares all candidates.
   explicit Placement(double crossing_cost_per_byte)
-      : crossing_cost_per_byte_(crossing_cost_per_byte) {}
+      : Placement(Options{.crossing_cost_per_byte = crossing_cost_per_byte}) {}
 
   // Applies a report on the backend server on the instance of `node`.
   void Update(std::string_view node, std::string_view service,
@@ -112,6 +128,11 @@
     void SetReport(const BackendLoad& reported, MonotonicTime now);
   };
 
+  using CandidateMap = std::map<std::string, Candidate, std::less<>>;
+
+  // Keeps only the random sample of the options.
+  void Sample(std::vector<CandidateMap::iterator>& candidates,
+              RandomSource& random) const;
   // Chooses among all candidates, or only among those with a recent report.
   Decision ChooseAmong(const Request& request,
                        std::span<const std::string> excluded,
@@ -122,8 +143,8 @@
   double Cost(const Candidate& candidate, const Request& request,
               Duration wait) const;
 
-  const double crossing_cost_per_byte_;
-  std::map<std::string, Candidate, std::less<>> candidates_;
+  const Options options_;
+  CandidateMap candidates_;
 };
 
 }  // namespace oleandertide::mesh
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -86,7 +86,7 @@
       node_(options.node),
       data_centre_(options.data_centre),
       service_(options.service),
-      placement_(options.crossing_cost_per_byte),
+      placement_(options.placement),
       retries_(options.retries),
       key_trust_(options.key_trust) {}
 
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -45,8 +45,7 @@
     // Service of the instance.
     std::string service;
     mesh::RetryAllowance::Options retries;
-    // See mesh::Placement.
-    double crossing_cost_per_byte = 0;
+    mesh::Placement::Options placement;
     // See organisations::KeyTrust; without it, keys are honoured as the
     // configuration in force says.
     std::optional<organisations::KeyTrust> key_trust{};
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -114,6 +114,14 @@
         "1.6"},
        Assign<&Settings::placement,
               &Settings::Placement::crossing_cost_percent>::To},
+      {{"placement", "sample", IntegerRule{0, 1000},
+        "random backend servers with room that are compared in the own data "
+        "centre, and as many in the others; 0 compares all",
+        "2"},
+       Assign<&Settings::placement, &Settings::Placement::sample>::To},
+      {{"placement", "sample-from", IntegerRule{0, 100'000},
+        "reporting nodes from which only a sample is compared", "60"},
+       Assign<&Settings::placement, &Settings::Placement::sample_from>::To},
 
       {{"pace", "learn-room", BooleanRule{},
         "whether refusals and resets of a full backend server lower the number "
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -61,6 +61,9 @@
     // Cost of 1 kB between data centres, in percent of the value of an answer
     // in time.
     double crossing_cost_percent = 0;
+    // See mesh::Placement::Options.
+    std::int64_t sample = 0;
+    std::int64_t sample_from = 0;
   };
   struct Pace {
     bool learns_room = false;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -125,8 +125,13 @@
                          .run_ratio = settings.retries.run_ratio_percent / 100,
                          .max_saved_retries =
                              static_cast<double>(settings.retries.saved)},
-             .crossing_cost_per_byte =
-                 settings.placement.crossing_cost_percent / 100 / kBytesPerKb,
+             .placement = {.crossing_cost_per_byte =
+                               settings.placement.crossing_cost_percent / 100 /
+                               kBytesPerKb,
+                           .sample =
+                               static_cast<int>(settings.placement.sample),
+                           .sample_from = static_cast<int>(
+                               settings.placement.sample_from)},
              .key_trust = MakeKeyTrust(settings.deployment)}),
         store_(loop, std::move(store), settings.store.address.ToString(),
                metrics_),
