--- a/tests/mesh/pace_test.cc
+++ b/tests/mesh/pace_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 #include "fleet_replay.h"
@@ -75,8 +76,8 @@
 
 TEST_CASE("pace replay: run times double for 3 s after a start", "[mesh]") {
   auto pattern = MakePattern(12, 0.75);
-  for (int i = 0; i < 3; ++i) {
-    auto& server = pattern.backend_servers[static_cast<std::size_t>(4 * i)];
+  for (std::size_t i = 0; i < 3; ++i) {
+    auto& server = pattern.backend_servers[4 * i];
     server.is_up = [](Duration since) {
       return since < seconds(3) || since >= seconds(4);
     };
@@ -93,11 +94,10 @@
 
 TEST_CASE("pace replay: a factor of 5 for 3 s and back", "[mesh]") {
   auto pattern = MakePattern(12, 0.65);
-  for (int i = 0; i < 3; ++i) {
-    Multiply(pattern.backend_servers[static_cast<std::size_t>(4 * i)],
-             [](Duration since) {
-               return since >= seconds(3) && since < seconds(6) ? 5.0 : 1.0;
-             });
+  for (std::size_t i = 0; i < 3; ++i) {
+    Multiply(pattern.backend_servers[4 * i], [](Duration since) {
+      return since >= seconds(3) && since < seconds(6) ? 5.0 : 1.0;
+    });
   }
   const auto totals = Compare(pattern, seconds(3), seconds(9));
   CHECK(totals.after <= totals.before * 1.05);
@@ -105,11 +105,10 @@
 
 TEST_CASE("pace replay: a factor of 12 for 5 s and back", "[mesh]") {
   auto pattern = MakePattern(12, 0.65);
-  for (int i = 0; i < 3; ++i) {
-    Multiply(pattern.backend_servers[static_cast<std::size_t>(4 * i)],
-             [](Duration since) {
-               return since >= seconds(3) && since < seconds(8) ? 12.0 : 1.0;
-             });
+  for (std::size_t i = 0; i < 3; ++i) {
+    Multiply(pattern.backend_servers[4 * i], [](Duration since) {
+      return since >= seconds(3) && since < seconds(8) ? 12.0 : 1.0;
+    });
   }
   const auto totals = Compare(pattern, seconds(3), seconds(10));
   CHECK(totals.after < totals.before * 0.93);
@@ -117,14 +116,13 @@
 
 TEST_CASE("pace replay: a flapping backend server", "[mesh]") {
   auto pattern = MakePattern(12, 0.65);
-  for (int i = 0; i < 3; ++i) {
-    Multiply(pattern.backend_servers[static_cast<std::size_t>(4 * i)],
-             [i](Duration since) {
-               return (since + milliseconds(200 * i)) % seconds(1) <
-                              milliseconds(500)
-                          ? 6.0
-                          : 1.0;
-             });
+  for (std::size_t i = 0; i < 3; ++i) {
+    Multiply(pattern.backend_servers[4 * i], [i](Duration since) {
+      return (since + static_cast<int>(i) * milliseconds(200)) % seconds(1) <
+                     milliseconds(500)
+                 ? 6.0
+                 : 1.0;
+    });
   }
   const auto totals = Compare(pattern, seconds(2), seconds(9));
   CHECK(totals.after <= totals.before * 1.05);
--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -113,6 +113,45 @@
   REQUIRE(next.body == "body of /once/next");
 }
 
+// Guards against orders of unknown outcome: a backend server announces two
+// slots, but runs one request and resets the connection of another. Once it has
+// reset two, a request that must not run twice is not sent beside another one.
+TEST_CASE("a backend server that resets when full gets no order beside a run") {
+  int running = 0;
+  int reset_orders = 0;
+  int resets = 0;
+  MonotonicTime busy_until{};
+  constexpr Duration kRun = milliseconds(200);
+  OneNode mesh([&](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body")};
+    const MonotonicTime now = MonotonicClock::now();
+    if (now < busy_until) {
+      ++resets;
+      if (request.target().starts_with("/once/")) ++reset_orders;
+      return RawReply{.resets = true};
+    }
+    if (request.target().find("slow") != std::string::npos) {
+      ++running;
+      busy_until = now + kRun;
+      reply.delay = kRun;
+    }
+    return reply;
+  });
+  const auto send_beside_run = [&](const std::string& method,
+                                   const std::string& target) {
+    const int before = running;
+    const auto slow = mesh.Begin(mesh.instance, "GET", "/idem/slow");
+    mesh.RunUntil([&] { return running > before; });
+    const auto beside = mesh.Begin(mesh.instance, method, target);
+    mesh.RunUntil([&] { return slow->has_value() && beside->has_value(); });
+    mesh.RunFor(milliseconds(30));
+  };
+  for (int i = 0; i < 2; ++i) send_beside_run("GET", "/idem/beside");
+  REQUIRE(resets >= 2);
+  for (int i = 0; i < 5; ++i) send_beside_run("POST", "/once/beside");
+  REQUIRE(reset_orders == 0);
+}
+
 // Guards against a head that is cut and passed on as a whole answer with an
 // empty or short body: a backend server stops within its answer and closes.
 TEST_CASE("an answer that is cut at any byte is no success") {
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -109,6 +109,7 @@
   instance.settings.retries = {
       .ratio_percent = 10, .run_ratio_percent = 10, .saved = 3};
   instance.settings.placement = {.crossing_cost_percent = 1.6};
+  instance.settings.pace = {.learns_room = true};
   StartNode(instance);
   return instance;
 }
