--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -38,6 +38,7 @@
   metrics::LatencyAccumulator& run_latency;
   metrics::Counter& connections_lost;
   metrics::Counter& crashes;
+  metrics::Counter& room_reductions;
   metrics::Gauge& running;
   metrics::Gauge& waiting;
 
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -14,9 +14,11 @@
 
 #include "core/time.h"
 #include "mesh/admission_queue.h"
+#include "mesh/backend_room.h"
 #include "mesh/configuration.h"
 #include "mesh/local_backend.h"
 #include "mesh/organisation_policy.h"
+#include "mesh/pace.h"
 #include "mesh/stop_policy.h"
 #include "routing/quarantine.h"
 #include "sidecar/backend_client.h"
@@ -36,6 +38,11 @@
     Tcp::endpoint backend_server;
     mesh::LocalBackend::Options standing;
     std::string backend_address;
+    // Whether refusals of the backend server lower the number of requests that
+    // it is sent at once.
+    bool learns_room = false;
+    // Whether its slowness is measured by mesh::Pace.
+    bool measures_pace = false;
     // A larger answer is unusable.
     std::size_t max_answer_bytes = 0;
   };
@@ -106,6 +113,8 @@
     MonotonicTime deadline;
     MonotonicTime started{};
     bool is_running = false;
+    // Requests at the backend server when this one was handed over, with it.
+    int in_hand = 0;
     BackendClient::ExchangeId exchange = 0;
   };
 
@@ -126,6 +135,12 @@
   void RejectWaiting(mesh::Reason reason);
   // Rejects the waiting calls that could not be handed over now.
   void RejectUnservable();
+  // Sets the slots that the queue may fill now. More than are known to be safe
+  // are used only if all waiting calls, and the one that arrives, are
+  // repeatable.
+  void UpdateRoom(bool is_repeatable = true);
+  // Records that the backend server refused a call or reset its connection.
+  void RecordRefusal(const Pending& pending);
   // Takes over slots and service from the last announcement.
   void UseAnnouncement();
   void OnAnswer(CallId id, HttpResponse response);
@@ -150,6 +165,10 @@
   // Null until the node has a configuration.
   std::shared_ptr<const mesh::Configuration> configuration_;
   mesh::OrganisationPolicy organisation_policy_;
+  const bool learns_room_;
+  mesh::BackendRoom room_;
+  const bool measures_pace_;
+  mesh::Pace pace_;
   std::string health_path_ = "/health";
   std::function<void()> on_standing_changed_;
   std::function<bool(const mesh::Announcement&)> may_accept_;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -109,6 +109,26 @@
         "1.6"},
        Assign<&Settings::placement,
               &Settings::Placement::crossing_cost_percent>::To},
+      {{"placement", "sample", IntegerRule{0, 1000},
+        "random backend servers with room that are compared in the own data "
+        "centre, and as many in the others; 0 compares all",
+        "2"},
+       Assign<&Settings::placement, &Settings::Placement::sample>::To},
+      {{"placement", "sample-from", IntegerRule{0, 100'000},
+        "reporting nodes from which only a sample is compared", "60"},
+       Assign<&Settings::placement, &Settings::Placement::sample_from>::To},
+
+      {{"pace", "learn-room", BooleanRule{},
+        "whether refusals and resets of a full backend server lower the number "
+        "of requests that it is sent at once",
+        "true"},
+       Assign<&Settings::pace, &Settings::Pace::learns_room>::To},
+      {{"pace", "measure-speed", BooleanRule{},
+        "whether the slowness of the backend server is measured from running "
+        "and recent requests; otherwise from completions, and as 2 while it is "
+        "cold",
+        "false"},
+       Assign<&Settings::pace, &Settings::Pace::measures_speed>::To},
 
       {{"log", "level", ChoiceRule{{"debug", "info", "warning", "error"}},
         "least severe events that are logged", "info"},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -57,6 +57,13 @@
     // Cost of 1 kB between data centres, in percent of the value of an answer
     // in time.
     double crossing_cost_percent = 0;
+    // See mesh::Placement::Options.
+    std::int64_t sample = 0;
+    std::int64_t sample_from = 0;
+  };
+  struct Pace {
+    bool learns_room = false;
+    bool measures_speed = false;
   };
   struct Log {
     std::string level;
@@ -71,6 +78,7 @@
   Drain drain;
   Retries retries;
   Placement placement;
+  Pace pace;
   Log log;
 
   // Reads settings in INI; all errors are reported together. Thread-safe.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -106,6 +106,8 @@
                                     !settings.node.is_first_start,
                                 .drain_fence = settings.drain.fence},
                    .backend_address = settings.backend.address.ToString(),
+                   .learns_room = settings.pace.learns_room,
+                   .measures_pace = settings.pace.measures_speed,
                    .max_answer_bytes =
                        static_cast<std::size_t>(settings.backend.max_answer_kb)
                        << 10U},
@@ -130,8 +132,13 @@
                          .run_ratio = settings.retries.run_ratio_percent / 100,
                          .max_saved_retries =
                              static_cast<double>(settings.retries.saved)},
-             .crossing_cost_per_byte =
-                 settings.placement.crossing_cost_percent / 100 / kBytesPerKb,
+             .placement = {.crossing_cost_per_byte =
+                               settings.placement.crossing_cost_percent / 100 /
+                               kBytesPerKb,
+                           .sample =
+                               static_cast<int>(settings.placement.sample),
+                           .sample_from = static_cast<int>(
+                               settings.placement.sample_from)},
              .key_trust = MakeKeyTrust(settings.deployment),
              .max_trial_share = settings.deployment.exposure_share}),
         store_(loop, std::move(store), settings.store.address.ToString(),
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -117,6 +117,7 @@
       .ratio_percent = 10, .run_ratio_percent = 10, .saved = 3};
   instance.settings.deployment = deployment_;
   instance.settings.placement = {.crossing_cost_percent = 1.6};
+  instance.settings.pace = {.learns_room = true};
   StartNode(instance);
   return instance;
 }
