--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -154,6 +154,9 @@
 
 
 class Node:
+    # Further lines of the section [node] of the settings.
+    node_settings = ()
+
     def __init__(self, folder, name, service, take, store_address):
         self.name = name
         self.service = service
@@ -166,7 +169,8 @@
 
     async def start(self):
         lines = ["[node]", f"name = {self.name}", "data-centre = d"]
-        lines += [f"service = {self.service}", "first-start = true", "[listen]"]
+        lines += [f"service = {self.service}", "first-start = true"]
+        lines += [*self.node_settings, "[listen]"]
         lines += ["%s = %s:%d" % (key, *to) for key, to in self.listen.items()]
         lines += ["[backend]", "address = %s:%d" % self.backend.address]
         lines += ["[store]", "address = %s:%d" % self.store_address]
