sidecar: Add the account of bytes that clients hold

ByteBudget bounds what all connections of a process hold together, keeps a reserve for small requests, bounds the share of one client while others hold any, and chooses who gives way: the longest without progress. It has no input and output; 50 seeds of 2,000 steps check that its sum is that of the accounts.

--- /dev/null
+++ b/libraries/sidecar/byte_budget.cc
@@ -0,0 +1,122 @@
+#include "sidecar/byte_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleandertide::sidecar {
+namespace {
+
+constexpr std::int64_t kMegabyte = 1'000'000;
+
+// What a process needs beside buffers: program, configuration, links. An idle
+// node holds 8 MB; an eighth leaves room for a body of 64 MiB and its copy in
+// 160 MB.
+constexpr std::int64_t kOverheadPart = 8;
+constexpr std::int64_t kLeastOverhead = 12 * kMegabyte;
+constexpr std::int64_t kMostOverhead = 64 * kMegabyte;
+
+}  // namespace
+
+ByteBudget::Options ByteBudget::ForMemory(std::int64_t memory_mb) {
+  Options options;
+  if (memory_mb <= 0) return options;
+  const std::int64_t memory = memory_mb * kMegabyte;
+  const std::int64_t overhead =
+      std::clamp(memory / kOverheadPart, kLeastOverhead, kMostOverhead);
+  // Less than twice the overhead is no machine of the users; half remains.
+  options.capacity =
+      static_cast<std::size_t>(std::max(memory - overhead, memory / 2));
+  options.reserve = options.capacity / kReservePart;
+  return options;
+}
+
+ByteBudget::AccountId ByteBudget::Open(const std::string& client,
+                                       std::function<void()> on_evict,
+                                       MonotonicTime now) {
+  const AccountId id = next_id_++;
+  accounts_.emplace(id, Account{.client = client,
+                                .on_evict = std::move(on_evict),
+                                .progress_at = now});
+  return id;
+}
+
+void ByteBudget::Close(AccountId id) {
+  Account& account = accounts_.at(id);
+  Apply(id, account, 0);
+  accounts_.erase(id);
+}
+
+bool ByteBudget::IsGranted(const Account& account, std::size_t bytes) const {
+  if (options_.capacity == 0 || bytes <= account.bytes) return true;
+  const std::size_t others = used_ - account.bytes;
+  if (bytes <= options_.small_bytes) {
+    return others + bytes <= options_.capacity;
+  }
+  if (others + bytes > options_.capacity - options_.reserve) return false;
+  const auto found = clients_.find(account.client);
+  const std::size_t own = found == clients_.end() ? 0 : found->second;
+  if (own == used_) return true;
+  return static_cast<double>(own - account.bytes + bytes) <=
+         options_.client_share * static_cast<double>(options_.capacity);
+}
+
+std::optional<ByteBudget::AccountId> ByteBudget::FindStalled(
+    AccountId except, MonotonicTime now) const {
+  for (const Waiting& waiting : waiting_) {
+    if (now - waiting.progress_at < options_.stall_limit) break;
+    if (waiting.id != except) return waiting.id;
+  }
+  return std::nullopt;
+}
+
+bool ByteBudget::Set(AccountId id, std::size_t bytes, MonotonicTime now) {
+  while (!IsGranted(accounts_.at(id), bytes)) {
+    const auto victim = FindStalled(id, now);
+    if (!victim) {
+      ++refused_count_;
+      return false;
+    }
+    ++evicted_count_;
+    Account& account = accounts_.at(*victim);
+    Apply(*victim, account, 0);
+    // A copy: the callback may close the account.
+    const auto on_evict = account.on_evict;
+    if (on_evict) on_evict();
+  }
+  Apply(id, accounts_.at(id), bytes);
+  return true;
+}
+
+void ByteBudget::Force(AccountId id, std::size_t bytes) {
+  Apply(id, accounts_.at(id), bytes);
+}
+
+void ByteBudget::Apply(AccountId id, Account& account, std::size_t bytes) {
+  if (account.bytes == bytes) return;
+  const bool was_listed = IsListed(account);
+  used_ = used_ - account.bytes + bytes;
+  const auto client = clients_.try_emplace(account.client, 0).first;
+  client->second = client->second - account.bytes + bytes;
+  if (client->second == 0) clients_.erase(client);
+  account.bytes = bytes;
+  if (was_listed == IsListed(account)) return;
+  if (was_listed) {
+    waiting_.erase({account.progress_at, id});
+  } else {
+    waiting_.insert({account.progress_at, id});
+  }
+}
+
+void ByteBudget::SetWaiting(AccountId id, bool is_waiting, MonotonicTime now) {
+  Account& account = accounts_.at(id);
+  if (IsListed(account)) waiting_.erase({account.progress_at, id});
+  account.is_waiting = is_waiting;
+  account.progress_at = now;
+  if (IsListed(account)) waiting_.insert({account.progress_at, id});
+}
+
+void ByteBudget::RecordProgress(AccountId id, MonotonicTime now) {
+  SetWaiting(id, accounts_.at(id).is_waiting, now);
+}
+
+}  // namespace oleandertide::sidecar
--- /dev/null
+++ b/libraries/sidecar/byte_budget.h
@@ -0,0 +1,115 @@
+// Memory that a process may hold for its clients.
+//
+// Load pattern: clients send many large bodies at once and stop just short of
+// their end, so that nothing of what is buffered can be released. The sum of
+// what all connections hold is bounded, and when it is short, connections that
+// make no progress give way.
+
+#ifndef OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
+#define OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "core/time.h"
+
+namespace oleandertide::sidecar {
+
+// Without input and output. Not thread-safe.
+class ByteBudget {
+ public:
+  struct Options {
+    // Bytes that all accounts may hold together; 0 is no limit.
+    std::size_t capacity = 0;
+    // Part of the capacity that only accounts of at most `small_bytes` may use.
+    // Ordinary requests are served beside any number of large ones.
+    std::size_t reserve = 0;
+    std::size_t small_bytes = std::size_t{128} << 10U;
+    // Part of the capacity that one client may hold while others hold any.
+    double client_share = 0.5;
+    // An account gives way if it made no progress for this time.
+    Duration stall_limit = std::chrono::seconds(1);
+  };
+
+  // One part of the capacity in 32 is the reserve: 34 requests of 128 KiB in
+  // 160 MB.
+  static constexpr std::size_t kReservePart = 32;
+
+  // Returns the options for a process with this much memory; no limit if it is
+  // 0. Thread-safe.
+  static Options ForMemory(std::int64_t memory_mb);
+
+  using AccountId = std::uint64_t;
+
+  explicit ByteBudget(const Options& options) : options_(options) {}
+
+  // Opens an account that holds nothing. `on_evict` is to release the bytes.
+  AccountId Open(const std::string& client, std::function<void()> on_evict,
+                 MonotonicTime now);
+
+  // Precondition of all: the account is open.
+  void Close(AccountId id);
+
+  // Changes what an account holds; returns whether that is granted. Less is
+  // always granted. Evicts accounts that make no progress, the longest first,
+  // if that makes room.
+  bool Set(AccountId id, std::size_t bytes, MonotonicTime now);
+
+  // The same for bytes that exist already, such as an answer.
+  void Force(AccountId id, std::size_t bytes);
+
+  // Sets whether the account waits for its client and may be evicted; that
+  // counts as progress.
+  void SetWaiting(AccountId id, bool is_waiting, MonotonicTime now);
+
+  // The client of a waiting account has sent or taken bytes.
+  void RecordProgress(AccountId id, MonotonicTime now);
+
+  std::size_t used() const { return used_; }
+  std::size_t capacity() const { return options_.capacity; }
+  std::uint64_t refused_count() const { return refused_count_; }
+  std::uint64_t evicted_count() const { return evicted_count_; }
+
+ private:
+  struct Account {
+    std::string client;
+    std::function<void()> on_evict;
+    std::size_t bytes = 0;
+    bool is_waiting = false;
+    MonotonicTime progress_at;
+  };
+  // Accounts that wait for their clients, the longest without progress first.
+  struct Waiting {
+    MonotonicTime progress_at;
+    AccountId id = 0;
+    auto operator<=>(const Waiting&) const = default;
+  };
+
+  bool IsGranted(const Account& account, std::size_t bytes) const;
+  std::optional<AccountId> FindStalled(AccountId except,
+                                       MonotonicTime now) const;
+  void Apply(AccountId id, Account& account, std::size_t bytes);
+  bool IsListed(const Account& account) const {
+    return account.is_waiting && account.bytes > 0;
+  }
+
+  const Options options_;
+  std::unordered_map<AccountId, Account> accounts_;
+  // Bytes by client.
+  std::unordered_map<std::string, std::size_t> clients_;
+  std::set<Waiting> waiting_;
+  std::size_t used_ = 0;
+  AccountId next_id_ = 1;
+  std::uint64_t refused_count_ = 0;
+  std::uint64_t evicted_count_ = 0;
+};
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
--- /dev/null
+++ b/tests/sidecar/byte_budget_test.cc
@@ -0,0 +1,169 @@
+// Accounts of clients that hold memory, without sockets.
+
+#include "sidecar/byte_budget.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace oleandertide::sidecar {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kKb = 1000;
+constexpr ByteBudget::Options kOptions = {.capacity = 1000 * kKb,
+                                          .reserve = 100 * kKb,
+                                          .small_bytes = 10 * kKb,
+                                          .client_share = 0.5,
+                                          .stall_limit = milliseconds(1000)};
+
+class Fixture {
+ public:
+  ByteBudget::AccountId Open(const std::string& client) {
+    const auto id = budget.Open(
+        client, [] {}, now);
+    return id;
+  }
+
+  MonotonicTime now{};
+  ByteBudget budget{kOptions};
+};
+
+}  // namespace
+
+// Guards against a process that ends by bodies which are each of legal size.
+TEST_CASE("all accounts together hold no more than the capacity") {
+  Fixture fixture;
+  std::size_t held = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto id = fixture.Open("a");
+    if (fixture.budget.Set(id, 200 * kKb, fixture.now)) held += 200 * kKb;
+  }
+  REQUIRE(held == 800 * kKb);
+  REQUIRE(fixture.budget.used() == held);
+  REQUIRE(fixture.budget.refused_count() == 16);
+}
+
+// Guards against ordinary requests that are refused beside large ones.
+TEST_CASE("the reserve is kept for small accounts") {
+  Fixture fixture;
+  REQUIRE(fixture.budget.Set(fixture.Open("a"), 900 * kKb, fixture.now));
+  REQUIRE_FALSE(fixture.budget.Set(fixture.Open("a"), 11 * kKb, fixture.now));
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(fixture.budget.Set(fixture.Open("b"), 10 * kKb, fixture.now));
+  }
+  REQUIRE_FALSE(fixture.budget.Set(fixture.Open("b"), 10 * kKb, fixture.now));
+}
+
+// Guards against one client that takes the memory of others.
+TEST_CASE("a client has its share while others hold any") {
+  Fixture fixture;
+  const auto first = fixture.Open("a");
+  const auto second = fixture.Open("a");
+  REQUIRE(fixture.budget.Set(first, 300 * kKb, fixture.now));
+  const auto other = fixture.Open("b");
+  REQUIRE(fixture.budget.Set(other, kKb, fixture.now));
+  REQUIRE(fixture.budget.Set(second, 200 * kKb, fixture.now));
+  REQUIRE_FALSE(fixture.budget.Set(second, 201 * kKb, fixture.now));
+  REQUIRE(fixture.budget.Set(other, 300 * kKb, fixture.now));
+  fixture.budget.Close(other);
+  REQUIRE(fixture.budget.Set(second, 600 * kKb, fixture.now));
+}
+
+// Guards against memory that stays with clients which stop short of the end of
+// their bodies, and against an order that meets those which still send.
+TEST_CASE("the longest without progress gives way when memory is short") {
+  Fixture fixture;
+  std::vector<int> evicted;
+  const auto open = [&](int number) {
+    const auto id = fixture.budget.Open(
+        "a", [&evicted, number] { evicted.push_back(number); }, fixture.now);
+    fixture.budget.SetWaiting(id, true, fixture.now);
+    REQUIRE(fixture.budget.Set(id, 300 * kKb, fixture.now));
+    return id;
+  };
+  const auto first = open(1);
+  fixture.now += milliseconds(100);
+  open(2);
+  fixture.now += milliseconds(100);
+  open(3);
+  const auto next = fixture.Open("a");
+  // None is stalled yet.
+  REQUIRE_FALSE(fixture.budget.Set(next, 300 * kKb, fixture.now));
+  fixture.now += milliseconds(950);
+  fixture.budget.RecordProgress(first, fixture.now);
+  REQUIRE(fixture.budget.Set(next, 300 * kKb, fixture.now));
+  REQUIRE(evicted == std::vector{2});
+  // One whose request runs does not wait for its client.
+  fixture.now += milliseconds(2000);
+  fixture.budget.SetWaiting(first, false, fixture.now);
+  REQUIRE_FALSE(fixture.budget.Set(next, 900 * kKb, fixture.now));
+  REQUIRE(evicted == std::vector{2, 3});
+  REQUIRE(fixture.budget.used() == 600 * kKb);
+}
+
+TEST_CASE("without a capacity everything is granted") {
+  ByteBudget budget(ByteBudget::ForMemory(0));
+  const auto id = budget.Open("a", {}, MonotonicTime{});
+  REQUIRE(budget.Set(id, std::size_t{1} << 40U, MonotonicTime{}));
+}
+
+// Guards against a largest legal body that is refused in calm on the smallest
+// machine of the users: it is held twice.
+TEST_CASE("a body of 64 MiB fits into 160 MB") {
+  ByteBudget budget(ByteBudget::ForMemory(160));
+  const auto id = budget.Open("a", {}, MonotonicTime{});
+  REQUIRE(budget.Set(id, std::size_t{128} << 20U, MonotonicTime{}));
+}
+
+// Guards against sums that drift from what the accounts hold.
+TEST_CASE("the sum is that of the open accounts after any steps") {
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    Fixture fixture;
+    std::map<ByteBudget::AccountId, std::size_t> held;
+    std::vector<ByteBudget::AccountId> ids;
+    const auto below = [&](std::size_t limit) { return random() % limit; };
+    for (int step = 0; step < 2000; ++step) {
+      fixture.now += milliseconds(below(300));
+      if (ids.empty() || below(10) == 0) {
+        const auto self = std::make_shared<ByteBudget::AccountId>(0);
+        *self = fixture.budget.Open(
+            below(2) == 0 ? "a" : "b", [&held, self] { held[*self] = 0; },
+            fixture.now);
+        ids.push_back(*self);
+        held[*self] = 0;
+        continue;
+      }
+      const std::size_t at = below(ids.size());
+      const auto id = ids[at];
+      const std::size_t bytes = below(400 * kKb) / (below(2) == 0 ? 1 : 50);
+      switch (below(6)) {
+        case 0:
+          fixture.budget.Close(id);
+          held.erase(id);
+          ids.erase(ids.begin() + static_cast<std::ptrdiff_t>(at));
+          break;
+        case 1:
+          fixture.budget.SetWaiting(id, below(2) == 0, fixture.now);
+          break;
+        case 2:
+          fixture.budget.RecordProgress(id, fixture.now);
+          break;
+        default:
+          if (fixture.budget.Set(id, bytes, fixture.now)) held[id] = bytes;
+          break;
+      }
+      std::size_t sum = 0;
+      for (const auto& [each, size] : held) sum += size;
+      REQUIRE(fixture.budget.used() == sum);
+      REQUIRE(sum <= kOptions.capacity);
+    }
+  }
+}
+
+}  // namespace oleandertide::sidecar
