sidecar: Ask before a body takes memory and bound extensions of chunks

The parser asks before memory for a body is taken: for all of it if its length is known, otherwise when its buffer grows. Extensions of chunks have 16 KiB for each 64 KiB of a body. A body is released when the backend server has taken it. 1,000 seeds of chunked bodies in pieces check the result and the memory.

--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -111,7 +111,10 @@
       [self = shared_from_this()](const boost::system::error_code& error,
                                   std::size_t /*size*/) {
         // A failed write shows in the read, which may still bring an answer.
-        if (!error) self->is_written_ = true;
+        if (error) return;
+        self->is_written_ = true;
+        // A run may take long, and nobody asks for the body again.
+        if (self->exchange_) self->exchange_->body = std::string();
       });
 }
 
--- a/libraries/sidecar/http_parser.h
+++ b/libraries/sidecar/http_parser.h
@@ -13,7 +13,9 @@
 #include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <limits>
+#include <string>
 #include <utility>
 
 namespace oleandertide::sidecar {
@@ -27,8 +29,16 @@
 struct HttpMessageLimits {
   std::size_t head_bytes = 0;
   std::size_t body_bytes = 0;
+  // Bytes of extensions of chunks at the beginning of a body and for each 64
+  // KiB of it. They are dropped, so that only the time for them is to be
+  // bounded.
+  std::size_t chunk_extension_bytes = std::size_t{16} << 10U;
 };
 
+// Asked before memory for so many bytes of a body is taken; the message is
+// refused (not_enough_memory) if it returns false. Empty: always granted.
+using MayGrow = std::function<bool(std::size_t)>;
+
 namespace detail {
 
 // Builds a message from what Beast's grammar reports. Fields behind a chunked
@@ -41,8 +51,11 @@
   using Message =
       boost::beast::http::message<kIsRequest, boost::beast::http::string_body>;
 
-  explicit MessageBuilder(const HttpMessageLimits& limits)
-      : max_trailer_bytes_(limits.head_bytes) {
+  MessageBuilder(const HttpMessageLimits& limits, MayGrow may_grow)
+      : max_trailer_bytes_(limits.head_bytes),
+        max_extension_bytes_(limits.chunk_extension_bytes),
+        max_body_bytes_(limits.body_bytes),
+        may_grow_(std::move(may_grow)) {
     this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     this->body_limit(limits.body_bytes);
     this->eager(true);
@@ -61,6 +74,8 @@
   // Memory for more than this is taken only when the bytes arrive.
   static constexpr std::size_t kMaxReservedBytes = std::size_t{256} << 10U;
 
+  static constexpr std::size_t kExtensionStepBytes = std::size_t{64} << 10U;
+
   void on_request_impl(boost::beast::http::verb method, View method_text,
                        View target, int version,
                        ErrorCode& /*error*/) override {
@@ -100,19 +115,49 @@
   void on_header_impl(ErrorCode& /*error*/) override {}
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
-                         ErrorCode& /*error*/) override {
-    if (!length) return;
+                         ErrorCode& error) override {
+    if (!length || *length == 0) return;
+    // The whole length is asked for at once, so that a body that is begun can
+    // be ended.
+    if (may_grow_) {
+      Grow(*length, error);
+      return;
+    }
     message_.body().reserve(
         std::min<std::uint64_t>(*length, kMaxReservedBytes));
   }
 
-  std::size_t on_body_impl(View body, ErrorCode& /*error*/) override {
-    message_.body().append(body.data(), body.size());
+  std::size_t on_body_impl(View body, ErrorCode& error) override {
+    std::string& text = message_.body();
+    const std::size_t needed = text.size() + body.size();
+    if (may_grow_ && needed > text.capacity()) {
+      const std::size_t doubled =
+          std::max(needed, std::min(2 * text.capacity(), max_body_bytes_));
+      if (!Grow(doubled, error)) return 0;
+    }
+    text.append(body.data(), body.size());
     return body.size();
   }
 
-  void on_chunk_header_impl(std::uint64_t size, View /*extensions*/,
-                            ErrorCode& /*error*/) override {
+  // Returns whether there is memory for a body of `bytes`.
+  bool Grow(std::size_t bytes, ErrorCode& error) {
+    if (!may_grow_(bytes)) {
+      error = boost::system::errc::make_error_code(
+          boost::system::errc::not_enough_memory);
+      return false;
+    }
+    message_.body().reserve(bytes);
+    return true;
+  }
+
+  void on_chunk_header_impl(std::uint64_t size, View extensions,
+                            ErrorCode& error) override {
+    extension_bytes_ += extensions.size();
+    const std::size_t steps = 1 + message_.body().size() / kExtensionStepBytes;
+    if (extension_bytes_ > steps * max_extension_bytes_) {
+      error = boost::beast::http::error::bad_chunk_extension;
+      return;
+    }
     if (size == 0) is_body_over_ = true;
   }
 
@@ -124,7 +169,11 @@
   void on_finish_impl(ErrorCode& /*error*/) override {}
 
   const std::size_t max_trailer_bytes_;
+  const std::size_t max_extension_bytes_;
+  const std::size_t max_body_bytes_;
+  const MayGrow may_grow_;
   Message message_;
+  std::size_t extension_bytes_ = 0;
   std::size_t trailer_bytes_ = 0;
   bool is_body_over_ = false;
 };
@@ -138,7 +187,8 @@
  public:
   using Message = typename detail::MessageBuilder<kIsRequest>::Message;
 
-  explicit HttpParser(const HttpMessageLimits& limits) : builder_(limits) {}
+  explicit HttpParser(const HttpMessageLimits& limits, MayGrow may_grow = {})
+      : builder_(limits, std::move(may_grow)) {}
 
   // Takes the message for one without body, as the answer to a HEAD request is.
   // Precondition: nothing was put.
--- a/tests/sidecar/http_parser_test.cc
+++ b/tests/sidecar/http_parser_test.cc
@@ -127,5 +127,78 @@
   }
 }
 
+// Guards against chunks that are joined wrongly, or that ask for more memory
+// than their bytes: they are cut at any place and arrive in pieces.
+TEST_CASE("a chunked body is that of its chunks, and asks for little more") {
+  REQUIRE(testing::HoldsForSeeds("chunks", 1000, [](std::uint64_t seed) {
+    MessageMaker maker(seed);
+    std::string message =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string expected;
+    const std::size_t largest = maker.Below(2) == 0 ? 2 : 5000;
+    for (std::size_t i = maker.Below(400); i > 0; --i) {
+      const std::string chunk(1 + maker.Below(largest),
+                              static_cast<char>('a' + maker.Below(26)));
+      if (expected.size() + chunk.size() > kLimits.body_bytes) break;
+      expected += chunk;
+      message += fmt::format("{:x}{}\r\n{}\r\n", chunk.size(),
+                             maker.Below(9) == 0 ? ";a=b" : "", chunk);
+    }
+    message += "0\r\n\r\n";
+    std::size_t granted = 0;
+    HttpRequestParser parser(kLimits, [&granted](std::size_t bytes) {
+      granted = bytes;
+      return true;
+    });
+    std::string kept;
+    std::string_view left = message;
+    while (!left.empty()) {
+      const std::size_t size = std::min(left.size(), 1 + maker.Below(3000));
+      kept += left.substr(0, size);
+      left.remove_prefix(size);
+      boost::system::error_code error;
+      kept.erase(0, parser.Put(boost::asio::buffer(kept), error));
+      if (error) return false;
+    }
+    return parser.is_complete() && parser.Release().body() == expected &&
+           granted <= 2 * expected.size() + 16;
+  }));
+}
+
+// Guards against a body for which memory is taken before it is granted.
+TEST_CASE("a body for which there is no memory is refused before it is read") {
+  // A string keeps fewer bytes without asking for memory.
+  const std::string framing =
+      GENERATE("Content-Length: 20\r\n\r\ntwenty bytes of body",
+               "Transfer-Encoding: chunked\r\n\r\n14\r\ntwenty bytes of "
+               "body\r\n0\r\n\r\n");
+  const std::string message = "POST / HTTP/1.1\r\n" + framing;
+  HttpRequestParser parser(kLimits, [](std::size_t) { return false; });
+  boost::system::error_code error;
+  parser.Put(boost::asio::buffer(message), error);
+  REQUIRE(error == boost::system::errc::not_enough_memory);
+}
+
+// Guards against time that is spent on extensions, which have no meaning here.
+TEST_CASE("extensions of chunks are bounded") {
+  const auto parse = [](std::size_t chunks, std::size_t chunk_bytes) {
+    std::string message =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < chunks; ++i) {
+      message +=
+          fmt::format("{:x};a={}\r\n{}\r\n", chunk_bytes, std::string(100, 'e'),
+                      std::string(chunk_bytes, 'b'));
+    }
+    message += "0\r\n\r\n";
+    HttpRequestParser parser(kLimits);
+    boost::system::error_code error;
+    parser.Put(boost::asio::buffer(message), error);
+    return !error && parser.is_complete();
+  };
+  // A signature for each chunk of 1 kB is usual.
+  REQUIRE(parse(90, 1024));
+  REQUIRE_FALSE(parse(1000, 1));
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
