sidecar: Bound what a connection holds before it is a link

Eight bytes made a connection at the links' address take memory for a frame of 80 MiB (426.8 MiB with 6 connections, 1,687.3 with 24). Memory now grows as bytes arrive, and a connection that has not said whose it is has 64 KiB; there are at most 128 of them. A single frame above 32 MiB, as of a body of 64 MiB, no longer closes its link.

--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -24,9 +24,6 @@
 constexpr std::size_t kHeadBytes = 8;
 constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
 
-// Larger than any configuration, request or answer that clients may send.
-constexpr std::size_t kMaximumFrameBytes = std::size_t{80} << 20U;
-
 // Buffers above this are given back when they have been emptied.
 constexpr std::size_t kKeptBufferBytes = std::size_t{64} << 10U;
 
@@ -119,7 +116,8 @@
       return std::nullopt;
     }
   }
-  if (size > kMaximumFrameBytes || size % sizeof(capnp::word) != 0) {
+  if (size > FramedConnection::kMaxFrameBytes ||
+      size % sizeof(capnp::word) != 0) {
     return std::nullopt;
   }
   auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
@@ -155,7 +153,8 @@
   const std::size_t added = pending_.size() - before;
   queued_bytes_ += added;
   if (on_queued_) on_queued_(added);
-  if (pending_.size() > kMaximumPendingBytes) {
+  // One frame may be larger than the bound, as a body of 64 MiB is.
+  if (before > kMaximumPendingBytes) {
     Close();
     return;
   }
@@ -200,7 +199,10 @@
 void FramedConnection::Read() {
   if (is_closed_) return;
   if (input_.size() - input_size_ < kReadBytes / 2) {
-    input_.resize(std::max(input_.size() * 2, input_size_ + kReadBytes));
+    // Memory grows as the bytes arrive: what a frame says of its size costs its
+    // sender nothing.
+    const std::size_t least = input_size_ + kReadBytes;
+    input_.resize(std::max(least, std::min(input_.size() * 2, frame_bytes_)));
   }
   socket_.async_read_some(
       boost::asio::buffer(input_.data() + input_size_,
@@ -225,6 +227,7 @@
 
 bool FramedConnection::ParseFrames() {
   std::size_t used = 0;
+  frame_bytes_ = 0;
   while (!is_closed_ && input_size_ - used >= kHeadBytes) {
     const std::uint32_t coded_size = ReadLength(input_.data() + used);
     const bool is_compressed = (coded_size & kCompressedFlag) != 0;
@@ -233,9 +236,9 @@
         coded_size & ~(kCompressedFlag | kPackedFlag);
     const std::size_t body_size = ReadLength(input_.data() + used + 4);
     const std::size_t total = kHeadBytes + message_size + body_size;
-    if (total > kMaximumFrameBytes) return false;
+    if (total > max_frame_bytes_) return false;
     if (input_size_ - used < total) {
-      if (input_.size() < total) input_.resize(total);
+      frame_bytes_ = total;
       break;
     }
     const std::string_view message(input_.data() + used + kHeadBytes,
--- a/libraries/sidecar/framed_connection.h
+++ b/libraries/sidecar/framed_connection.h
@@ -45,6 +45,13 @@
   // Sets whether small messages are packed: the other node must read that.
   void set_packs(bool packs) { packs_ = packs; }
 
+  // Sets the size of the largest frame that is received.
+  // Precondition: no larger one has begun.
+  void set_max_frame_bytes(std::size_t bytes) { max_frame_bytes_ = bytes; }
+
+  // Larger than any configuration, request or answer that clients may send.
+  static constexpr std::size_t kMaxFrameBytes = std::size_t{80} << 20U;
+
   // Closes the connection; on_closed is called once, also on failures.
   void Close();
 
@@ -77,6 +84,9 @@
   std::function<void(std::size_t)> on_queued_;
   std::vector<char> input_;
   std::size_t input_size_ = 0;
+  std::size_t max_frame_bytes_ = kMaxFrameBytes;
+  // Bytes of the frame that has begun, once it has told them.
+  std::size_t frame_bytes_ = 0;
   std::string pending_;
   std::string writing_;
   MonotonicTime last_received_;
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -52,6 +52,12 @@
          after.link_wait - before.link_wait >= kMaterialLinkWait;
 }
 
+// Connections that have not said whose they are, and the largest message of
+// one. A whole fleet may connect at once; each says it at once, in less than 1
+// kB.
+constexpr std::size_t kMaxUnknownSessions = 128;
+constexpr std::size_t kMaxHelloBytes = std::size_t{64} << 10U;
+
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -97,6 +103,9 @@
     }
     auto session = std::make_shared<Session>();
     session->connection = std::make_shared<FramedConnection>(std::move(socket));
+    session->connection->set_max_frame_bytes(kMaxHelloBytes);
+    session->accepted_at = MonotonicClock::now();
+    CloseOldestUnknown();
     session->connection->set_on_queued([this](std::size_t bytes) {
       backlog_.Add(MonotonicClock::now(), bytes);
     });
@@ -115,6 +124,17 @@
   });
 }
 
+void LinkServer::CloseOldestUnknown() {
+  std::shared_ptr<Session> oldest;
+  std::size_t unknown = 0;
+  for (const auto& session : sessions_) {
+    if (!session->node.empty()) continue;
+    ++unknown;
+    if (!oldest || session->accepted_at < oldest->accepted_at) oldest = session;
+  }
+  if (unknown >= kMaxUnknownSessions) oldest->connection->Close();
+}
+
 void LinkServer::OnFrame(const std::shared_ptr<Session>& session,
                          wire::Frame::Reader frame, std::string_view body) {
   switch (frame.which()) {
@@ -128,6 +148,8 @@
         return;
       }
       const NodeIdentity& node = hello.value();
+      session->connection->set_max_frame_bytes(
+          FramedConnection::kMaxFrameBytes);
       session->node = node.name;
       session->is_in_own_data_centre = node.data_centre == data_centre_;
       session->connection->set_packs(frame.getHello().getAcceptsPacked());
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -94,6 +94,7 @@
     // Name of the other node; empty until it has told it.
     std::string node;
     bool is_in_own_data_centre = false;
+    MonotonicTime accepted_at;
     // When the node was last told the status.
     MonotonicTime told_at;
     // By the id that the other node gave.
@@ -114,6 +115,8 @@
              Callbacks callbacks);
   void Accept();
   void ScheduleBroadcast();
+  // Closes one of too many connections that have not said whose they are.
+  void CloseOldestUnknown();
   // Sends the status to the links for which it is due.
   void SendDueStatus();
   void SendStatus(const NodeStatus& status,
