sidecar: Bound memory and descriptors of clients

Bodies of many clients, most of them unfinished, made the process run out of memory. HttpServer charges bodies, unparsed bytes and answers to the account, refuses (503) what does not fit, and closes connections without progress (408) when memory is short. Idle connections are closed for new ones beyond edge.max-connections. Announcements, readiness and metrics take small bodies only. Large buffers are mapped one by one, so that they are returned.

--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -51,9 +51,30 @@
 constexpr int kMaxReadsAtShutdown = 32;
 constexpr int kMaxAcceptsAtShutdown = 1024;
 
+// Bytes that are handed to the system at once.
+constexpr std::size_t kMaxWriteBytes = std::size_t{64} << 10U;
+
 // Pause after a failure to accept, e.g. for want of descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
+// Bytes that a client sends or takes count as progress in steps: one that sends
+// a byte now and then makes none.
+constexpr std::size_t kProgressBytes = std::size_t{16} << 10U;
+
+// A body is held twice while it runs: the ingress keeps it for another attempt.
+constexpr std::size_t kBodyCopies = 2;
+
+// A kept connection that was idle for less is not closed for a new one: its
+// next request may be on its way.
+constexpr Duration kShortIdleTime = std::chrono::seconds(1);
+
+// Connections of 32 are looked at for each one that is closed for a new one.
+constexpr std::size_t kClosedPart = 32;
+
+// When to come back if memory is short: after what makes no progress has given
+// way.
+constexpr std::string_view kMemoryRetryAfter = "Retry-After: 1.000\r\n";
+
 struct ServerFailure {
   int status;
 };
@@ -62,6 +83,7 @@
 ServerFailure ToFailure(const boost::system::error_code& error) {
   if (error == http::error::header_limit) return {431};
   if (error == http::error::body_limit) return {413};
+  if (error == boost::system::errc::not_enough_memory) return {503};
   return {400};
 }
 
@@ -75,19 +97,52 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(HttpServer* server, Tcp::socket socket)
-      : server_(server), socket_(std::move(socket)) {
+      : server_(server),
+        socket_(std::move(socket)),
+        budget_(server->bounds_.budget) {
     boost::system::error_code ignored;
     socket_.non_blocking(true, ignored);
   }
 
-  void Start() { AwaitBytes(); }
+  void Start() {
+    if (budget_ != nullptr) {
+      boost::system::error_code error;
+      const auto client = socket_.remote_endpoint(error);
+      account_ = budget_->Open(
+          error ? std::string() : client.address().to_string(),
+          [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) self->OnEvicted();
+          },
+          MonotonicClock::now());
+    }
+    AwaitBytes();
+  }
+
+  // How readily the connection is closed for a new one: the lowest first;
+  // nothing if it is in use.
+  enum class IdleClass : std::uint8_t { kLingering, kWithoutRequest, kKept };
+  std::optional<IdleClass> FindIdleClass(MonotonicTime now) const {
+    if (is_lingering_) return IdleClass::kLingering;
+    if (is_writing_ || !pending_.empty()) return std::nullopt;
+    if (has_partial_request_) {
+      if (parser_->is_head_complete()) return std::nullopt;
+      return IdleClass::kWithoutRequest;
+    }
+    if (first_number_ == 0) return IdleClass::kWithoutRequest;
+    if (now - waiting_since_ < kShortIdleTime) return std::nullopt;
+    return IdleClass::kKept;
+  }
+
+  MonotonicTime waiting_since() const { return waiting_since_; }
 
   void Send(RequestNumber number, HttpAnswer answer) {
     Pending* pending = Find(number);
     if (pending == nullptr || pending->answer) return;
     pending->on_client_left = nullptr;
     held_bytes_ += answer.body.size();
+    request_bytes_ -= std::exchange(pending->request_bytes, 0);
     pending->answer = std::move(answer);
+    ForceCharge();
     WriteNext();
   }
 
@@ -121,6 +176,23 @@
     }
   }
 
+  // Refuses a body that arrives too slowly for the memory that it holds.
+  void CheckRate(MonotonicTime now) {
+    if (is_closed_ || server_ == nullptr) return;
+    const HttpServerBounds& bounds = server_->bounds_;
+    if (bounds.least_body_bytes == 0 || !has_partial_request_ ||
+        !pending_.empty() || partial_bytes_ <= kBodyCopies * kProgressBytes) {
+      window_since_ = now;
+      window_bytes_ = 0;
+      return;
+    }
+    if (now - window_since_ < bounds.least_body_window) return;
+    const bool is_slow = window_bytes_ < bounds.least_body_bytes;
+    window_since_ = now;
+    window_bytes_ = 0;
+    if (is_slow) Fail({408});
+  }
+
   // Whether no request has been read in part and no answer is on its way.
   bool is_idle() {
     if (is_lingering_) return !has_unacknowledged_bytes();
@@ -139,6 +211,7 @@
     const auto self = shared_from_this();
     if (server_ != nullptr) server_->connections_.erase(self);
     DropPending();
+    CloseAccount();
   }
 
   // Handles what has arrived, and ends the connection if nothing is in
@@ -169,6 +242,8 @@
   struct Pending {
     bool keeps_alive = true;
     bool is_head_request = false;
+    // Bytes that the request holds until its answer.
+    std::size_t request_bytes = 0;
     std::function<void()> on_client_left{};
     std::optional<HttpAnswer> answer{};
   };
@@ -177,8 +252,77 @@
   struct HeldRequest {
     std::shared_ptr<HttpRequest> request;
     MonotonicTime received_at;
+    std::size_t bytes = 0;
   };
 
+  std::size_t CountHeldBytes() const {
+    const std::size_t unparsed =
+        unparsed_.size() == 0 ? 0 : unparsed_.capacity();
+    return unparsed + partial_bytes_ + request_bytes_ + held_bytes_ +
+           body_.size();
+  }
+
+  // Returns whether there is memory for what the connection holds.
+  bool Charge() {
+    if (!account_) return true;
+    const std::size_t bytes = CountHeldBytes();
+    if (bytes == charged_bytes_) return true;
+    if (!budget_->Set(*account_, bytes, MonotonicClock::now())) return false;
+    charged_bytes_ = bytes;
+    return true;
+  }
+
+  void ForceCharge() {
+    if (!account_) return;
+    charged_bytes_ = CountHeldBytes();
+    budget_->Force(*account_, charged_bytes_);
+  }
+
+  // Tells the budget whether the client is waited for.
+  void UpdateWaiting() {
+    if (!account_) return;
+    const bool is_waiting =
+        is_writing_ || (has_partial_request_ && may_parse());
+    if (is_waiting == is_waiting_) return;
+    is_waiting_ = is_waiting;
+    progress_bytes_ = 0;
+    budget_->SetWaiting(*account_, is_waiting, MonotonicClock::now());
+  }
+
+  void RecordProgress(std::size_t bytes) {
+    window_bytes_ += bytes;
+    progress_bytes_ += bytes;
+    if (!account_ || !is_waiting_ || progress_bytes_ < kProgressBytes) return;
+    progress_bytes_ = 0;
+    budget_->RecordProgress(*account_, MonotonicClock::now());
+  }
+
+  void CloseAccount() {
+    if (const auto account = std::exchange(account_, std::nullopt)) {
+      budget_->Close(*account);
+    }
+  }
+
+  // Memory is short, and the client makes no progress.
+  void OnEvicted() {
+    charged_bytes_ = 0;
+    if (is_closed_) return;
+    if (is_writing_ || server_ == nullptr) {
+      Close();
+      return;
+    }
+    Fail({408});
+  }
+
+  // Returns whether there is memory for a body of `bytes`.
+  bool GrowBody(std::size_t bytes) {
+    const std::size_t before =
+        std::exchange(partial_bytes_, kBodyCopies * bytes);
+    if (Charge()) return true;
+    partial_bytes_ = before;
+    return false;
+  }
+
   // Returns nothing if the connection has no use for the answer any more.
   Pending* Find(RequestNumber number) {
     if (number < first_number_ || number - first_number_ >= pending_.size()) {
@@ -192,6 +336,9 @@
     const auto pending = std::exchange(pending_, {});
     first_number_ += pending.size();
     held_.reset();
+    request_bytes_ = 0;
+    held_bytes_ = 0;
+    ForceCharge();
     for (const Pending& dropped : pending) {
       if (dropped.on_client_left) dropped.on_client_left();
     }
@@ -210,10 +357,18 @@
   // The first bytes of a request have arrived.
   void BeginRequest() {
     const HttpLimits& limits = server_->limits_;
+    MayGrow may_grow;
+    if (account_) {
+      may_grow = [this](std::size_t bytes) { return GrowBody(bytes); };
+    }
     parser_.emplace(HttpMessageLimits{.head_bytes = limits.maximum_header_bytes,
-                                      .body_bytes = limits.maximum_body_bytes});
+                                      .body_bytes = limits.maximum_body_bytes},
+                    std::move(may_grow));
     has_partial_request_ = true;
     waiting_since_ = MonotonicClock::now();
+    window_since_ = waiting_since_;
+    window_bytes_ = 0;
+    UpdateWaiting();
   }
 
   void EndRequest() {
@@ -253,6 +408,7 @@
       AwaitBytes();
       return true;
     }
+    RecordProgress(size);
     if (unparsed_.size() == 0) {
       const std::size_t used = Parse(boost::asio::buffer(area.data(), size));
       Keep(area.data() + used, size - used);
@@ -260,21 +416,31 @@
       Keep(area.data(), size);
       ParseKept();
     }
+    // Only the line of a chunk, or fields behind the body, can be so long.
+    if (has_partial_request_ && parser_->is_head_complete() && may_parse() &&
+        unparsed_.size() >
+            server_->limits_.maximum_header_bytes + HttpServer::kReadBytes) {
+      Fail({431});
+    }
     AwaitBytes();
     return true;
   }
 
   void Keep(const char* bytes, std::size_t size) {
-    if (size == 0 || is_closed_) return;
+    // What stands behind the last request is not handled.
+    if (size == 0 || is_closed_ || is_last_parsed_) return;
     boost::asio::buffer_copy(unparsed_.prepare(size),
                              boost::asio::buffer(bytes, size));
     unparsed_.commit(size);
+    if (!Charge()) Fail({503});
   }
 
   void ParseKept() {
     if (unparsed_.size() == 0) return;
     unparsed_.consume(Parse(unparsed_.data()));
     if (unparsed_.size() == 0) unparsed_.shrink_to_fit();
+    ForceCharge();
+    UpdateWaiting();
   }
 
   // Whether the next request of the connection may be parsed.
@@ -343,19 +509,25 @@
     auto request = std::make_shared<HttpRequest>(parser_->Release());
     const MonotonicTime now = MonotonicClock::now();
     if (!request->keep_alive()) is_last_parsed_ = true;
+    const std::size_t bytes = std::exchange(partial_bytes_, 0);
+    request_bytes_ += bytes;
     EndRequest();
     if (!pending_.empty() &&
         !(server_->is_repeatable_ && server_->is_repeatable_(*request))) {
-      held_ = HeldRequest{std::move(request), now};
+      held_ = HeldRequest{std::move(request), now, bytes};
+      UpdateWaiting();
       return;
     }
-    Handle(std::move(request), now);
+    Handle(std::move(request), now, bytes);
   }
 
-  void Handle(std::shared_ptr<HttpRequest> request, MonotonicTime received_at) {
+  void Handle(std::shared_ptr<HttpRequest> request, MonotonicTime received_at,
+              std::size_t bytes) {
     pending_.push_back(
         {.keeps_alive = request->keep_alive(),
-         .is_head_request = request->method() == http::verb::head});
+         .is_head_request = request->method() == http::verb::head,
+         .request_bytes = bytes});
+    UpdateWaiting();
     const RequestNumber number = first_number_ + pending_.size() - 1;
     server_->handler_(std::move(request),
                       HttpReply(shared_from_this(), number, received_at));
@@ -365,9 +537,18 @@
   void Fail(ServerFailure failure) {
     is_last_parsed_ = true;
     has_partial_request_ = false;
+    // What the request holds is released before its answer is read.
+    parser_.reset();
+    partial_bytes_ = 0;
+    unparsed_.clear();
+    unparsed_.shrink_to_fit();
+    UpdateWaiting();
     pending_.push_back({});
-    Send(first_number_ + pending_.size() - 1,
-         {.status = failure.status, .closes_connection = true});
+    Send(
+        first_number_ + pending_.size() - 1,
+        {.status = failure.status,
+         .headers = std::string(failure.status == 503 ? kMemoryRetryAfter : ""),
+         .closes_connection = true});
   }
 
   void WriteNext() {
@@ -396,11 +577,19 @@
     body_ = pending.is_head_request || is_without_body ? std::string()
                                                        : std::move(answer.body);
     is_writing_ = true;
+    UpdateWaiting();
     write_deadline_ = MonotonicClock::now() + kWriteTimeout;
     const std::array<boost::asio::const_buffer, 2> buffers = {
         boost::asio::buffer(head_), boost::asio::buffer(body_)};
     boost::asio::async_write(
         socket_, buffers,
+        [self = shared_from_this(), last = std::size_t{0}](
+            const boost::system::error_code& error,
+            std::size_t written) mutable -> std::size_t {
+          if (written > last) self->RecordProgress(written - last);
+          last = written;
+          return error ? 0 : kMaxWriteBytes;
+        },
         [self = shared_from_this()](const boost::system::error_code& error,
                                     std::size_t /*size*/) {
           self->OnWritten(error);
@@ -418,6 +607,8 @@
     ++first_number_;
     head_.clear();
     body_ = std::string();
+    ForceCharge();
+    UpdateWaiting();
     if (closes_after_write_) {
       End();
       return;
@@ -425,7 +616,7 @@
     waiting_since_ = MonotonicClock::now();
     if (held_ && pending_.empty()) {
       const HeldRequest held = *std::exchange(held_, std::nullopt);
-      Handle(held.request, held.received_at);
+      Handle(held.request, held.received_at, held.bytes);
     }
     WriteNext();
     ParseKept();
@@ -439,14 +630,29 @@
     is_lingering_ = true;
     waiting_since_ = MonotonicClock::now();
     unparsed_.clear();
+    unparsed_.shrink_to_fit();
     parser_.reset();
+    partial_bytes_ = 0;
     has_partial_request_ = false;
     DropPending();
+    UpdateWaiting();
     AwaitBytes();
   }
 
   HttpServer* server_;
   Tcp::socket socket_;
+  ByteBudget* const budget_;
+  std::optional<ByteBudget::AccountId> account_;
+  // What the account holds.
+  std::size_t charged_bytes_ = 0;
+  // For the body that is being read, and for requests without answer.
+  std::size_t partial_bytes_ = 0;
+  std::size_t request_bytes_ = 0;
+  // Since the last step of progress, and in the window of the least rate.
+  std::size_t progress_bytes_ = 0;
+  std::size_t window_bytes_ = 0;
+  MonotonicTime window_since_;
+  bool is_waiting_ = false;
   // Bytes behind the requests in progress, and of a request that is not whole.
   boost::beast::flat_buffer unparsed_;
   // Number of bytes behind the request that is being handled right after it was
@@ -518,6 +724,14 @@
 }
 
 void HttpServer::Accept() {
+  if (bounds_.max_connections != 0 &&
+      connections_.size() > bounds_.max_connections) {
+    accept_timer_.Start(detail::kAcceptPause, [this] {
+      MakeRoom();
+      Accept();
+    });
+    return;
+  }
   acceptor_.async_accept(
       [this](const boost::system::error_code& error, Tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted) return;
@@ -526,6 +740,7 @@
           accept_timer_.Start(detail::kAcceptPause, [this] { Accept(); });
           return;
         }
+        MakeRoom();
         Add(std::move(socket));
         if (acceptor_.is_open()) Accept();
       });
@@ -540,6 +755,37 @@
   connection->Start();
 }
 
+void HttpServer::MakeRoom() {
+  if (bounds_.max_connections == 0 ||
+      connections_.size() < bounds_.max_connections) {
+    return;
+  }
+  struct Candidate {
+    detail::ServerConnection::IdleClass idle_class;
+    MonotonicTime since;
+    std::shared_ptr<detail::ServerConnection> connection;
+  };
+  const MonotonicTime now = MonotonicClock::now();
+  std::vector<Candidate> candidates;
+  for (const auto& connection : connections_) {
+    if (const auto idle_class = connection->FindIdleClass(now)) {
+      candidates.push_back(
+          {*idle_class, connection->waiting_since(), connection});
+    }
+  }
+  const std::size_t count = std::min(
+      candidates.size(), 1 + bounds_.max_connections / detail::kClosedPart);
+  std::ranges::partial_sort(
+      candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count), {},
+      [](const Candidate& candidate) {
+        return std::pair(candidate.idle_class, candidate.since);
+      });
+  for (std::size_t i = 0; i < count; ++i) {
+    candidates[i].connection->Close();
+  }
+  closed_for_new_ += count;
+}
+
 void HttpServer::Shutdown() {
   is_closing_ = true;
   accept_timer_.Cancel();
@@ -561,7 +807,10 @@
     const MonotonicTime now = MonotonicClock::now();
     const std::vector<std::shared_ptr<detail::ServerConnection>> connections(
         connections_.begin(), connections_.end());
-    for (const auto& connection : connections) connection->CheckTime(now);
+    for (const auto& connection : connections) {
+      connection->CheckTime(now);
+      connection->CheckRate(now);
+    }
     Sweep();
   });
 }
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -15,6 +15,7 @@
 #include "core/address.h"
 #include "core/result.h"
 #include "core/time.h"
+#include "sidecar/byte_budget.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_parser.h"
 #include "sidecar/timer.h"
@@ -29,6 +30,20 @@
   Duration idle_timeout = std::chrono::seconds(15);
 };
 
+// What all clients of a server may hold. The defaults are no bounds.
+struct HttpServerBounds {
+  // Shared by all servers of the process; outlives them.
+  ByteBudget* budget = nullptr;
+  // Connections at a time. Beyond it, the one that has been idle for longest is
+  // closed for a new one; without an idle one, accepting pauses. 0: no limit.
+  std::size_t max_connections = 0;
+  // Bytes of a body that holds much memory that arrive in a window at least; a
+  // slower one is answered 408. A client that stays within the limits for
+  // pauses is not slower. 0: no least rate.
+  std::size_t least_body_bytes = 0;
+  Duration least_body_window = std::chrono::seconds(15);
+};
+
 struct HttpAnswer {
   int status = 200;
   // Lines as in HTTP/1.1, each with its line end, without those that frame the
@@ -101,6 +116,9 @@
   // Limits for requests from now on.
   void set_limits(const HttpLimits& limits) { limits_ = limits; }
 
+  // Precondition: called before the loop runs the server.
+  void set_bounds(const HttpServerBounds& bounds) { bounds_ = bounds; }
+
   // Asks each client to open a new connection for its next request.
   void set_closing(bool is_closing) { is_closing_ = is_closing; }
 
@@ -116,6 +134,9 @@
 
   std::size_t connection_count() const { return connections_.size(); }
 
+  // Idle connections that were closed for new ones.
+  std::uint64_t closed_for_new() const { return closed_for_new_; }
+
   // Whether no request has been read in part, and each answer that was given
   // has been handed to the system in full.
   bool is_idle() const;
@@ -130,6 +151,8 @@
              IsRepeatable is_repeatable);
   void Accept();
   void Add(Tcp::socket socket);
+  // Closes idle connections for a new one if there are as many as allowed.
+  void MakeRoom();
   void Sweep();
 
   Tcp::acceptor acceptor_;
@@ -140,6 +163,8 @@
   // Shared by all connections, so that an idle one holds no memory for reading.
   std::array<char, kReadBytes> read_area_;
   HttpLimits limits_;
+  HttpServerBounds bounds_;
+  std::uint64_t closed_for_new_ = 0;
   bool is_closing_ = false;
   std::unordered_set<std::shared_ptr<detail::ServerConnection>> connections_;
 };
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -77,6 +77,17 @@
       confirmation_age(registry.RegisterGauge(
           "configuration_confirmation_age_seconds",
           "Time since the store confirmed the configuration")),
+      buffered_bytes(registry.RegisterGauge(
+          "buffered_bytes", "Memory that connections of clients hold")),
+      memory_refusals(registry.RegisterGauge(
+          "memory_refusals",
+          "Requests of clients refused (503) for want of memory")),
+      memory_evictions(registry.RegisterGauge(
+          "memory_evictions",
+          "Connections without progress that gave way when memory was short")),
+      connections_closed_for_new(registry.RegisterGauge(
+          "connections_closed_for_new",
+          "Idle connections of clients closed for new ones")),
       links(registry.RegisterGauge("links", "Open links to other nodes")),
       known_nodes(registry.RegisterGauge(
           "known_nodes", "Other nodes that are known, reached or not")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -45,6 +45,10 @@
   metrics::Counter& malformed_configurations;
   metrics::Gauge& configuration_version;
   metrics::Gauge& confirmation_age;
+  metrics::Gauge& buffered_bytes;
+  metrics::Gauge& memory_refusals;
+  metrics::Gauge& memory_evictions;
+  metrics::Gauge& connections_closed_for_new;
   metrics::Gauge& links;
   metrics::Gauge& known_nodes;
   metrics::Counter& store_calls;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -115,6 +115,38 @@
        Assign<&Settings::placement,
               &Settings::Placement::crossing_cost_percent>::To},
 
+      {{"edge", "buffer-mb", IntegerRule{0, 1'048'576},
+        "memory for requests, answers and unparsed bytes of all clients in MB; "
+        "0 is node.memory-mb without an eighth, 12 MB at least, or no bound if "
+        "that is unknown",
+        "0"},
+       Assign<&Settings::edge, &Settings::Edge::buffer_mb>::To},
+      {{"edge", "max-connections", IntegerRule{0, 10'000'000},
+        "connections of clients at a time; 0 is what node.descriptors leaves "
+        "for them, or no bound if that is unknown",
+        "0"},
+       Assign<&Settings::edge, &Settings::Edge::max_connections>::To},
+      {{"edge", "client-share", PercentRule{1, 100},
+        "part of the memory for requests that one client address may hold "
+        "while others hold any",
+        "50"},
+       Assign<&Settings::edge, &Settings::Edge::client_share_percent>::To},
+      {{"edge", "stall-limit", DurationRule{milliseconds(100), seconds(60)},
+        "time without 16 KiB of progress after which a client's connection "
+        "gives way when memory is short",
+        "1s"},
+       Assign<&Settings::edge, &Settings::Edge::stall_limit>::To},
+      {{"edge", "least-body", IntegerRule{0, 1'048'576},
+        "KiB of a body above 16 KiB that arrive in least-body-window at least; "
+        "0 is no least rate",
+        "4"},
+       Assign<&Settings::edge, &Settings::Edge::least_body_kb>::To},
+      {{"edge", "least-body-window", DurationRule{seconds(1), seconds(3600)},
+        "time over which least-body counts; twice the longest pause that the "
+        "configuration allows by default",
+        "30s"},
+       Assign<&Settings::edge, &Settings::Edge::least_body_window>::To},
+
       {{"log", "level", ChoiceRule{{"debug", "info", "warning", "error"}},
         "least severe events that are logged", "info"},
        Assign<&Settings::log, &Settings::Log::level>::To},
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -62,6 +62,15 @@
     // in time.
     double crossing_cost_percent = 0;
   };
+  // What clients may hold; 0 is derived from `node`, or no bound.
+  struct Edge {
+    std::int64_t buffer_mb = 0;
+    std::int64_t max_connections = 0;
+    double client_share_percent = 0;
+    Duration stall_limit{};
+    std::int64_t least_body_kb = 0;
+    Duration least_body_window{};
+  };
   struct Log {
     std::string level;
   };
@@ -75,6 +84,7 @@
   Drain drain;
   Retries retries;
   Placement placement;
+  Edge edge;
   Log log;
 
   // Reads settings in INI; all errors are reported together. Thread-safe.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -15,6 +15,7 @@
 #include "platform/announcement_codec.h"
 #include "platform/names.h"
 #include "routing/quarantine.h"
+#include "sidecar/byte_budget.h"
 #include "sidecar/configuration_source.h"
 #include "sidecar/coordination.h"
 #include "sidecar/http_server.h"
@@ -74,6 +75,45 @@
   return organisations::KeyTrust(deployment.revocation_limit);
 }
 
+// Of an eighth to a quarter of the descriptors: links in both directions, the
+// backend server's connections (560 at most) and the store.
+constexpr std::size_t kReservedPart = 4;
+constexpr std::size_t kLeastReserved = 64;
+
+// Connections at each address that is not for clients: one backend server, one
+// supervisor and a few operators use them.
+constexpr std::size_t kOtherConnections = 16;
+constexpr std::size_t kOtherServers = 3;
+
+// Heartbeats have less than 1 kB; other addresses take no body.
+constexpr std::size_t kMaxAnnouncementBytes = std::size_t{64} << 10U;
+constexpr std::size_t kMaxUnusedBodyBytes = 1024;
+
+ByteBudget::Options MakeBudgetOptions(const SidecarSettings& settings) {
+  ByteBudget::Options options = ByteBudget::ForMemory(settings.node.memory_mb);
+  if (settings.edge.buffer_mb > 0) {
+    constexpr std::size_t kMegabyte = 1'000'000;
+    options.capacity =
+        static_cast<std::size_t>(settings.edge.buffer_mb) * kMegabyte;
+    options.reserve = options.capacity / ByteBudget::kReservePart;
+  }
+  options.client_share = settings.edge.client_share_percent / 100;
+  options.stall_limit = settings.edge.stall_limit;
+  return options;
+}
+
+// Returns how many connections clients may have open; 0 is no bound.
+std::size_t MaxClientConnections(const SidecarSettings& settings) {
+  if (settings.edge.max_connections > 0) {
+    return static_cast<std::size_t>(settings.edge.max_connections);
+  }
+  if (settings.node.descriptors <= 0) return 0;
+  const auto all = static_cast<std::size_t>(settings.node.descriptors);
+  const std::size_t others = std::max(all / kReservedPart, kLeastReserved) +
+                             kOtherServers * kOtherConnections;
+  return all > others ? all - others : 1;
+}
+
 std::uint64_t MakeSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -95,6 +135,7 @@
                   .link_mbps = std::max<std::uint32_t>(
                       1, static_cast<std::uint32_t>(settings.node.link_mbps))},
         started_at_(MonotonicClock::now()),
+        budget_(MakeBudgetOptions(settings)),
         receiver_(loop,
                   {.backend_server = std::move(backend_server),
                    .standing = {.requires_verification =
@@ -179,6 +220,12 @@
                            return ingress_.IsRepeatable(request);
                          }));
     clients_ = std::move(clients);
+    clients_->set_bounds(
+        {.budget = &budget_,
+         .max_connections = MaxClientConnections(settings_),
+         .least_body_bytes =
+             static_cast<std::size_t>(settings_.edge.least_body_kb) << 10U,
+         .least_body_window = settings_.edge.least_body_window});
     OLEANDERTIDE_TRY(
         readiness,
         HttpServer::Create(loop_, listen.readiness,
@@ -187,6 +234,7 @@
                              OnReadinessCheck(*request, std::move(reply));
                            }));
     readiness_ = std::move(readiness);
+    BoundOther(*readiness_, kMaxUnusedBodyBytes);
     OLEANDERTIDE_TRY(
         announcements,
         HttpServer::Create(loop_, listen.announcements,
@@ -195,6 +243,7 @@
                              OnAnnouncement(*request, std::move(reply));
                            }));
     announcements_ = std::move(announcements);
+    BoundOther(*announcements_, kMaxAnnouncementBytes);
     OLEANDERTIDE_TRY(
         metrics_server,
         HttpServer::Create(
@@ -208,6 +257,7 @@
                               MonotonicClock::now())});
             }));
     metrics_server_ = std::move(metrics_server);
+    BoundOther(*metrics_server_, kMaxUnusedBodyBytes);
     source_.Start();
     members_.Start();
     if (is_coordination_needed()) coordination_.Start(*link_server_);
@@ -238,6 +288,14 @@
   }
 
  private:
+  // Bounds an address that is not for clients.
+  void BoundOther(HttpServer& server, std::size_t max_body_bytes) {
+    server.set_limits({.maximum_body_bytes = max_body_bytes});
+    server.set_bounds({.max_connections = settings_.node.descriptors > 0
+                                              ? kOtherConnections
+                                              : 0});
+  }
+
   LinkClient::Callbacks MakeLinkCallbacks() {
     return {
         .on_status =
@@ -295,6 +353,13 @@
   void UpdateGauges() {
     metrics_.links.set_value(static_cast<double>(links_.connected().size()));
     metrics_.known_nodes.set_value(static_cast<double>(links_.known_count()));
+    metrics_.buffered_bytes.set_value(static_cast<double>(budget_.used()));
+    metrics_.memory_refusals.set_value(
+        static_cast<double>(budget_.refused_count()));
+    metrics_.memory_evictions.set_value(
+        static_cast<double>(budget_.evicted_count()));
+    metrics_.connections_closed_for_new.set_value(
+        static_cast<double>(clients_->closed_for_new()));
     metrics_.backend_serving.set_value(receiver_.load().accepts_requests ? 1
                                                                          : 0);
   }
@@ -442,6 +507,7 @@
   NodeIdentity identity_;
   const MonotonicTime started_at_;
   NodeMetrics metrics_;
+  ByteBudget budget_;
   routing::Quarantine quarantine_;
   coordination::StoreClock store_clock_;
   mesh::ConfigurationHolder holder_;
--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -171,6 +172,16 @@
   return kExitSuccess;
 }
 
+// Large buffers are mapped one by one and given back to the system when they
+// are released. By default, glibc raises the threshold (to 32 MiB) when the
+// first one is released, and later ones leave holes in a heap that stays as
+// large as it has ever been.
+void KeepLargeBuffersApart() {
+  constexpr int kThresholdBytes = 256 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, 4 * kThresholdBytes);
+}
+
 int Main() {
   if (FLAGS_help_settings) {
     std::cout << SidecarSettings::Describe();
@@ -206,6 +217,7 @@
 }  // namespace oleandertide::sidecar
 
 int main(int argc, char** argv) {
+  oleandertide::sidecar::KeepLargeBuffersApart();
   // A signal that arrives before its handler is installed would end the process
   // at once, with connections already accepted by the kernel.
   const sigset_t signals = oleandertide::sidecar::SupervisedSignals();
--- a/tests/sidecar/http_server_test.cc
+++ b/tests/sidecar/http_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
@@ -212,6 +213,45 @@
   REQUIRE(last.find("HTTP/1.1 408") != std::string::npos);
 }
 
+// Guards against memory that is held for a body which arrives a byte at a time.
+TEST_CASE("a large body that arrives too slowly is refused") {
+  EventLoop loop(1);
+  const Address address = UnusedAddress();
+  ByteBudget budget(ByteBudget::ForMemory(160));
+  int handled = 0;
+  auto server = HttpServer::Create(
+      loop, address,
+      [&](const std::shared_ptr<HttpRequest>& /*request*/, HttpReply reply) {
+        ++handled;
+        reply.Send({});
+      });
+  REQUIRE(server.has_value());
+  server.value()->set_bounds({.budget = &budget,
+                              .least_body_bytes = 1000,
+                              .least_body_window = milliseconds(400)});
+  Tcp::socket client(loop);
+  client.connect(ToEndpoint(address).value());
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n";
+  boost::asio::write(client, boost::asio::buffer(head));
+  client.non_blocking(true);
+  std::string received;
+  const MonotonicTime end = MonotonicClock::now() + seconds(10);
+  while (MonotonicClock::now() < end && received.empty()) {
+    boost::system::error_code error;
+    client.write_some(boost::asio::buffer("b", 1), error);
+    std::array<char, 1000> area;
+    const std::size_t size = client.read_some(boost::asio::buffer(area), error);
+    received.append(area.data(), size);
+    loop.restart();
+    loop.run_for(milliseconds(20));
+  }
+  REQUIRE(received.find("HTTP/1.1 408") != std::string::npos);
+  REQUIRE(handled == 0);
+  // Nothing is held for it any more.
+  REQUIRE(budget.used() == 0);
+}
+
 // Guards against a process that ends, or a connection that hangs, by a field
 // that is longer than the library which keeps fields bears.
 TEST_CASE("a field that is too long is refused wherever it stands") {
