--- a/libraries/sidecar/byte_budget.cc
+++ b/libraries/sidecar/byte_budget.cc
@@ -62,9 +62,9 @@
 
 std::optional<ByteBudget::AccountId> ByteBudget::FindStalled(
     AccountId except, MonotonicTime now) const {
-  for (const Waiting& waiting : waiting_) {
-    if (now - waiting.progress_at < options_.stall_limit) break;
-    if (waiting.id != except) return waiting.id;
+  for (const auto& [progress_at, id] : waiting_) {
+    if (now - progress_at < options_.stall_limit) break;
+    if (id != except) return id;
   }
   return std::nullopt;
 }
--- a/libraries/sidecar/byte_budget.h
+++ b/libraries/sidecar/byte_budget.h
@@ -8,7 +8,6 @@
 #ifndef OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
 #define OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,6 +15,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "core/time.h"
 
@@ -85,11 +85,7 @@
     MonotonicTime progress_at;
   };
   // Accounts that wait for their clients, the longest without progress first.
-  struct Waiting {
-    MonotonicTime progress_at;
-    AccountId id = 0;
-    auto operator<=>(const Waiting&) const = default;
-  };
+  using Waiting = std::pair<MonotonicTime, AccountId>;
 
   bool IsGranted(const Account& account, std::size_t bytes) const;
   std::optional<AccountId> FindStalled(AccountId except,
