--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -65,6 +65,15 @@
     bool learns_room = false;
     bool measures_speed = false;
   };
+  // What clients may hold; 0 is derived from `node`, or no bound.
+  struct Edge {
+    std::int64_t buffer_mb = 0;
+    std::int64_t max_connections = 0;
+    double client_share_percent = 0;
+    Duration stall_limit{};
+    std::int64_t least_body_kb = 0;
+    Duration least_body_window{};
+  };
   struct Log {
     std::string level;
   };
@@ -79,6 +88,7 @@
   Retries retries;
   Placement placement;
   Pace pace;
+  Edge edge;
   Log log;
 
   // Reads settings in INI; all errors are reported together. Thread-safe.
