--- a/libraries/mesh/fair_queue.cc
+++ b/libraries/mesh/fair_queue.cc
@@ -84,7 +84,7 @@
 FairQueue::Position FairQueue::FindNext(MonotonicTime now,
                                         Duration interval) const {
   const auto& first = *flows_.find(active_.begin()->second);
-  const Position front{first.first, first.second.waiting.begin()->first};
+  Position front{first.first, first.second.waiting.begin()->first};
   for (const auto& [start, organisation] : active_) {
     const WaitingMap& waiting = flows_.find(organisation)->second.waiting;
     const auto in_time = waiting.lower_bound(Key{now, 0});
--- a/libraries/mesh/organisation_policy.cc
+++ b/libraries/mesh/organisation_policy.cc
@@ -11,8 +11,7 @@
 
 void SortDistinct(std::vector<int>& values) {
   std::ranges::sort(values);
-  const auto rest = std::ranges::unique(values);
-  values.erase(rest.begin(), rest.end());
+  values.erase(std::unique(values.begin(), values.end()), values.end());
 }
 
 int IndexOf(const std::vector<int>& values, int value) {
