--- a/benchmarks/organisations/organisations_bench.cc
+++ b/benchmarks/organisations/organisations_bench.cc
@@ -58,7 +58,9 @@
   const Route& route = *configuration.hosts.at("h").at("/a/");
   RandomSource random(1);
   std::vector<std::string> keys;
-  for (int i = 0; i < 4096; ++i) {
+  constexpr int kKeys = 4096;
+  keys.reserve(kKeys);
+  for (int i = 0; i < kKeys; ++i) {
     keys.push_back(organisations == 0 ? std::string()
                                       : KeyOf(random.Below(organisations)));
   }
--- a/tests/sidecar/key_test.cc
+++ b/tests/sidecar/key_test.cc
@@ -209,6 +209,41 @@
   REQUIRE(mesh.Runs("/idem/away").empty());
 }
 
+// Guards against a node that neither the store nor other nodes can tell of a
+// withdrawn key.
+TEST_CASE("a node that is cut off from all refuses a withdrawn key in time") {
+  constexpr Duration kLimit = milliseconds(1500);
+  KeyMesh mesh(kLimit);
+  // The node knows of no others, since it finds them in its store.
+  auto own_store = std::make_unique<FakeStore>(mesh.loop());
+  own_store->Put("op", "config", KeyConfiguration(2, kAlpha));
+  Instance& third =
+      mesh.AddInstance("booking", Ok, "dc-1", own_store->address());
+  third.settings.deployment.closes_stale_keys = true;
+  third.settings.deployment.revocation_limit = kLimit;
+  mesh.KillNode(third);
+  mesh.StartNode(third);
+  REQUIRE(mesh.Announce(third) == 200);
+  const auto ask = [&] {
+    return mesh
+        .SendRaw(third.settings.listen.clients,
+                 "GET /idem/cut HTTP/1.1\r\nHost: a.example\r\n"
+                 "Oleandertide-Request-Id: c\r\n" +
+                     KeyMesh::Key("alpha-key-2") + "Connection: close\r\n\r\n")
+        .substr(0, 12);
+  };
+  mesh.RunUntil([&] { return ask() == "HTTP/1.1 200"; });
+  own_store.reset();
+  mesh.store().Put("op", "config", KeyConfiguration(3, kAlphaWithoutSecond));
+  mesh.RunFor(kLimit);
+  const std::size_t runs = third.backend->requests().size();
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(ask() == "HTTP/1.1 503");
+    mesh.RunFor(milliseconds(100));
+  }
+  REQUIRE(third.backend->requests().size() == runs);
+}
+
 // Guards against a restarted node that honours keys of a configuration that
 // another node passes on without a recent confirmation.
 TEST_CASE("a restarted node honours no key before a confirmation") {
@@ -323,5 +358,28 @@
   }
 }
 
+// Guards against ranks that do not reach the calls.
+TEST_CASE("the rank follows the organisation and the lack of a key") {
+  ErrorStreamCapture capture;
+  {
+    KeyMesh mesh;
+    REQUIRE(mesh.Depart(mesh.second, 1000) == 200);
+    mesh.RunUntil(
+        [&] { return mesh.Ask("/once/0", {}, "POST").status == 503; });
+    mesh.Ask("/once/1", {}, "POST");
+    mesh.Ask("/once/2", KeyMesh::Key("alpha-key-1"), "POST");
+    mesh.Ask("/idem/3", KeyMesh::Key("beta-key"));
+    mesh.RunFor(milliseconds(50));
+  }
+  const std::string log = capture.Finish();
+  const auto has_refusal = [&log](std::string_view rank_and_organisation) {
+    return log.find(rank_and_organisation) != std::string::npos;
+  };
+  // Routes have the priorities 1 and 2, and all organisations the same one.
+  REQUIRE(has_refusal("priority=1 rank=0 organisation="));
+  REQUIRE(has_refusal("priority=1 rank=1 organisation=alpha"));
+  REQUIRE(has_refusal("priority=2 rank=2 organisation=beta"));
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
--- a/tests/sidecar/mesh_fixture.cc
+++ b/tests/sidecar/mesh_fixture.cc
@@ -72,7 +72,8 @@
 
 Instance& MeshFixture::AddInstance(const std::string& service,
                                    RawServer::Script script,
-                                   const std::string& data_centre) {
+                                   const std::string& data_centre,
+                                   const std::optional<Address>& store) {
   auto& instance = *instances_.emplace_back(std::make_unique<Instance>());
   const auto number = instances_.size();
   instance.backend_id = fmt::format("i-{}", number);
@@ -102,7 +103,7 @@
   instance.settings.backend.address = {.ip = "127.0.0.1",
                                        .port = endpoint.port()};
   instance.settings.backend.max_answer_kb = 4096;
-  instance.settings.store.address = store_->address();
+  instance.settings.store.address = store.value_or(store_->address());
   instance.settings.drain = {.fence = milliseconds(300),
                              .announce_time = milliseconds(200),
                              .deadline = seconds(2)};
--- a/tests/sidecar/mesh_fixture.h
+++ b/tests/sidecar/mesh_fixture.h
@@ -52,9 +52,11 @@
   ~MeshFixture();
 
   // Starts a backend server of `service` with its node. The script answers its
-  // requests; health checks are answered with 200.
+  // requests; health checks are answered with 200. The node uses another store
+  // than the others if one is given.
   Instance& AddInstance(const std::string& service, RawServer::Script script,
-                        const std::string& data_centre = "dc-1");
+                        const std::string& data_centre = "dc-1",
+                        const std::optional<Address>& store = std::nullopt);
 
   // Ends the process of a node without notice.
   void KillNode(Instance& instance) { instance.node.reset(); }
