--- a/libraries/rollout/order_book.cc
+++ b/libraries/rollout/order_book.cc
@@ -8,8 +8,8 @@
 namespace {
 
 auto Rank(const OrderState& state) {
-  return std::tuple(state.order.version, state.step, state.share_permille,
-                    state.over_at_ms, std::string_view(state.withheld));
+  return std::tie(state.order.version, state.step, state.share_permille,
+                  state.over_at_ms, state.withheld);
 }
 
 }  // namespace
