coordination: Let a restarted node read the lease at once

After a restart of all processes, callers of organisations with limits were refused for some three seconds: a node that had held the lease waited 1.5 s for its links, and then for its turn, before it read its own row. A restarted node now reads the lease within 0.2 s and goes on at once if its earlier life held it; otherwise it only learns who holds it. election_test covers it.

The least rate of bodies is off by default: no client within the configuration's limits may meet a limit of ours.

--- a/libraries/coordination/election.cc
+++ b/libraries/coordination/election.cc
@@ -86,6 +86,10 @@
     is_busy_ = true;
     return ReadRow{};
   }
+  if (options_.reads_at_start && !has_read_) {
+    is_busy_ = true;
+    return ReadRow{};
+  }
   const bool is_own_earlier_life = holder_.node == options_.node;
   if (holder_.term > 0 && !is_own_earlier_life) {
     const auto store_now = clock.EarliestNow(now);
@@ -105,7 +109,13 @@
                                  const StoreClock& clock, BootTime now) {
   is_busy_ = false;
   is_row_uncertain_ = false;
+  const bool is_first_read = !std::exchange(has_read_, true);
   if (is_released_) return {};
+  if (options_.reads_at_start && is_first_read && row &&
+      row->holder.node != options_.node) {
+    Learn(row->holder);
+    return {};
+  }
   if (!row) return Claim(holder_.term + 1, {}, clock, now);
   const Holder& holder = row->holder;
   if (holder.node == options_.node &&
--- a/libraries/coordination/election.h
+++ b/libraries/coordination/election.h
@@ -72,6 +72,9 @@
     Duration renewal = std::chrono::seconds(1);
     // Time before the end of the lease at which its holder stops to act.
     Duration margin = std::chrono::milliseconds(100);
+    // Whether the first read is made at once and only tells who holds the
+    // lease, unless it was an earlier life of this process.
+    bool reads_at_start = false;
   };
 
   // What is to be done at the store. Exactly one OnRow, OnReadFailed or
@@ -132,6 +135,7 @@
   bool is_row_uncertain_ = false;
   bool is_busy_ = false;
   bool is_released_ = false;
+  bool has_read_ = false;
   // The next read or write at the earliest.
   BootTime next_at_{};
   // When the end of the known lease was first noticed.
--- a/libraries/sidecar/coordination.cc
+++ b/libraries/sidecar/coordination.cc
@@ -20,7 +20,11 @@
 
 // Links to other nodes are open by then, so that a node knows whether another
 // one is better suited.
-constexpr Duration kStartDelay = std::chrono::milliseconds(1500);
+constexpr Duration kFirstStartDelay = std::chrono::milliseconds(1500);
+// A restarted process reads the lease within this time: it may have been held
+// by its earlier life, and then nobody else may take it yet. Many processes
+// restart together.
+constexpr Duration kMaxRestartDelay = std::chrono::milliseconds(200);
 
 // Each better suited node that is known to live adds this; beyond the maximum
 // all try.
@@ -30,11 +34,18 @@
 }  // namespace
 
 Coordination::Coordination(const Parts& parts, NodeIdentity self,
-                           std::string incarnation)
+                           std::string incarnation, bool is_first_start)
     : parts_(parts),
       self_(std::move(self)),
-      election_({.node = self_.name, .incarnation = std::move(incarnation)}),
-      timer_(parts.loop) {}
+      election_({.node = self_.name,
+                 .incarnation = std::move(incarnation),
+                 .reads_at_start = !is_first_start}),
+      timer_(parts.loop),
+      first_tick_at_(
+          BootClock::now() +
+          (is_first_start
+               ? kFirstStartDelay
+               : parts.random.Between(Duration::zero(), kMaxRestartDelay))) {}
 
 void Coordination::Register(CoordinationSubject subject, Handlers handlers) {
   handlers_[static_cast<std::size_t>(subject)] = std::move(handlers);
@@ -69,10 +80,7 @@
 void Coordination::Tick() {
   timer_.Start(kTickInterval, [this] { Tick(); });
   const BootTime now = BootClock::now();
-  // A node whose earlier life held the lease does not wait: nobody else may
-  // take it yet.
-  if (now - started_at_ >= kStartDelay ||
-      election_.holder().node == self_.name) {
+  if (now >= first_tick_at_) {
     Perform(election_.Tick(parts_.clock, now, ClaimDelay()));
   }
   CheckChange();
--- a/libraries/sidecar/coordination.h
+++ b/libraries/sidecar/coordination.h
@@ -59,8 +59,10 @@
     coordination::StoreClock& clock;
   };
 
-  // `incarnation` tells the lives of this node's process apart.
-  Coordination(const Parts& parts, NodeIdentity self, std::string incarnation);
+  // `incarnation` tells the lives of this node's process apart. At the first
+  // start of the whole system nobody can hold the lease yet.
+  Coordination(const Parts& parts, NodeIdentity self, std::string incarnation,
+               bool is_first_start);
 
   // Registers the handlers of a subject. Precondition: called before Start,
   // once for each subject.
@@ -122,7 +124,7 @@
   LinkServer* server_ = nullptr;
   std::array<Handlers, kCoordinationSubjectCount> handlers_;
   Timer timer_;
-  const BootTime started_at_ = BootClock::now();
+  const BootTime first_tick_at_;
   bool is_active_ = false;
   // What on_changed was last called for.
   std::uint64_t told_term_ = 0;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -153,8 +153,9 @@
        Assign<&Settings::edge, &Settings::Edge::stall_limit>::To},
       {{"edge", "least-body", IntegerRule{0, 1'048'576},
         "KiB of a body above 16 KiB that arrive in least-body-window at least; "
-        "0 is no least rate",
-        "4"},
+        "0, the default, is no least rate: the configuration limits only "
+        "pauses",
+        "0"},
        Assign<&Settings::edge, &Settings::Edge::least_body_kb>::To},
       {{"edge", "least-body-window", DurationRule{seconds(1), seconds(3600)},
         "time over which least-body counts; twice the longest pause that the "
--- a/tests/coordination/election_test.cc
+++ b/tests/coordination/election_test.cc
@@ -97,8 +97,10 @@
     node->life = life;
     node->rank = index;
     node->clock_offset = static_cast<std::int64_t>(random_.Below(100'000));
-    node->election = std::make_unique<Election>(Election::Options{
-        .node = name, .incarnation = name + std::to_string(life)});
+    node->election = std::make_unique<Election>(
+        Election::Options{.node = name,
+                          .incarnation = name + std::to_string(life),
+                          .reads_at_start = life > 1});
   }
 
   void After(std::int64_t delay, std::function<void()> action) {
