sidecar: Leave learnt room and sampled placement off by default

A shed at random counted as a full backend server. Earlier deployments are to be served as before, so both are off until they tell the two apart.

--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -112,7 +112,7 @@
       {{"placement", "sample", IntegerRule{0, 1000},
         "random backend servers with room that are compared in the own data "
         "centre, and as many in the others; 0 compares all",
-        "2"},
+        "0"},
        Assign<&Settings::placement, &Settings::Placement::sample>::To},
       {{"placement", "sample-from", IntegerRule{0, 100'000},
         "reporting nodes from which only a sample is compared", "60"},
@@ -120,8 +120,9 @@
 
       {{"pace", "learn-room", BooleanRule{},
         "whether refusals and resets of a full backend server lower the number "
-        "of requests that it is sent at once",
-        "true"},
+        "of requests that it is sent at once; a backend server that sheds a "
+        "share of its requests at random counts as full",
+        "false"},
        Assign<&Settings::pace, &Settings::Pace::learns_room>::To},
       {{"pace", "measure-speed", BooleanRule{},
         "whether the slowness of the backend server is measured from running "
