tests: Hold the replays of pace to the figures without it

The replays of a restart, a factor of 5 and a flap allowed 5% more late or refused clients with measured slowness than without.

--- a/tests/mesh/pace_test.cc
+++ b/tests/mesh/pace_test.cc
@@ -21,16 +21,13 @@
   int clients = 0;
 };
 
-// Totals of 48 seeds differ by about 5% if only the order of random numbers
-// changes, so the bounds below allow this much.
-//
 // Clients that were answered late or not at all, without and with measured
-// slowness, over several seeds.
+// slowness. Over fewer seeds the order of random numbers decides.
 Totals Compare(const FleetReplay::Options& pattern, Duration from,
                Duration until) {
   Totals totals;
   Duration latency[2]{};
-  for (std::uint64_t seed = 1; seed <= 48; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
     for (const bool uses_pace : {false, true}) {
       FleetReplay::Options options = pattern;
       options.seed = seed;
@@ -89,7 +86,7 @@
     });
   }
   const auto totals = Compare(pattern, seconds(4), seconds(9));
-  CHECK(totals.after <= totals.before * 1.05);
+  CHECK(totals.after <= totals.before);
 }
 
 TEST_CASE("pace replay: a factor of 5 for 3 s and back", "[mesh]") {
@@ -100,7 +97,7 @@
     });
   }
   const auto totals = Compare(pattern, seconds(3), seconds(9));
-  CHECK(totals.after <= totals.before * 1.05);
+  CHECK(totals.after <= totals.before);
 }
 
 TEST_CASE("pace replay: a factor of 12 for 5 s and back", "[mesh]") {
@@ -125,7 +122,7 @@
     });
   }
   const auto totals = Compare(pattern, seconds(2), seconds(9));
-  CHECK(totals.after <= totals.before * 1.05);
+  CHECK(totals.after <= totals.before);
 }
 
 TEST_CASE("pace replay: all backend servers are new at once", "[mesh]") {
