tests: End waiting calls with the fake store

A store that ended in a test left timers that used it: sidecar_test crashed in the test of a node that is cut off from all. Found by the address sanitizer. The linter's finding in election_test is mended too.

--- a/tests/coordination/election_test.cc
+++ b/tests/coordination/election_test.cc
@@ -119,7 +119,7 @@
 
   // Calls `action` at the node if it still lives, and once it is not frozen.
   void AtNode(const std::string& name, std::uint64_t life, std::int64_t delay,
-              std::function<void(Node&)> action) {
+              const std::function<void(Node&)>& action) {
     After(delay, [this, name, life, action] {
       Node& node = *nodes_.at(name);
       if (node.life != life) return;
--- a/tests/sidecar/fake_store.cc
+++ b/tests/sidecar/fake_store.cc
@@ -64,6 +64,11 @@
   server_ = std::move(server).value();
 }
 
+FakeStore::~FakeStore() {
+  // Each timer holds its waiter until it has expired.
+  for (const auto& waiter : waiters_) waiter->timer->Cancel();
+}
+
 void FakeStore::Put(const std::string& table, const std::string& key,
                     const std::string& value) {
   tables_[table][key] = {value, ++version_};
--- a/tests/sidecar/fake_store.h
+++ b/tests/sidecar/fake_store.h
@@ -23,6 +23,7 @@
 class FakeStore {
  public:
   explicit FakeStore(EventLoop& loop);
+  ~FakeStore();
 
   const Address& address() const { return address_; }
 
