--- a/tests/deployments/rollout_test.cc
+++ b/tests/deployments/rollout_test.cc
@@ -172,7 +172,7 @@
 class TrialFixture : public RolloutFixture {
  public:
   // `answers_bad` tells whether a request to a new backend server fails.
-  explicit TrialFixture(std::function<bool()> answers_bad) {
+  explicit TrialFixture(const std::function<bool()>& answers_bad) {
     const auto add = [&](int& runs, std::string_view version,
                          std::function<bool()> is_bad) {
       Instance& instance = mesh.AddInstance(
