--- a/libraries/sidecar/limits.cc
+++ b/libraries/sidecar/limits.cc
@@ -33,6 +33,7 @@
       options_(options),
       // Half of the range is left, so that numbers never wrap.
       stock_({}, parts.random.Next() >> 1U),
+      allocator_(options.bounds),
       ask_timer_(parts.loop),
       tick_timer_(parts.loop) {
   parts_.coordination.Register(
@@ -139,8 +140,11 @@
         refused_.try_emplace(std::string(organisation));
     RefusedCounter(state->first).Add();
     if (is_new) {
+      const mesh::Organisation* limited = FindOrganisation(organisation);
       logging::Log(Level::kWarning, "limits", "organisation over its limit",
                    {{"organisation", organisation},
+                    {"rate", limited == nullptr ? 0 : limited->rate},
+                    {"burst", limited == nullptr ? 0 : limited->burst},
                     {"coordinator", parts_.coordination.holder().node},
                     {"term", parts_.coordination.holder().term}});
     }
@@ -157,6 +161,13 @@
   }
 }
 
+const mesh::Organisation* Limits::FindOrganisation(
+    std::string_view name) const {
+  if (!applied_) return nullptr;
+  const auto found = applied_->organisations.find(name);
+  return found == applied_->organisations.end() ? nullptr : found->second.get();
+}
+
 organisations::LimitMap Limits::MakeLimits() const {
   LimitMap limits;
   if (!applied_) return limits;
--- a/libraries/sidecar/limits.h
+++ b/libraries/sidecar/limits.h
@@ -37,6 +37,7 @@
     // A coordinator whose configuration was not confirmed for so long grants
     // nothing: it may not know of a lowered limit.
     Duration configuration_limit = std::chrono::milliseconds(2500);
+    organisations::TokenAllocator::Bounds bounds{};
   };
 
   // All outlive this object.
@@ -88,6 +89,8 @@
   void OnMessage(std::string_view payload);
   void OnCoordinatorChanged();
   metrics::Counter& RefusedCounter(const std::string& organisation);
+  // Null if the configuration in force has no such organisation.
+  const mesh::Organisation* FindOrganisation(std::string_view name) const;
 
   const Parts parts_;
   const Options options_;
