--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -162,8 +162,10 @@
   if (MonotonicClock::now() < order_backoff_until_) return;
   if (!order_callbacks_.needs_read()) return;
   is_reading_orders_ = true;
+  // Not from the configuration on: it may have hundreds of kilobytes, and all
+  // nodes read at once after a loss of power.
   ReadTable({.sent_at = BootClock::now(),
-             .first_key = std::string(platform::kConfigurationKey)},
+             .first_key = std::string(platform::kRolloutKeyPrefix)},
             [this](const Result<Reading>& result) {
               is_reading_orders_ = false;
               if (result) {
--- a/libraries/sidecar/configuration_source.h
+++ b/libraries/sidecar/configuration_source.h
@@ -92,7 +92,7 @@
   };
   using OnTable = std::function<void(const Result<Reading>&)>;
 
-  // Reads the whole table from the configuration on.
+  // Reads the table from a key on.
   void ReadTable(Reading reading, OnTable on_table);
   void ReadAll();
   void Follow();
