mesh: Refuse large answers that the link cannot carry in time

Print on demand: downloads need 97 Mbit/s, and the links of the five instances that have them 70. All were taken, so the queues of the links grew to 0.6 to 1.0 s and most downloads came late; those refused heard of it after 570 ms. Answers to clients use the same link and were not counted, so parts were sent faster than the link could carry them. Calls of backend servers (250 ms) then waited behind them, and the orders that made these calls failed.

Answers to clients count in the link's backlog.

--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -110,6 +110,25 @@
   return load.mean_run_time * ahead / std::max(load.slots, 1);
 }
 
+Duration Placement::EstimateLinkWait(const Candidate& candidate) {
+  // The node's own instance has no link to it.
+  if (candidate.location.link_mbps <= 0) return Duration::zero();
+  return candidate.load.link_wait +
+         TransferTime(candidate.unreported_bytes, candidate.location.link_mbps);
+}
+
+Duration Placement::Excess(const Candidate& candidate, const Request& request) {
+  const Duration excess =
+      EstimateWait(candidate, request) - request.wait_allowance;
+  if (!request.link_allowance) return excess;
+  // The link has worked since the report. What others promised on it meanwhile
+  // is not known here: the node itself refuses what exceeds the allowance, and
+  // such a refusal costs less than room that is left unused.
+  const Duration link_wait =
+      EstimateLinkWait(candidate) - (request.now - candidate.reported_at);
+  return std::max(excess, link_wait - *request.link_allowance);
+}
+
 double Placement::Cost(const Candidate& candidate, const Request& request,
                        Duration wait) const {
   const BackendLoad& load = candidate.load;
@@ -124,10 +143,9 @@
   double before_run = ToMicroseconds(wait);
   if (candidate.location.link_mbps > 0) {
     const double link_wait =
+        ToMicroseconds(EstimateLinkWait(candidate)) +
         ToMicroseconds(
-            TransferTime(request.expected_bytes + candidate.unreported_bytes,
-                         candidate.location.link_mbps)) +
-        ToMicroseconds(load.link_wait);
+            TransferTime(request.expected_bytes, candidate.location.link_mbps));
     before_run += request.expected_bytes > kMaxSmallAnswerBytes
                       ? link_wait
                       : std::min(link_wait, kMaxSmallAnswerWaitUs);
@@ -168,7 +186,7 @@
     RandomSource& random, bool includes_stale) {
   std::vector<CandidateMap::iterator> own;
   std::vector<CandidateMap::iterator> other;
-  Duration shortest_wait = Duration::max();
+  Duration least_excess = Duration::max();
   bool is_any_accepting = false;
   int considered = 0;
   for (auto entry = candidates_.begin(); entry != candidates_.end(); ++entry) {
@@ -187,14 +205,14 @@
     if (request.max_nodes > 0 && ++considered > request.max_nodes) break;
     if (std::ranges::find(excluded, node) != excluded.end()) continue;
     is_any_accepting = true;
-    const Duration wait = EstimateWait(candidate, request);
-    shortest_wait = std::min(shortest_wait, wait);
-    if (wait > request.wait_allowance) continue;
+    const Duration excess = Excess(candidate, request);
+    least_excess = std::min(least_excess, excess);
+    if (excess > Duration::zero()) continue;
     (candidate.location.is_in_own_data_centre ? own : other).push_back(entry);
   }
   if (own.empty() && other.empty()) {
     if (!is_any_accepting) return NoBackendServer{};
-    return NoRoom{shortest_wait - request.wait_allowance};
+    return NoRoom{least_excess};
   }
   Sample(own, random);
   Sample(other, random);
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,6 +50,9 @@
     double expected_bytes = 0;
     // Time for which the request may wait for a slot.
     Duration wait_allowance{};
+    // Longest time that a link may need for what is promised before the answer;
+    // see ChooseLinkAllowance. Nothing if that does not matter.
+    std::optional<Duration> link_allowance{};
     // The client gets the full value of an answer within this time.
     Duration target_latency{};
     // Whether the request goes before the waiting ones of its rank: the queue
@@ -73,7 +77,7 @@
     std::string node;
     Duration expected_wait{};
   };
-  // The wait at each backend server exceeds the allowance.
+  // The wait at each backend server, or for its link, exceeds the allowance.
   struct NoRoom {
     // Expected time until a request would be accepted.
     Duration until_room{};
@@ -162,6 +166,11 @@
   static bool IsReportStale(const Candidate& candidate, MonotonicTime now);
   static Duration EstimateWait(const Candidate& candidate,
                                const Request& request);
+  // Time that the candidate's link needs for what was promised before.
+  static Duration EstimateLinkWait(const Candidate& candidate);
+  // Time by which the waits exceed their allowances; not above zero if there is
+  // room.
+  static Duration Excess(const Candidate& candidate, const Request& request);
   // Returns the expected cost; `wait` includes the jitter.
   double Cost(const Candidate& candidate, const Request& request,
               Duration wait) const;
--- a/libraries/sidecar/call.h
+++ b/libraries/sidecar/call.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "core/time.h"
@@ -31,6 +32,9 @@
   Duration remaining{};
   // Time for which the request may wait for a slot.
   Duration wait_allowance{};
+  // Longest time that the sender's link may need for what is promised before
+  // the answer, if that matters.
+  std::optional<Duration> link_allowance{};
   // Mean run time of the route; zero if unknown.
   Duration expected_run{};
   // Mean size of the route's answers in bytes; zero if unknown.
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -8,6 +8,7 @@
 
 #include "core/hash.h"
 #include "logging/log.h"
+#include "mesh/link_room.h"
 #include "platform/http_codec.h"
 #include "sidecar/timer.h"
 
@@ -107,6 +108,7 @@
       data_centre_(options.data_centre),
       service_(options.service),
       placement_(options.placement),
+      bounds_links_(options.bounds_links),
       exposure_(options.max_trial_share),
       retries_(options.retries),
       key_trust_(options.key_trust) {}
@@ -369,6 +371,12 @@
        .elapsed = now - exchange->arrived,
        .remaining = call.remaining,
        .expected_run = call.expected_run});
+  if (bounds_links_) {
+    call.link_allowance =
+        mesh::ChooseLinkAllowance({.expected_bytes = call.expected_bytes,
+                                   .target_latency = route.target_latency,
+                                   .elapsed = now - exchange->arrived});
+  }
   placement_.Update(node_, parts_.receiver.service(),
                     {.is_in_own_data_centre = true}, parts_.receiver.load(),
                     now, parts_.receiver.backend_version());
@@ -379,6 +387,7 @@
       .request_bytes = static_cast<double>(call.body.size()),
       .expected_bytes = static_cast<double>(call.expected_bytes),
       .wait_allowance = call.wait_allowance,
+      .link_allowance = call.link_allowance,
       .target_latency = route.target_latency,
       .elapsed = now - exchange->arrived,
       .now = now};
@@ -514,6 +523,10 @@
         static_cast<double>(completed.body.size()));
   }
   exchange->may_have_run = true;
+  // The instance's own backend server is not reached over the link.
+  if (!exchange->call.is_backend_server_call) {
+    parts_.backlog.Add(now, completed.headers.size() + completed.body.size());
+  }
   parts_.metrics.answered.Add();
   parts_.metrics.answer_latency.Record(now - exchange->arrived, now);
   exchange->reply.Send({.status = completed.status,
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -19,6 +19,7 @@
 #include "mesh/attempt_policy.h"
 #include "mesh/average.h"
 #include "mesh/configuration_holder.h"
+#include "mesh/link_backlog.h"
 #include "mesh/organisation_policy.h"
 #include "mesh/placement.h"
 #include "mesh/retry_allowance.h"
@@ -52,6 +53,9 @@
     std::string service;
     mesh::RetryAllowance::Options retries;
     mesh::Placement::Options placement;
+    // Whether large answers go only to links with room; see
+    // mesh::ChooseLinkAllowance.
+    bool bounds_links = false;
     // See organisations::KeyTrust; without it, keys are honoured as the
     // configuration in force says.
     std::optional<organisations::KeyTrust> key_trust{};
@@ -69,6 +73,8 @@
     NodeMetrics& metrics;
     RandomSource& random;
     const coordination::StoreClock& store_clock;
+    // Of the instance's link, which also carries the answers to clients.
+    mesh::LinkBacklog& backlog;
     // Orders to roll out a version; nullptr if the deployment has none.
     const rollout::OrderBook* orders = nullptr;
     // Where outcomes of requests under an order are counted; set with `orders`.
@@ -159,6 +165,7 @@
   std::string service_;
   std::optional<mesh::StopPolicy> stop_;
   mesh::Placement placement_;
+  const bool bounds_links_;
   rollout::Exposure exposure_;
   mesh::RetryAllowance retries_;
   mesh::ServiceChoice service_choice_;
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -135,6 +135,9 @@
   organisation @14 :Text;
   # Whether a backend server made the call while it ran another request.
   isBackendServerCall @15 :Bool;
+  # Longest time that the link of the receiver may need for what is promised
+  # before the answer, plus one; 0 if that does not matter.
+  linkAllowanceMs @16 :UInt32;
 }
 
 struct Cancel {
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -1319,6 +1319,8 @@
 
   inline bool getIsBackendServerCall() const;
 
+  inline  ::uint32_t getLinkAllowanceMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1423,6 +1425,9 @@
   inline bool getIsBackendServerCall();
   inline void setIsBackendServerCall(bool value);
 
+  inline  ::uint32_t getLinkAllowanceMs();
+  inline void setLinkAllowanceMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4071,6 +4076,20 @@
       ::capnp::bounded<169>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Call::Reader::getLinkAllowanceMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Call::Builder::getLinkAllowanceMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setLinkAllowanceMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Cancel::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -397,9 +397,16 @@
   builder.setIsRepeatable(call.is_repeatable);
   if (!call.organisation.empty()) builder.setOrganisation(call.organisation);
   builder.setIsBackendServerCall(call.is_backend_server_call);
+  if (call.link_allowance) {
+    builder.setLinkAllowanceMs(ToMs(*call.link_allowance) + 1);
+  }
 }
 
 Call Decode(wire::Call::Reader reader, std::string_view body) {
+  std::optional<Duration> link_allowance;
+  if (reader.getLinkAllowanceMs() > 0) {
+    link_allowance = std::chrono::milliseconds(reader.getLinkAllowanceMs() - 1);
+  }
   return {
       .request_id = ToString(reader.getRequestId()),
       .method = ToString(reader.getMethod()),
@@ -411,6 +418,7 @@
       .service = ToString(reader.getService()),
       .remaining = std::chrono::milliseconds(reader.getRemainingMs()),
       .wait_allowance = std::chrono::milliseconds(reader.getWaitAllowanceMs()),
+      .link_allowance = link_allowance,
       .expected_run = std::chrono::microseconds(reader.getExpectedRunUs()),
       .expected_bytes = reader.getExpectedBytes(),
       .fingerprint = reader.getFingerprint(),
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -198,6 +198,10 @@
   const CallId id = reader.getId();
   session->last_taken = std::max(session->last_taken, id);
   Call call = Decode(reader, body);
+  if (call.link_allowance && link_wait() > *call.link_allowance) {
+    SendAnswer(session, id, mesh::NotRun{mesh::Reason::kNoRoom});
+    return;
+  }
   // Entered first, since the outcome may come before Submit returns.
   session->calls[id] = {.expected_bytes = call.expected_bytes};
   promised_bytes_ += call.expected_bytes;
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -74,6 +74,10 @@
       running(registry.RegisterGauge("running", "Requests that hold a slot")),
       waiting(
           registry.RegisterGauge("waiting", "Requests that wait for a slot")),
+      link_wait(registry.RegisterGauge(
+          "link_wait_seconds",
+          "Time that the instance's link needs for what it was given and for "
+          "answers that are promised")),
       backend_serving(registry.RegisterGauge(
           "backend_serving",
           "Whether the backend server beside the node takes requests")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -41,6 +41,7 @@
   metrics::Counter& room_reductions;
   metrics::Gauge& running;
   metrics::Gauge& waiting;
+  metrics::Gauge& link_wait;
 
   // Of control.
   metrics::Gauge& backend_serving;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -117,6 +117,11 @@
       {{"placement", "sample-from", IntegerRule{0, 100'000},
         "reporting nodes from which only a sample is compared", "60"},
        Assign<&Settings::placement, &Settings::Placement::sample_from>::To},
+      {{"placement", "bound-links", BooleanRule{},
+        "whether large answers are refused where the link would be busy for "
+        "more than half of the time left to their target latency",
+        "true"},
+       Assign<&Settings::placement, &Settings::Placement::bounds_links>::To},
 
       {{"pace", "learn-room", BooleanRule{},
         "whether refusals and resets of a full backend server lower the number "
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -60,6 +60,7 @@
     // See mesh::Placement::Options.
     std::int64_t sample = 0;
     std::int64_t sample_from = 0;
+    bool bounds_links = false;
   };
   struct Pace {
     bool learns_room = false;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -164,6 +164,7 @@
              .metrics = metrics_,
              .random = random_,
              .store_clock = store_clock_,
+             .backlog = backlog_,
              .orders = settings.deployment.has_rollouts ? &orders_ : nullptr,
              .outcomes = &outcomes_},
             {.node = identity_.name,
@@ -180,6 +181,7 @@
                                static_cast<int>(settings.placement.sample),
                            .sample_from = static_cast<int>(
                                settings.placement.sample_from)},
+             .bounds_links = settings.placement.bounds_links,
              .key_trust = MakeKeyTrust(settings.deployment),
              .max_trial_share = settings.deployment.exposure_share}),
         store_(loop, std::move(store), settings.store.address.ToString(),
@@ -459,6 +461,8 @@
 
   // Of what changes more often than it is asked for.
   void UpdateGauges() {
+    metrics_.link_wait.set_value(
+        std::chrono::duration<double>(link_server_->link_wait()).count());
     metrics_.links.set_value(static_cast<double>(links_.connected().size()));
     metrics_.known_nodes.set_value(static_cast<double>(links_.known_count()));
     const bool is_serving =
--- a/tests/mesh/placement_test.cc
+++ b/tests/mesh/placement_test.cc
@@ -161,6 +161,29 @@
   REQUIRE(choices["quiet"] == 50);
 }
 
+// Guards against downloads that are promised on links that cannot carry them in
+// time, and against refusals of small answers, which do not wait for them.
+TEST_CASE("a link that is busy for too long has no room") {
+  Placement placement(kCrossingCostPerByte);
+  RandomSource random(11);
+  BackendLoad load = MakeLoad(0);
+  load.link_wait = milliseconds(300);
+  placement.Update("a", "rooms", {.link_mbps = 14}, load, kNow);
+  auto request = MakeRequest(90'000);
+  request.link_allowance = milliseconds(250);
+  const auto decision = placement.Choose(request, {}, random);
+  const auto* no_room = std::get_if<Placement::NoRoom>(&decision);
+  REQUIRE(no_room != nullptr);
+  REQUIRE(no_room->until_room == milliseconds(50));
+  request.link_allowance.reset();
+  REQUIRE(std::holds_alternative<Placement::Choice>(
+      placement.Choose(request, {}, random)));
+  // What was promised since the report counts.
+  request.link_allowance = milliseconds(340);
+  REQUIRE(std::holds_alternative<Placement::NoRoom>(
+      placement.Choose(request, {}, random)));
+}
+
 // Guards against the collapse of a service whose backend servers call another
 // one: calls of urgent routes were refused at the ingress because less urgent
 // requests, which they overtake, were waiting everywhere.
