--- a/libraries/organisations/token_allocator.h
+++ b/libraries/organisations/token_allocator.h
@@ -47,15 +47,17 @@
 //
 // A node with a steady demand gets a standing rate, which ends with the lease
 // of the coordinator as it was at the grant, by the store's clock. The bucket
-// is refilled only with what is left of the rate. All standing rates together
-// are at most 0.75 of it, and their buckets at nodes hold at most half a second
-// of them (one request, at 2 requests a second). So no window has more than
+// is refilled only with what is left of the fill rate. All standing rates
+// together are at most 0.75 of it, and their buckets at nodes hold at most half
+// a second of them (one request, at 2 requests a second). So no window has more
+// than
 //   fill rate * (w + 0.3 * 0.25 + 0.5 * 0.75) + slack
 //     = fill rate * (w + 0.45) + slack
 // which is at most (rate * w + burst) * (1 + overage) + slack for an overage of
 // 0.1 and w = 5 s. With other bounds the fill rate is lowered accordingly. A
 // standing rate that was lowered or given up counts until its end. Those of an
-// earlier coordinator count as 0.75 of the rate until the end of its lease.
+// earlier coordinator count as 0.75 of the fill rate until the end of its
+// lease.
 //
 // Load pattern: organisations of very unequal size whose clients are spread
 // over many nodes; one sends many times its rate at some of them; the
