mesh: Count the run time in the room on links

Calls of backend servers and HEAD requests were bounded as well.

The allowance is now the expected run time, during which the link sends earlier answers, and a quarter of the time after it. Calls of backend servers and HEAD have none, and answers to HEAD no longer count in the mean size. link_refused_total counts the refusals.

--- a/libraries/mesh/link_room.h
+++ b/libraries/mesh/link_room.h
@@ -11,8 +11,10 @@
 namespace oleandertide::mesh {
 
 struct AnswerOnLink {
-  // Mean size of the route's answers; 0 if unknown.
+  // Mean size of the route's answers; 0 if unknown or if there is no body.
   std::size_t expected_bytes = 0;
+  // Mean run time of the route's requests.
+  Duration expected_run{};
   Duration target_latency{};
   // Time since the arrival of the request.
   Duration elapsed{};
--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -111,7 +111,7 @@
 }
 
 Duration Placement::EstimateLinkWait(const Candidate& candidate) {
-  // The node's own instance has no link to it.
+  // The node's own instance does not use its link.
   if (candidate.location.link_mbps <= 0) return Duration::zero();
   return candidate.load.link_wait +
          TransferTime(candidate.unreported_bytes, candidate.location.link_mbps);
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -45,6 +45,8 @@
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 constexpr int kStatusBadGateway = 502;
+constexpr std::string_view kHeadMethod = "HEAD";
+
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusGatewayTimeout = 504;
 
@@ -362,8 +364,10 @@
   call.remaining = exchange->deadline - now;
   call.expected_run =
       Duration(static_cast<std::int64_t>(exchange->statistics->run_us.value()));
-  call.expected_bytes =
-      static_cast<std::size_t>(exchange->statistics->answer_bytes.value());
+  call.expected_bytes = call.method == kHeadMethod
+                            ? 0
+                            : static_cast<std::size_t>(
+                                  exchange->statistics->answer_bytes.value());
   call.wait_allowance = mesh::ChooseMaxWait(
       {.priority = route.priority,
        .is_backend_server_call = call.is_backend_server_call,
@@ -371,9 +375,11 @@
        .elapsed = now - exchange->arrived,
        .remaining = call.remaining,
        .expected_run = call.expected_run});
-  if (bounds_links_) {
+  // Nothing goes before calls of backend servers.
+  if (bounds_links_ && !call.is_backend_server_call) {
     call.link_allowance =
         mesh::ChooseLinkAllowance({.expected_bytes = call.expected_bytes,
+                                   .expected_run = call.expected_run,
                                    .target_latency = route.target_latency,
                                    .elapsed = now - exchange->arrived});
   }
@@ -519,8 +525,10 @@
   if (completed.status < kFirstFailure) {
     exchange->statistics->run_us.Add(
         static_cast<double>(completed.run_time.count()));
-    exchange->statistics->answer_bytes.Add(
-        static_cast<double>(completed.body.size()));
+    if (exchange->call.method != kHeadMethod) {
+      exchange->statistics->answer_bytes.Add(
+          static_cast<double>(completed.body.size()));
+    }
   }
   exchange->may_have_run = true;
   // The instance's own backend server is not reached over the link.
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -199,6 +199,7 @@
   session->last_taken = std::max(session->last_taken, id);
   Call call = Decode(reader, body);
   if (call.link_allowance && link_wait() > *call.link_allowance) {
+    receiver_.RecordLinkRefusal();
     SendAnswer(session, id, mesh::NotRun{mesh::Reason::kNoRoom});
     return;
   }
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -71,6 +71,10 @@
           "backend_room_reductions_total",
           "Times that the local backend server was found to be full below its "
           "announced slots")),
+      link_refusals(registry.RegisterCounter(
+          "link_refused_total",
+          "Calls of other nodes refused because the instance's link has no "
+          "room for a large answer")),
       running(registry.RegisterGauge("running", "Requests that hold a slot")),
       waiting(
           registry.RegisterGauge("waiting", "Requests that wait for a slot")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -39,6 +39,7 @@
   metrics::Counter& connections_lost;
   metrics::Counter& crashes;
   metrics::Counter& room_reductions;
+  metrics::Counter& link_refusals;
   metrics::Gauge& running;
   metrics::Gauge& waiting;
   metrics::Gauge& link_wait;
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -98,6 +98,9 @@
   // Version of its software; empty if it does not tell.
   std::string_view backend_version() const;
 
+  // Counts a call that was refused because the instance's link has no room.
+  void RecordLinkRefusal() { metrics_.link_refusals.Add(); }
+
   mesh::BackendLoad load() const;
 
   mesh::BackendStanding standing() const { return backend_.standing(); }
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -118,8 +118,9 @@
         "reporting nodes from which only a sample is compared", "60"},
        Assign<&Settings::placement, &Settings::Placement::sample_from>::To},
       {{"placement", "bound-links", BooleanRule{},
-        "whether large answers are refused where the link would be busy for "
-        "more than half of the time left to their target latency",
+        "whether requests with large answers are refused where the link would "
+        "be busy with earlier ones for a quarter of the time between their run "
+        "and their target latency",
         "true"},
        Assign<&Settings::placement, &Settings::Placement::bounds_links>::To},
 
