organisations: Take the windows of limits back

Review: standing rates go on while the window of an organisation is full, so after silence one that sends four times its rate got 6,153 requests in a window that allows 6,046 (rate and burst 913, 16 nodes; confirmed with the decision code alone). Lowered limits refused loads within them for up to 7 s.

--- a/libraries/organisations/token_allocator.cc
+++ b/libraries/organisations/token_allocator.cc
@@ -19,12 +19,8 @@
 // lost if the demand does not come.
 constexpr double kSpareShare = 0.5;
 
-// Admissions by rights granted before a window, in seconds of the fill rate:
-// see the class.
-constexpr double kSecondsBeyondWindow = 0.45;
-
-// Part of the fill rate that may be given away as standing rates. The rest
-// serves nodes without one. Usual demand is 1 / 1.6 of the limit.
+// Part of the rate that may be given away as standing rates. The rest serves
+// nodes without one. Usual demand is 1 / 1.6 of the limit.
 constexpr double kStandingShare = 0.75;
 
 // A standing rate falls at most by this factor with a renewal: the one before
@@ -43,44 +39,15 @@
 
 }  // namespace
 
-TokenAllocator::TokenAllocator(const Bounds& bounds) : bounds_(bounds) {
-  bounds_.window = std::max<Duration>(bounds_.window, std::chrono::seconds(1));
-}
-
-double TokenAllocator::Bucket::fill_rate() const {
-  const double window = ToSeconds(bounds.window);
-  const double requests = limit.rate * window + limit.burst;
-  return std::min(requests / window, requests * (1 + bounds.overage) /
-                                         (window + kSecondsBeyondWindow));
-}
-
 double TokenAllocator::Bucket::depth() const {
-  return std::max({limit.burst, 1.0, fill_rate() * kLeastDepthSeconds});
-}
-
-double TokenAllocator::Bucket::capacity() const {
-  return std::max(1.0, fill_rate() * ToSeconds(bounds.window));
+  return std::max({limit.burst, 1.0, limit.rate * kLeastDepthSeconds});
 }
 
 void TokenAllocator::Bucket::Refill(BootTime now) {
-  // Debts are paid and windows empty after one window.
-  filled_at = std::max(filled_at, now - 2 * bounds.window);
-  const double rate = std::max(0.0, fill_rate() - reserved);
-  while (filled_at < now) {
-    granted.Advance(filled_at);
-    const BootTime until = std::min(now, granted.slot_end());
-    const double seconds = ToSeconds(until - filled_at);
-    granted.Advance(until);
-    granted.Add(reserved * seconds);
-    const double room = std::max(0.0, capacity() - granted.sum());
-    tokens = std::min({depth(), tokens + rate * seconds, room});
-    filled_at = until;
-  }
-}
-
-void TokenAllocator::Bucket::Take(std::uint32_t count) {
-  tokens -= count;
-  granted.Add(count);
+  const double rate = std::max(0.0, limit.rate - reserved);
+  const double added = rate * ToSeconds(now - filled_at);
+  tokens = std::min(depth(), tokens + std::max(0.0, added));
+  filled_at = std::max(filled_at, now);
 }
 
 Duration TokenAllocator::Bucket::TimeFor(double missing) const {
@@ -88,23 +55,12 @@
   // Keeps the conversion in range for rates close to 0.
   constexpr double kLongest = 3600;
   return Duration(static_cast<std::int64_t>(
-      std::min(kLongest, std::max(0.0, missing) / fill_rate()) *
-      kMicroseconds));
-}
-
-Duration TokenAllocator::Bucket::TimeUntilToken(BootTime now) const {
-  const Duration refill = TimeFor(1 - tokens);
-  const double excess = granted.sum() + 1 - capacity();
-  if (excess <= 0) return refill;
-  return std::max(refill, granted.TimeUntilFall(excess, now));
+      std::min(kLongest, std::max(0.0, missing) / limit.rate) * kMicroseconds));
 }
 
 void TokenAllocator::Begin(const LimitMap& limits, BootTime now) {
   buckets_.clear();
   SetLimits(limits, now);
-  for (auto& [name, bucket] : buckets_) {
-    bucket.tokens = -std::max(0.0, bucket.limit.burst - bounds_.slack);
-  }
 }
 
 void TokenAllocator::SetLimits(const LimitMap& limits, BootTime now) {
@@ -120,25 +76,21 @@
            now - *item.second.removed_at >= kRemovedLimit;
   });
   for (const auto& [name, limit] : limits) {
-    const auto [found, is_new] = buckets_.try_emplace(name, bounds_);
+    const auto [found, is_new] = buckets_.try_emplace(name);
     Bucket& bucket = found->second;
     if (is_new) {
       bucket.filled_at = now;
       // The first request sweeps.
       bucket.swept_at = now - kSweepInterval;
       // Until the first sweep knows of earlier coordinators.
-      bucket.limit = limit;
-      bucket.reserved = bucket.fill_rate() * kStandingShare;
+      bucket.reserved = limit.rate * kStandingShare;
+    } else if (bucket.limit == limit) {
       continue;
+    } else {
+      bucket.Refill(now);
     }
-    if (bucket.limit == limit) continue;
-    bucket.Refill(now);
-    const double capacity = bucket.capacity();
     bucket.limit = limit;
     bucket.tokens = std::min(bucket.tokens, bucket.depth());
-    // Otherwise a limit that is lowered to less than what was sent in the last
-    // window would refuse all requests for the time of a window.
-    bucket.granted.Scale(std::min(1.0, bucket.capacity() / capacity));
   }
 }
 
@@ -156,7 +108,7 @@
     reserved = 0;
   }
   Refill(now);
-  reserved = store_now_ms < earlier_until_ms ? fill_rate() * kStandingShare : 0;
+  reserved = store_now_ms < earlier_until_ms ? limit.rate * kStandingShare : 0;
   for (auto node = standing.begin(); node != standing.end();) {
     std::erase_if(node->second, [store_now_ms](const StandingRate& rate) {
       return rate.until_ms <= store_now_ms;
@@ -177,7 +129,7 @@
   auto& own = standing[node];
   const double held =
       own.empty() ? 0 : std::ranges::max(own, {}, &StandingRate::rate).rate;
-  const double available = fill_rate() * kStandingShare - (reserved - held);
+  const double available = limit.rate * kStandingShare - (reserved - held);
   const double rate =
       std::min(std::max(demand, held * kLargestFall), available);
   if (rate < kLeastStandingRate || lease.end_ms <= lease.latest_now_ms) {
@@ -217,9 +169,9 @@
           std::clamp(std::floor(tokens), 0.0, 1e6));
     };
     item.tokens = std::min(ask.needed, whole(bucket.tokens));
-    bucket.Take(item.tokens);
+    bucket.tokens -= item.tokens;
     if (item.tokens < ask.needed) {
-      item.until_token = bucket.TimeUntilToken(now);
+      item.until_token = bucket.TimeFor(1 - bucket.tokens);
       // Those who were refused get the coming tokens one after the other, so
       // that they do not come back all at once.
       bucket.spoken_for_until =
@@ -234,7 +186,7 @@
     const std::uint32_t spare = std::min(
         ask.spare, whole(bucket.tokens - bucket.depth() * kSpareShare));
     item.tokens += spare;
-    bucket.Take(spare);
+    bucket.tokens -= spare;
   }
   return grant;
 }
--- a/libraries/organisations/token_allocator.h
+++ b/libraries/organisations/token_allocator.h
@@ -12,7 +12,6 @@
 
 #include "core/time.h"
 #include "organisations/limit_messages.h"
-#include "organisations/sliding_window.h"
 
 namespace oleandertide::organisations {
 
@@ -28,36 +27,25 @@
 
 using LimitMap = std::map<std::string, Limit, std::less<>>;
 
-// Grants tokens from one bucket for each organisation with a limit. The limit
-// is one of windows: (rate * window + burst) requests in each. The bucket's
-// fill rate is therefore rate + burst / window, and a sliding window keeps what
-// was granted, and tokens that are left, within the limit of each window. With
-// a fill rate of `rate`, an organisation that asks for more than its limit all
-// the time would never get its burst again, a sixth of what it may send if the
-// burst is a second of the rate.
-//
-// Tokens are used within kTokenLifetime of the grant, and a client may have
-// sent a request up to the longest wait (0.1 s) before its admission. So of the
-// requests sent in a window of w seconds, at most
-//   fill rate * (w + 0.3)
-// are admitted by tokens of one coordinator. Another coordinator does not know
-// what the one before granted, so its buckets begin with a debt of the burst
-// less Bounds::slack; over any sequence of coordinators of which no two act at
-// once, at most Bounds::slack more are admitted.
+// Grants tokens from one bucket for each organisation with a limit. Each
+// bucket begins empty: what an earlier coordinator granted from its own bucket
+// may be in use. Tokens are used within kTokenLifetime of the grant, so in a
+// window of w seconds at most
+//   rate * (w + 0.2) + depth
+// requests of an organisation are admitted by tokens, with depth = max(burst,
+// 1, rate / 50), over any sequence of coordinators of which no two act at once.
+// A client may have sent a request up to the longest wait (0.1 s) before its
+// admission, so at most rate * (w + 0.3) + depth of those sent in a window are.
 //
 // A node with a steady demand gets a standing rate, which ends with the lease
 // of the coordinator as it was at the grant, by the store's clock. The bucket
-// is refilled only with what is left of the fill rate. All standing rates
-// together are at most 0.75 of it, and their buckets at nodes hold at most half
-// a second of them (one request, at 2 requests a second). So no window has more
-// than
-//   fill rate * (w + 0.3 * 0.25 + 0.5 * 0.75) + slack
-//     = fill rate * (w + 0.45) + slack
-// which is at most (rate * w + burst) * (1 + overage) + slack for an overage of
-// 0.1 and w = 5 s. With other bounds the fill rate is lowered accordingly. A
+// is refilled only with what is left of the rate. All standing rates together
+// are at most 0.75 of it, and their buckets at nodes hold at most half a second
+// of them (one request, at 2 requests a second). So no window has more than
+//   rate * (w + 0.3 * 0.25 + 0.5 * 0.75) + depth = rate * (w + 0.45) + depth
+// which is at most (rate * w + burst) * 1.1 + 20 for w = 5 s and any burst. A
 // standing rate that was lowered or given up counts until its end. Those of an
-// earlier coordinator count as 0.75 of the fill rate until the end of its
-// lease.
+// earlier coordinator count as 0.75 of the rate until the end of its lease.
 //
 // Load pattern: organisations of very unequal size whose clients are spread
 // over many nodes; one sends many times its rate at some of them; the
@@ -66,18 +54,6 @@
 // Not thread-safe.
 class TokenAllocator {
  public:
-  // The promise that limits keep: (rate * window + burst) * (1 + overage) +
-  // slack requests in each window.
-  struct Bounds {
-    // At least 1 s.
-    Duration window = std::chrono::seconds(5);
-    double overage = 0.1;
-    double slack = 20;
-  };
-
-  TokenAllocator() : TokenAllocator(Bounds{}) {}
-  explicit TokenAllocator(const Bounds& bounds);
-
   // Times by the store's clock in milliseconds.
   struct Lease {
     // Of this coordinator, as it is certain.
@@ -94,8 +70,7 @@
   void Begin(const LimitMap& limits, BootTime now);
 
   // Applies the limits of a new configuration. A lowered limit holds for all
-  // later grants, and what was granted before counts against it in proportion;
-  // a limit that is new begins with an empty bucket.
+  // later grants; a limit that is new begins with an empty bucket.
   void SetLimits(const LimitMap& limits, BootTime now);
 
   // Returns what the node gets. Requests that wait come first: tokens beyond
@@ -114,13 +89,7 @@
   };
 
   struct Bucket {
-    explicit Bucket(const Bounds& bounds)
-        : bounds(bounds), granted(bounds.window) {}
-
-    Bounds bounds;
     Limit limit;
-    // Tokens and standing rates of the last window.
-    SlidingWindow granted;
     // Standing rates that may be in use, by node. A node uses one at a time.
     std::map<std::string, std::vector<StandingRate>> standing;
     // Sum of the highest standing rates of all nodes.
@@ -137,21 +106,14 @@
     BootTime spoken_for_until{};
 
     double depth() const;
-    double fill_rate() const;
-    // Requests in one window.
-    double capacity() const;
     void Refill(BootTime now);
-    void Take(std::uint32_t count);
     // Refills and forgets standing rates that have ended.
     void Sweep(std::uint64_t store_now_ms, BootTime now);
     void GrantStanding(TokenGrant::Item& item, double demand,
                        const std::string& node, const Lease& lease);
-    Duration TimeFor(double missing) const;
-    // Time until there is a token.
-    Duration TimeUntilToken(BootTime now) const;
+    Duration TimeFor(double tokens) const;
   };
 
-  Bounds bounds_;
   std::map<std::string, Bucket, std::less<>> buckets_;
 };
 
--- a/libraries/sidecar/limits.cc
+++ b/libraries/sidecar/limits.cc
@@ -33,7 +33,6 @@
       options_(options),
       // Half of the range is left, so that numbers never wrap.
       stock_({}, parts.random.Next() >> 1U),
-      allocator_(options.bounds),
       ask_timer_(parts.loop),
       tick_timer_(parts.loop) {
   parts_.coordination.Register(
--- a/libraries/sidecar/limits.h
+++ b/libraries/sidecar/limits.h
@@ -37,7 +37,6 @@
     // A coordinator whose configuration was not confirmed for so long grants
     // nothing: it may not know of a lowered limit.
     Duration configuration_limit = std::chrono::milliseconds(2500);
-    organisations::TokenAllocator::Bounds bounds{};
   };
 
   // All outlive this object.
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -223,11 +223,8 @@
                       .metrics = metrics_,
                       .random = random_,
                       .store_clock = store_clock_},
-        Limits::Options{
-            .configuration_limit = settings.deployment.configuration_limit,
-            .bounds = {.window = settings.deployment.limit_window,
-                       .overage = settings.deployment.limit_overage,
-                       .slack = settings.deployment.limit_slack}});
+        Limits::Options{.configuration_limit =
+                            settings.deployment.configuration_limit});
     ingress_.set_limits(&*limits_);
   }
 
