rollout: Bound a raised share by the count since the order

Users saw: after a good trial all traffic moved at once, since an ingress never gave the new version more than exposure_share.

Cause: Exposure limited the share of the present step only.

Change: the state's share bounds the rate; what the new version gets is within exposure_share of the requests since the order at each ingress, and within 0.9 of it in a raised step. In such a step the ingress uses as many new backend servers as the share is of all (Placement::CountAccepting).

--- a/libraries/mesh/placement.cc
+++ b/libraries/mesh/placement.cc
@@ -262,6 +262,16 @@
   });
 }
 
+std::size_t Placement::CountAccepting(std::string_view service,
+                                      std::string_view version) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(candidates_, [&](const auto& entry) {
+        const Candidate& candidate = entry.second;
+        return candidate.service == service && candidate.version == version &&
+               candidate.load.accepts_requests;
+      }));
+}
+
 std::string_view Placement::version(std::string_view node) const {
   const auto found = candidates_.find(node);
   return found == candidates_.end() ? std::string_view()
--- a/libraries/mesh/placement.h
+++ b/libraries/mesh/placement.h
@@ -132,6 +132,10 @@
   bool has_other_version(std::string_view service, std::string_view version,
                          std::string_view withheld_version) const;
 
+  // Backend servers of this version that take requests.
+  std::size_t CountAccepting(std::string_view service,
+                             std::string_view version) const;
+
   // Version of the backend server beside `node`; empty if it is not known.
   std::string_view version(std::string_view node) const;
 
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -34,11 +34,6 @@
 constexpr Duration kAwayRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(5);
 
-// Backend servers of a version on trial that get requests. Two are needed to
-// tell a fault of the version from one of a server; more of them would run far
-// below their usual load.
-constexpr int kTrialServers = 2;
-
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
@@ -340,7 +335,8 @@
   if (rule != rollout::VersionRule::kAny) request.version = to;
   request.is_version_excluded = rule == rollout::VersionRule::kOldOnly;
   if (rule == rollout::VersionRule::kNewFirst) {
-    request.max_nodes = kTrialServers;
+    request.max_nodes = static_cast<int>(exposure_.ServerLimit(
+        *state, placement_.CountAccepting(request.service, to)));
   }
   auto decision = placement_.Choose(request, tried, parts_.random);
   if (rule == rollout::VersionRule::kNewFirst &&
--- a/tests/mesh/placement_test.cc
+++ b/tests/mesh/placement_test.cc
@@ -280,6 +280,8 @@
   REQUIRE(std::holds_alternative<Placement::NoRoom>(
       placement.Choose(request, {}, random)));
   REQUIRE(placement.version("new") == "v2");
+  REQUIRE(placement.CountAccepting("rooms", "v2") == 1);
+  REQUIRE(placement.CountAccepting("rooms", "v3") == 0);
   REQUIRE(placement.has_other_version("rooms", "v2", "v0"));
   placement.Remove("old");
   REQUIRE_FALSE(placement.has_other_version("rooms", "v2", "v0"));
--- a/tests/rollout/exposure_test.cc
+++ b/tests/rollout/exposure_test.cc
@@ -98,5 +98,40 @@
   REQUIRE(burst <= 2);
 }
 
+// Guards against a raised share that exceeds the bound before the version is
+// found bad: an ingress without savings since the order must not follow it.
+TEST_CASE("a raised share uses only what was saved since the order") {
+  const OrderState ordered = MakeState(Step::kOrdered);
+  const OrderState raised = MakeState(Step::kTrial, 500);
+  for (const int saved : {0, 1000}) {
+    Exposure ingress(0.1);
+    ingress.Choose(&ordered, true);
+    for (int i = 0; i < saved; ++i) ingress.RecordSent(ordered, "v1");
+    int sent_to_new = 0;
+    for (int i = 1; i <= 200; ++i) {
+      const bool is_new =
+          ingress.Choose(&raised, true) == VersionRule::kNewFirst;
+      ingress.RecordSent(raised, is_new ? "v2" : "v1");
+      sent_to_new += is_new ? 1 : 0;
+      REQUIRE(sent_to_new <= 0.1 * (saved + i));
+    }
+    if (saved == 0) REQUIRE(sent_to_new <= 20);
+    if (saved == 1000) REQUIRE(sent_to_new >= 95);
+  }
+}
+
+// Guards against new backend servers that run far below their usual load in a
+// step, or far above it.
+TEST_CASE("the backend servers in use grow with the share") {
+  const Exposure ingress(0.1);
+  const auto limit = [&](std::uint32_t share, std::size_t servers) {
+    return ingress.ServerLimit(MakeState(Step::kTrial, share), servers);
+  };
+  REQUIRE(limit(80, 40) == 2);
+  REQUIRE(limit(250, 4) == 2);
+  REQUIRE(limit(250, 40) == 10);
+  REQUIRE(limit(500, 40) == 20);
+}
+
 }  // namespace
 }  // namespace oleandertide::rollout
