rollout: Raise the share of the new version in steps

Users saw: a version that turned bad after the trial, or only under load, failed half of all requests until it was found.

Cause: the trial was followed by all traffic.

Change: the decider raises the share to 0.25 and 0.5, each after good evidence and for 1.5 s at most. No step is begun or continued in the last 5 s of the order, so that the old version can finish; a step for which there is less than 0.6 s or too few slots is left out. Deciders adopt a greater share of the same step.

--- a/libraries/rollout/decider.cc
+++ b/libraries/rollout/decider.cc
@@ -1,6 +1,8 @@
 #include "rollout/decider.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace oleandertide::rollout {
@@ -37,10 +39,11 @@
   known.reported_at_ms = now_ms;
 }
 
-Decider::Decision Decider::Enter(Step step, std::string_view reason,
+Decider::Decision Decider::Enter(Step step, std::uint32_t share_permille,
+                                 std::string_view reason,
                                  std::uint64_t now_ms) {
   state_.step = step;
-  state_.share_permille = step == Step::kTrial ? options_.trial_permille : 0;
+  state_.share_permille = share_permille;
   entered_at_ms_ = now_ms;
   return {.state = state_, .reason = reason};
 }
@@ -55,7 +58,7 @@
       }));
 }
 
-bool Decider::has_new_capacity(std::uint64_t now_ms) const {
+bool Decider::has_new_capacity(double share, std::uint64_t now_ms) const {
   std::uint64_t old_slots = 0;
   std::uint64_t new_slots = 0;
   for (const auto& [name, node] : nodes_) {
@@ -66,9 +69,8 @@
       new_slots += node.report.slots;
     }
   }
-  return new_slots > 0 &&
-         static_cast<double>(new_slots) >=
-             options_.min_capacity_share * static_cast<double>(old_slots);
+  return new_slots > 0 && static_cast<double>(new_slots) >=
+                              share * static_cast<double>(old_slots);
 }
 
 bool Decider::has_ended(std::uint64_t now_ms) const {
@@ -83,18 +85,56 @@
   });
 }
 
+bool Decider::is_raised() const {
+  return state_.step == Step::kTrial &&
+         state_.share_permille > options_.trial_permille;
+}
+
+std::uint64_t Decider::TimeForSteps(std::uint64_t now_ms) const {
+  const std::uint64_t end_ms = TimeAt(1);
+  const std::uint64_t busy_until_ms = now_ms + options_.completion_reserve_ms;
+  return end_ms > busy_until_ms ? end_ms - busy_until_ms : 0;
+}
+
+std::optional<Decider::Decision> Decider::Raise(std::uint64_t now_ms) {
+  constexpr double kPermille = 1000;
+  const std::uint64_t available_ms = TimeForSteps(now_ms);
+  const auto next =
+      std::ranges::upper_bound(options_.step_permille, state_.share_permille);
+  if (next != options_.step_permille.end() &&
+      available_ms >= options_.min_step_ms &&
+      has_new_capacity(*next / kPermille, now_ms)) {
+    const auto remaining = static_cast<std::uint64_t>(
+        std::distance(next, options_.step_permille.end()));
+    // Time for one step only is not divided.
+    const std::uint64_t length_ms = available_ms / remaining;
+    step_length_ms_ =
+        std::min(length_ms < options_.min_step_ms ? available_ms : length_ms,
+                 options_.step_ms);
+    return Enter(Step::kTrial, *next, "as good as the old version", now_ms);
+  }
+  if (!has_new_capacity(options_.min_capacity_share, now_ms)) {
+    return std::nullopt;
+  }
+  return Enter(Step::kReplacing, 0, "as good as the old version", now_ms);
+}
+
 std::optional<Decider::Decision> Decider::TickTrial(std::uint64_t now_ms) {
   const bool is_last = now_ms >= TimeAt(options_.last_decision_share);
   const Verdict verdict = analysis_.verdict(is_last);
   if (verdict == Verdict::kBad) {
-    return Enter(Step::kRollingBack, "worse than the old version", now_ms);
+    return Enter(Step::kRollingBack, 0, "worse than the old version", now_ms);
   }
-  const bool is_long_enough = now_ms >= entered_at_ms_ + options_.min_trial_ms;
-  if (verdict == Verdict::kGood && is_long_enough && has_new_capacity(now_ms)) {
-    return Enter(Step::kReplacing, "as good as the old version", now_ms);
+  const bool is_over =
+      now_ms >=
+      entered_at_ms_ + (is_raised() ? step_length_ms_ : options_.min_trial_ms);
+  const bool is_long_enough =
+      is_over || (is_raised() && TimeForSteps(now_ms) == 0);
+  if (verdict == Verdict::kGood && is_long_enough) {
+    if (auto decision = Raise(now_ms)) return decision;
   }
-  if (is_last && is_long_enough) {
-    return Enter(Step::kRollingBack,
+  if (is_last && is_over) {
+    return Enter(Step::kRollingBack, 0,
                  verdict == Verdict::kGood ? "too few backend servers"
                                            : "too little evidence",
                  now_ms);
@@ -105,7 +145,7 @@
 std::optional<Decider::Decision> Decider::TickReplacing(std::uint64_t now_ms) {
   if (wanted_ == Status::kCompleted) return std::nullopt;
   if (analysis_.verdict() == Verdict::kBad) {
-    return Enter(Step::kRollingBack, "worse than the old version", now_ms);
+    return Enter(Step::kRollingBack, 0, "worse than the old version", now_ms);
   }
   const bool have_all_reported =
       now_ms >= created_at_ms_ + options_.gathering_ms;
@@ -117,18 +157,26 @@
 
 void Decider::Adopt(const OrderState& state, std::uint64_t now_ms) {
   if (state.order.version != state_.order.version) return;
-  if (state.step <= state_.step) return;
+  if (std::tie(state.step, state.share_permille) <=
+      std::tie(state_.step, state_.share_permille)) {
+    return;
+  }
   state_ = state;
   entered_at_ms_ = now_ms;
+  step_length_ms_ = options_.step_ms;
 }
 
 std::optional<Decider::Decision> Decider::Tick(std::optional<Status> status,
                                                std::uint64_t now_ms) {
   if (created_at_ms_ == 0) created_at_ms_ = now_ms;
-  if (entered_at_ms_ == 0) entered_at_ms_ = now_ms;
+  if (entered_at_ms_ == 0) {
+    entered_at_ms_ = now_ms;
+    // A decider that begins in a step gathers the evidence again.
+    step_length_ms_ = options_.gathering_ms;
+  }
   if (window_end_ms_ == 0) window_end_ms_ = now_ms + kWindowMs;
   if (now_ms >= window_end_ms_) {
-    analysis_.EndWindow(state_.step == Step::kTrial &&
+    analysis_.EndWindow(state_.step == Step::kTrial && !is_raised() &&
                         now_ms < entered_at_ms_ + options_.warming_ms);
     window_end_ms_ = now_ms + kWindowMs;
   }
@@ -139,16 +187,17 @@
         *status == Status::kCompleted ? Step::kCompleted : Step::kRolledBack;
     wanted_ = *status;
     if (state_.step == final_step) return std::nullopt;
-    return Enter(final_step, "written to the store", now_ms);
+    return Enter(final_step, 0, "written to the store", now_ms);
   }
   switch (state_.step) {
     case Step::kOrdered: {
       const std::size_t servers = CountNewServers(now_ms);
       if (servers >= kMinTrialServers) {
-        return Enter(Step::kTrial, "backend servers are ready", now_ms);
+        return Enter(Step::kTrial, options_.trial_permille,
+                     "backend servers are ready", now_ms);
       }
       if (now_ms >= TimeAt(options_.last_decision_share)) {
-        return Enter(Step::kRollingBack, "too few backend servers", now_ms);
+        return Enter(Step::kRollingBack, 0, "too few backend servers", now_ms);
       }
       return std::nullopt;
     }
--- a/libraries/rollout/decider.h
+++ b/libraries/rollout/decider.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDERTIDE_ROLLOUT_DECIDER_H_
 #define OLEANDERTIDE_ROLLOUT_DECIDER_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -73,6 +74,19 @@
     // Time since the begin of the trial in which slowness does not count: new
     // backend servers run at half their speed at first.
     std::uint64_t warming_ms = 2500;
+    // Shares of the steps between the trial and all traffic, rising. What an
+    // ingress saved since the order lasts for about 1 s of the first one
+    // (Exposure); the second one then mostly adds time.
+    std::array<std::uint32_t, 2> step_permille{250, 500};
+    // Length of a step. A late version is seen bad within about 1 s.
+    std::uint64_t step_ms = 1500;
+    // A shorter step shows nothing: reports come every 200 ms and are judged in
+    // windows of 250 ms.
+    std::uint64_t min_step_ms = 600;
+    // Time before the end of the order in which no step is begun or continued:
+    // 2.5 s for the runs of the old version, 1.5 s to spare and 1 s for the
+    // messages and the status row.
+    std::uint64_t completion_reserve_ms = 5000;
     // Time for nodes to learn that a version is rolled back before the store
     // is told.
     std::uint64_t rollback_notice_ms = 600;
@@ -94,7 +108,8 @@
   void OnReport(const std::string& node, const NodeReport& report,
                 std::uint64_t now_ms);
 
-  // Takes over a later step that another decider, or the operator, took.
+  // Takes over a later step, or a greater share of the same step, that another
+  // decider, or the operator, took.
   void Adopt(const OrderState& state, std::uint64_t now_ms);
 
   // Called some times a second. `status` is what the store is known to have.
@@ -115,11 +130,21 @@
     std::uint64_t reported_at_ms = 0;
   };
 
-  Decision Enter(Step step, std::string_view reason, std::uint64_t now_ms);
+  // `share_permille` is 0 except in a trial.
+  Decision Enter(Step step, std::uint32_t share_permille,
+                 std::string_view reason, std::uint64_t now_ms);
+  // Enters the next share that there is time and capacity for, or kReplacing.
+  // Nothing if the new version lacks the capacity for all traffic.
+  std::optional<Decision> Raise(std::uint64_t now_ms);
+  // Whether the share was raised above the trial's.
+  bool is_raised() const;
+  // Time until the old version has to get nothing more.
+  std::uint64_t TimeForSteps(std::uint64_t now_ms) const;
   std::optional<Decision> TickTrial(std::uint64_t now_ms);
   std::optional<Decision> TickReplacing(std::uint64_t now_ms);
   bool has_ended(std::uint64_t now_ms) const;
-  bool has_new_capacity(std::uint64_t now_ms) const;
+  // Whether the new version's slots are at least this share of the old one's.
+  bool has_new_capacity(double share, std::uint64_t now_ms) const;
   std::size_t CountNewServers(std::uint64_t now_ms) const;
   bool is_lost(const Node& node, std::uint64_t now_ms) const {
     return now_ms > node.reported_at_ms + options_.silence_ms;
@@ -132,6 +157,8 @@
   const std::uint64_t known_at_ms_;
   std::uint64_t created_at_ms_ = 0;
   std::uint64_t entered_at_ms_ = 0;
+  // Least time in the present share.
+  std::uint64_t step_length_ms_ = 0;
   std::uint64_t window_end_ms_ = 0;
   Status wanted_ = Status::kRunning;
   CanaryAnalysis analysis_;
