command: Check a configuration before it is sent

Operators learned that nodes reject a configuration, or that an entry of it has no effect, only after they had sent it. Nothing showed which keys a new version removes.

`oleandertide check FILE` decodes the file as the nodes do. If they reject it, parts of it are decoded among valid ones by the same decoder, which gives the path, line and column of each error without a copy of its rules. The exit codes are those of `check` alone; other subcommands keep theirs.

--- a/programs/command/commands.cc
+++ b/programs/command/commands.cc
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "command/check_command.h"
 #include "command/document_inspector.h"
 #include "command/flags.h"
 #include "command/node_status.h"
@@ -192,6 +193,8 @@
 }
 
 constexpr std::string_view kValidateFlags[] = {"json", "help"};
+constexpr std::string_view kCheckFlags[] = {"against", "platform", "memory_mb",
+                                            "json", "help"};
 constexpr std::string_view kSubmitFlags[] = {"settings", "platform", "operator",
                                              "base",     "json",     "help"};
 constexpr std::string_view kPromoteFlags[] = {
@@ -207,6 +210,10 @@
 constexpr Subcommand kSubcommands[] = {
     {"validate", "FILE", "Checks a document without contacting the platform.",
      kValidateFlags, 1, 1, RunValidate},
+    {"check", "FILE",
+     "Checks a configuration or document before it is sent, and shows what it "
+     "changes.",
+     kCheckFlags, 1, 1, RunCheck, kCheckExitCodeHelp},
     {"submit", "FILE", "Makes a document the trial's.", kSubmitFlags, 1, 1,
      RunSubmit},
     {"promote", "", "Makes the trial's document production's.", kPromoteFlags,
--- a/programs/command/commands.h
+++ b/programs/command/commands.h
@@ -20,6 +20,7 @@
   std::size_t minimum_arguments;
   std::size_t maximum_arguments;
   Report (*run)(std::span<const std::string> arguments);
+  std::string_view exit_codes = kExitCodeHelp;
 };
 
 std::span<const Subcommand> Subcommands();
--- a/programs/command/exit_code.h
+++ b/programs/command/exit_code.h
@@ -40,6 +40,24 @@
     "  6   damaged data on the platform; nothing was accepted\n"
     "  64  wrong usage\n";
 
+// Exit codes of `check`, which never changes anything. Usage errors have
+// kUsage, as everywhere.
+enum class CheckExitCode {
+  kClean = 0,
+  kWarnings = 1,
+  kErrors = 2,
+  // A file cannot be read or the store cannot be reached.
+  kUnreadable = 3,
+};
+
+inline constexpr std::string_view kCheckExitCodeHelp =
+    "Exit codes:\n"
+    "  0   no errors or warnings\n"
+    "  1   warnings, no errors\n"
+    "  2   errors: the nodes would reject the document\n"
+    "  3   a file cannot be read or the store cannot be reached\n"
+    "  64  wrong usage\n";
+
 // Maps an error of acceptance or of the platform.
 inline ExitCode ToExitCode(std::error_code error) {
   if (error == Error::kNotFound) return ExitCode::kNotFound;
--- a/programs/command/flags.cc
+++ b/programs/command/flags.cc
@@ -22,6 +22,10 @@
 DEFINE_string(nodes, "",
               "IP:port of nodes' operators' endpoints to read /status from, "
               "separated by commas");
+DEFINE_string(against, "", "file with the version in force, to compare with");
+DEFINE_uint64(memory_mb, 0,
+              "memory of the smallest node in MB, to check limits of bodies; "
+              "0 if it is not known");
 
 namespace oleandertide::command {
 namespace {
--- a/programs/command/flags.h
+++ b/programs/command/flags.h
@@ -21,6 +21,8 @@
 DECLARE_string(environment);
 DECLARE_uint64(limit);
 DECLARE_string(nodes);
+DECLARE_string(against);
+DECLARE_uint64(memory_mb);
 
 namespace oleandertide::command {
 
--- a/programs/command/main.cc
+++ b/programs/command/main.cc
@@ -24,7 +24,7 @@
   const std::string text = "Usage: " + UsageLine(subcommand) + " [FLAGS]\n\n" +
                            std::string(subcommand.summary) + "\n\nFlags:\n" +
                            DescribeFlags(subcommand.flags) + '\n' +
-                           std::string(kExitCodeHelp);
+                           std::string(subcommand.exit_codes);
   return {ExitCode::kSuccess, text, {}};
 }
 
@@ -34,7 +34,9 @@
     text += "  " + UsageLine(subcommand) + "\n      " +
             std::string(subcommand.summary) + '\n';
   }
-  text += "\nEach subcommand has --help.\n\n" + std::string(kExitCodeHelp);
+  text +=
+      "\nEach subcommand has --help. `check` has exit codes of its own.\n\n" +
+      std::string(kExitCodeHelp);
   return {ExitCode::kSuccess, text, {}};
 }
 
--- a/programs/command/report.cc
+++ b/programs/command/report.cc
@@ -167,7 +167,7 @@
 }  // namespace
 
 int Print(const Report& report, bool as_json) {
-  const bool is_success = report.code == ExitCode::kSuccess;
+  const bool is_success = report.code == ExitCode::kSuccess || report.is_result;
   std::FILE* stream = as_json || is_success ? stdout : stderr;
   const std::string output = as_json ? report.json + '\n' : report.text;
   std::fwrite(output.data(), 1, output.size(), stream);
--- a/programs/command/report.h
+++ b/programs/command/report.h
@@ -21,6 +21,8 @@
   std::string text;
   // One object with at least the member "outcome".
   std::string json;
+  // Whether the text is what was asked for although the code is not success.
+  bool is_result = false;
 };
 
 // Prints the text or the JSON: text to standard output on success, otherwise
--- a/tests/command/command_test.py
+++ b/tests/command/command_test.py
@@ -3,9 +3,11 @@
 Usage: command_test.py COMMAND PLATFORM_STAND_IN
 """
 
+import base64
 import http.client
 import http.server
 import json
+import os
 import pathlib
 import socket
 import subprocess
@@ -32,6 +34,14 @@
 methods = GET
 class = lookup
 """
+CONFIGURATION = {
+    "version": "r1",
+    "services": [{"name": "rooms", "health_path": "/h", "max_connections": 9}],
+    "tenants": [{"name": "alpha", "api_keys": ["secret-1", "secret-2"]}],
+    "virtual_hosts": [{"host": "a.example", "paths": [
+        {"path_prefix": "/x/", "kind": "download", "timeout_ms": 800,
+         "target_latency_ms": 300, "service": "rooms", "retry_attempts": 2}]}],
+}
 WITH_JOB = ROOMS + """[job reminders]
 route = slots
 every = 1h
@@ -125,6 +135,28 @@
         pass
 
 
+def store_handler(answer, delay=0):
+    """Handler of a store whose rows are `answer`, sent in single bytes."""
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+
+        def do_GET(self):
+            self.send_response(200)
+            self.send_header("Content-Length", str(len(answer)))
+            self.end_headers()
+            try:
+                for byte in answer if delay else [answer]:
+                    self.wfile.write(bytes([byte]) if delay else byte)
+                    time.sleep(delay)
+            except OSError:
+                pass  # The command has given up.
+
+        def log_message(self, *arguments):
+            pass
+
+    return Handler
+
+
 class CommandTest(unittest.TestCase):
 
     def setUp(self):
@@ -327,6 +359,109 @@
             self.assertEqual(run.stdout, "")
             self.assertNotEqual(run.stderr, "")
 
+    def check(self, expected_code, *arguments):
+        """Returns the JSON of a check; its text must have the same code."""
+        run = self.run_raw("check", *arguments)
+        self.assertEqual(run.returncode, expected_code, run)
+        told = self.run_raw("check", "--json", *arguments)
+        self.assertEqual((told.returncode, told.stderr), (expected_code, ""))
+        for output in (run.stdout, run.stderr, told.stdout):
+            self.assertNotIn("secret", output)
+            self.assertNotIn("\x1b", output)
+        return json.loads(told.stdout), run
+
+    def test_check_has_exit_codes_for_errors_and_warnings(self):
+        changed = json.loads(json.dumps(CONFIGURATION))
+        good = self.write("good.json", json.dumps(CONFIGURATION))
+        told, _ = self.check(0, good)
+        self.assertEqual((told["outcome"], told["type"], told["findings"]),
+                         ("clean", "configuration", []))
+        route = changed["virtual_hosts"][0]["paths"][0]
+        route["timeout_ms"] = 200
+        warned = self.write("warned.json", json.dumps(changed, indent=1))
+        told, run = self.check(1, warned)
+        finding = told["findings"][0]
+        path = "virtual_hosts[0].paths[0].timeout_ms"
+        self.assertEqual((finding["severity"], finding["path"]),
+                         ("warning", path))
+        self.assertIn(f"{warned}:{finding['line']}:{finding['column']}: "
+                      f"warning: {path}: ", run.stdout)
+        route["service"] = "secret-1"
+        told, _ = self.check(2, self.write("bad.json", json.dumps(changed)))
+        self.assertEqual(told["outcome"], "errors")
+        self.check(2, self.write("cut.json", json.dumps(CONFIGURATION)[:-9]))
+        missing = str(self.folder / "missing.json")
+        for unreadable in (missing, str(self.folder)):
+            self.check(3, unreadable)
+        told, run = self.check(3, good, f"--against={missing}")
+        self.assertEqual(told["outcome"], "unreadable")
+        self.assertEqual(run.stderr.count("\n"), 1)
+        self.assertEqual(
+            self.run_raw("check", good, "--against=x", "--platform=127.0.0.1:1")
+            .returncode, USAGE)
+        self.assertIn("1   warnings", self.run_raw("check", "--help").stdout)
+
+    def test_check_is_coloured_only_on_a_terminal(self):
+        bad = self.write("bad.json", "{}")
+        reader, terminal = os.openpty()
+        self.addCleanup(os.close, reader)
+        subprocess.run([COMMAND, "check", bad], stdout=terminal,
+                       timeout=RUN_TIMEOUT_SECONDS)
+        os.close(terminal)
+        self.assertIn(b"\x1b[31merror\x1b[0m", os.read(reader, 10_000))
+        self.check(2, bad)
+
+    def test_check_rejects_large_files_without_reading_them_completely(self):
+        path = self.folder / "large.json"
+        with open(path, "wb") as file:
+            file.truncate(1 << 40)
+        told, _ = self.check(2, str(path))
+        self.assertEqual(told["findings"][0]["rule"], "too-large")
+
+    def test_check_of_a_document(self):
+        good = self.write("good.ini", ROOMS)
+        told, _ = self.check(0, good)
+        self.assertEqual(told["type"], "document")
+        unused = self.write("unused.ini", WITH_JOB + "[service idle]\n")
+        told, _ = self.check(1, unused, f"--against={good}")
+        self.assertEqual(told["findings"][0]["line"], 12)
+        self.assertIn({"change": "added", "kind": "job", "name": "reminders",
+                       "detail": ""}, told["differences"])
+        bad = self.write("bad.ini", WITH_JOB.replace("every = 1h", "every = x"))
+        told, _ = self.check(2, bad)
+        self.assertEqual(told["findings"][0]["line"], 11)
+
+    def test_check_compares_with_the_store(self):
+        changed = json.loads(json.dumps(CONFIGURATION))
+        changed["tenants"][0]["api_keys"].pop()
+        file = self.write("changed.json", json.dumps(changed))
+        value = base64.b64encode(json.dumps(CONFIGURATION).encode()).decode()
+        answer = json.dumps({"ver": 1, "now_ms": 1, "has_more": False, "rows": [
+            {"key": "config", "part": "", "ver": 1, "value": value}]})
+        expected = [{"change": "removed", "kind": "key",
+                     "name": "alpha number 2", "detail": ""}]
+        store = Listener(store_handler(answer.encode()))
+        self.addCleanup(store.stop)
+        told, _ = self.check(0, file, f"--platform={store.address}")
+        self.assertEqual(told["differences"], expected)
+        before = self.write("before.json", json.dumps(CONFIGURATION))
+        told, _ = self.check(0, file, f"--against={before}")
+        self.assertEqual(told["differences"], expected)
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            self.check(3, file,
+                       f"--platform=127.0.0.1:{closed.getsockname()[1]}")
+
+    def test_check_gives_up_on_a_store_that_is_slow(self):
+        file = self.write("file.json", json.dumps(CONFIGURATION))
+        store = Listener(store_handler(b" " * 200, delay=0.1))
+        self.addCleanup(store.stop)
+        begin = time.monotonic()
+        run = self.run_raw("check", file, f"--platform={store.address}")
+        self.assertEqual(run.returncode, UNAVAILABLE, run)
+        self.assertIn("within 5 s", run.stderr)
+        self.assertLess(time.monotonic() - begin, 10)
+
     def test_help_shows_flags_and_exit_codes(self):
         for arguments in (["--help"], ["promote", "--help"]):
             run = self.run_raw(*arguments)
