command: Hide names that contain a key

The check hid a name of a document only if it equalled a key, so a prefix such as /KEY/ was printed. A name or message with a key as a part is now hidden.

--- a/programs/command/configuration_check.cc
+++ b/programs/command/configuration_check.cc
@@ -32,7 +32,7 @@
 // A node exits this long after SIGTERM.
 constexpr Duration kStopTime = std::chrono::seconds(6);
 
-// What stands for a name that is also a key.
+// What stands for a name that has a key as a part.
 constexpr std::string_view kHidden = "(hidden)";
 
 std::int64_t ToMilliseconds(Duration duration) {
@@ -50,7 +50,7 @@
   explicit Names(KeySet keys) : keys_(std::move(keys)) {}
 
   std::string Show(const std::string& name) const {
-    return keys_.contains(name) ? std::string(kHidden) : name;
+    return keys_.IsIn(name) ? std::string(kHidden) : name;
   }
 
  private:
@@ -62,7 +62,7 @@
 class WarningFinder {
  public:
   WarningFinder(const Json& document, const CheckOptions& options)
-      : document_(document), options_(options), names_(CollectKeys(document)) {}
+      : document_(document), options_(options), names_(KeySet(document)) {}
 
   Findings Find() {
     ReportIgnored(
@@ -274,8 +274,8 @@
 
  private:
   static KeySet KeysOf(std::string_view before, std::string_view after) {
-    KeySet keys = CollectKeys(ParseJson(before).value());
-    keys.merge(CollectKeys(ParseJson(after).value()));
+    KeySet keys(ParseJson(before).value());
+    keys.Merge(KeySet(ParseJson(after).value()));
     return keys;
   }
 
@@ -365,7 +365,7 @@
       Map map;
       for (const auto& [host, routes] : configuration.hosts) {
         for (const auto& [prefix, route] : routes) {
-          map.emplace(names_.Show(host) + names_.Show(prefix), route.get());
+          map.emplace(names_.Show(host + prefix), route.get());
         }
       }
       return map;
--- a/programs/command/configuration_errors.cc
+++ b/programs/command/configuration_errors.cc
@@ -388,41 +388,56 @@
   Findings findings_;
 };
 
-void CollectTexts(const Json& value, KeySet& keys) {
-  if (value.is_string()) keys.insert(value.get<std::string>());
+using Texts = std::unordered_set<std::string>;
+
+void CollectTexts(const Json& value, Texts& texts) {
+  if (value.is_string()) texts.insert(value.get<std::string>());
   if (value.is_object()) {
-    for (const auto& [name, part] : value.items()) keys.insert(name);
+    for (const auto& [name, part] : value.items()) texts.insert(name);
   }
   if (value.is_structured()) {
-    for (const Json& part : value) CollectTexts(part, keys);
+    for (const Json& part : value) CollectTexts(part, texts);
   }
 }
 
+void CollectKeys(const Json& value, Texts& keys) {
+  if (!value.is_structured()) return;
+  if (value.is_object() && value.contains("api_keys")) {
+    CollectTexts(value.at("api_keys"), keys);
+  }
+  for (const Json& part : value) CollectKeys(part, keys);
+}
+
 }  // namespace
 
-KeySet CollectKeys(const nlohmann::json& document) {
-  KeySet keys;
-  if (document.is_structured()) {
-    if (document.is_object() && document.contains("api_keys")) {
-      CollectTexts(document.at("api_keys"), keys);
+KeySet::KeySet(const nlohmann::json& document) {
+  CollectKeys(document, keys_);
+  keys_.erase("");
+  for (const std::string& key : keys_) lengths_.insert(key.size());
+}
+
+void KeySet::Merge(const KeySet& other) {
+  keys_.insert(other.keys_.begin(), other.keys_.end());
+  lengths_.insert(other.lengths_.begin(), other.lengths_.end());
+}
+
+bool KeySet::IsIn(std::string_view text) const {
+  for (const std::size_t length : lengths_) {
+    for (std::size_t i = 0; i + length <= text.size(); ++i) {
+      if (keys_.contains(std::string(text.substr(i, length)))) return true;
     }
-    for (const Json& part : document) keys.merge(CollectKeys(part));
   }
-  keys.erase("");
-  return keys;
+  return false;
 }
 
 Findings FindErrors(const nlohmann::json& document, const std::string& reason) {
   Findings findings = ErrorFinder(document).Find(reason);
   // Names in the decoder's sentences come from the document: a key that was
   // put into the wrong place must not be printed.
-  const KeySet keys = CollectKeys(document);
+  const KeySet keys(document);
   for (Finding& finding : findings) {
-    for (const std::string& key : keys) {
-      if (finding.message.find(key) == std::string::npos) continue;
-      finding.message = "rejected; the reason would contain a key";
-      break;
-    }
+    if (!keys.IsIn(finding.message)) continue;
+    finding.message = "rejected; the reason would contain a key";
   }
   return findings;
 }
--- a/programs/command/configuration_errors.h
+++ b/programs/command/configuration_errors.h
@@ -3,7 +3,9 @@
 #ifndef OLEANDERTIDE_COMMAND_CONFIGURATION_ERRORS_H_
 #define OLEANDERTIDE_COMMAND_CONFIGURATION_ERRORS_H_
 
+#include <cstddef>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -12,11 +14,26 @@
 
 namespace oleandertide::command {
 
-using KeySet = std::unordered_set<std::string>;
+// Keys of organisations, to keep them out of what is printed. Const functions
+// are thread-safe.
+class KeySet {
+ public:
+  // Takes all keys of a document, whether it is valid or not.
+  explicit KeySet(const nlohmann::json& document);
 
-// Returns all keys of organisations in a document, whether it is valid or not.
-// Thread-safe.
-KeySet CollectKeys(const nlohmann::json& document);
+  // Adds the keys of another document.
+  void Merge(const KeySet& other);
+
+  // Whether a part of `text` is a key.
+  bool IsIn(std::string_view text) const;
+
+  const std::unordered_set<std::string>& keys() const { return keys_; }
+
+ private:
+  std::unordered_set<std::string> keys_;
+  // Distinct lengths of the keys: a text is searched once for each of them.
+  std::set<std::size_t> lengths_;
+};
 
 // Returns the errors of a document that the decoder rejects with `reason`;
 // never empty. Each part is decoded among valid ones by the decoder itself, so
--- a/tests/command/configuration_check_test.cc
+++ b/tests/command/configuration_check_test.cc
@@ -111,6 +111,7 @@
                                                 nullptr,
                                                 "",
                                                 "secret-1",
+                                                "/secret-2/",
                                                 "/z/",
                                                 "A.Example",
                                                 Json::array(),
@@ -153,8 +154,8 @@
       }
     }
     // A text that was a key before the mutations may have become a name.
-    for (const std::string& key :
-         CollectKeys(ParseJson(text).value_or(Json()))) {
+    const KeySet keys(ParseJson(text).value_or(Json()));
+    for (const std::string& key : keys.keys()) {
       if (!key.starts_with("secret")) continue;
       RC_ASSERT(printed.find(key) == std::string::npos);
     }
