tests: Cover organisations and limits in the fault soak

The soak ran without organisations, so keys and limits were never checked beside kills, pauses and an absent store.

New checks: keys and their bounds, the organisation and the absence of keys at backend servers, keys in logs and metrics, runs in each window of an organisation with a limit.

Denials (check_denied) are no longer counted for requests whose key was not in force the whole time: 401 is their right answer. Runs without organisations have no such requests.

--- a/tests/soak/backend_server.py
+++ b/tests/soak/backend_server.py
@@ -192,6 +192,12 @@
             caller_service=request.header(wire.CALLER_SERVICE),
             given=float(given) / 1000 if given else None,
             is_repeat=request.header(wire.REQUEST_ID) in self.record.arrived,
+            organisation=request.header(wire.ORGANISATION),
+            has_key="authorization" in request.headers
+            or any(
+                wire.KEY_PREFIX in text
+                for text in (*request.start, *request.headers.values())
+            ),
         )
         self.record.arrivals.append(arrival)
         self.record.arrived.add(arrival.identifier)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 
+import wire
 from record import (
     BUDGET_RATIO,
     BUDGET_SLACK,
@@ -11,6 +12,10 @@
     DRAIN_BOUND,
     GRACE,
     LOST_BOUND,
+    QUOTA_OVERAGE,
+    QUOTA_SLACK,
+    QUOTA_WINDOW,
+    REVOKE_BOUND,
     ROLLBACK_SLACK,
     STABLE_WINDOW,
     allowed_services,
@@ -51,9 +56,11 @@
         for attempt in self.record.attempts.values():
             self.check_answer(attempt)
             self.check_once(attempt)
+            self.check_key(attempt)
         for arrival in self.record.arrivals:
             self.check_asked(arrival)
             self.check_drain(arrival)
+            self.check_organisation(arrival)
         self.check_configuration()
         self.check_regress()
         self.check_denied()
@@ -64,6 +71,7 @@
         self.check_given_time()
         self.check_left()
         self.check_poison()
+        self.check_limits()
         return self.found
 
     def report(self, rule, text):
@@ -153,6 +161,85 @@
                 )
                 return
 
+    def is_in_force(self, attempt):
+        """Whether each node that knows its configuration knows the key."""
+        life = self.record.keys.get(attempt.key)
+        return (
+            life is not None
+            and life.added_at + CONFIG_BOUND <= attempt.sent_at
+            and attempt.ended_at <= life.withdrawn_at
+        )
+
+    def check_key(self, attempt):
+        """Requests run only with a key in force, and then are not denied."""
+        if not attempt.needs_key:
+            return
+        name = f"{attempt.identifier} at {attempt.node} {attempt.sent_at:.3f}"
+        life = self.record.keys.get(attempt.key)
+        has_run = any(run.is_run for run in self.arrivals[attempt.identifier])
+        is_in_touch = self.record.are_in_touch(
+            [attempt.node], attempt.sent_at, attempt.ended_at
+        )
+        if life is None:
+            if has_run:
+                self.report("keys", f"{name} ran without a key that ever was known")
+            return
+        # The bound holds for all nodes, a shorter one for those in touch.
+        bound = CONFIG_BOUND if is_in_touch else REVOKE_BOUND
+        late = attempt.sent_at - life.withdrawn_at
+        if has_run and late > bound:
+            self.report("keys", f"{name} ran {late:.3f} s after its key ended")
+        is_denied = attempt.status == 401 and not attempt.stamp
+        if is_denied and is_in_touch and self.is_in_force(attempt):
+            self.report("keys", f"{name} got 401 with a key in force")
+
+    def check_organisation(self, arrival):
+        """Backend servers get the key's organisation, and no key."""
+        if arrival.has_key:
+            self.report("keys", f"{arrival.identifier} came with a key")
+        attempt = self.record.attempts.get(arrival.identifier)
+        if attempt is None:
+            return
+        life = self.record.keys.get(attempt.key)
+        expected = life.organisation if life else ""
+        if arrival.organisation != expected:
+            self.report(
+                "keys",
+                f"{arrival.identifier} came as {arrival.organisation!r} instead of "
+                f"{expected!r}",
+            )
+
+    def most_runs(self, organisation):
+        """Returns most runs in one window, the limit and the window's begin.
+
+        A request that was passed on again counts once.
+        """
+        rate, burst = self.record.limits[organisation]
+        limit = (rate * QUOTA_WINDOW + burst) * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+        times = sorted(
+            min(run.at for run in arrivals if run.is_run)
+            for arrivals in self.arrivals.values()
+            if any(run.is_run for run in arrivals)
+            and arrivals[0].organisation == organisation
+        )
+        counts = [
+            (bisect.bisect_right(times, begin + QUOTA_WINDOW) - first, begin)
+            for first, begin in enumerate(times)
+        ]
+        count, begin = max(counts, default=(0, 0.0))
+        return count, limit, begin
+
+    def check_limits(self):
+        """No window has more runs of an organisation than its limit allows."""
+        for name in self.record.limits:
+            count, limit, begin = self.most_runs(name)
+            if count > limit:
+                self.report(
+                    "limits",
+                    f"{name}: {count} runs in the window from {begin:.3f}, "
+                    f"{limit:.0f} are allowed",
+                )
+
     def check_configuration(self):
         """A request is not handled as only an older version allows."""
         for attempt in self.record.attempts.values():
@@ -233,6 +320,8 @@
             is_denial = 300 <= attempt.status < 500 and not attempt.stamp
             if not is_denial or attempt.status in TEMPORARY:
                 continue
+            if attempt.needs_key and not self.is_in_force(attempt):
+                continue
             if all(attempt.prefix in v.services for v in self.record.versions):
                 denied.append(f"{attempt.identifier} {attempt.status}")
         if len(denied) > DENIED_FEW + DENIED_SHARE * len(self.record.attempts):
@@ -386,6 +475,19 @@
                 self.report("budget", f"{target} crashed at {before}, then {late}")
 
 
+def check_pages(work):
+    """Keys do not appear in logs and metrics."""
+    return [
+        ("keys", f"{node.name} shows a key in its {page}")
+        for node in work.nodes
+        for page, text in (
+            ("log", node.log.read_text(errors="replace")),
+            ("metrics", node.metrics_page),
+        )
+        if wire.KEY_PREFIX in text
+    ]
+
+
 def count_links(node, nodes):
     """Least number of links that a node keeps to these nodes."""
     groups = collections.Counter(
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -15,6 +15,11 @@
 BUDGET_RATIO = 0.2
 # Requests that may be sent again beside the ratio.
 BUDGET_SLACK = 64
+REVOKE_BOUND = 5.0
+QUOTA_WINDOW = 5.0
+QUOTA_OVERAGE = 0.1
+# Requests beside the limit.
+QUOTA_SLACK = 20
 
 ALL = "all"
 STORE = "store"
@@ -39,6 +44,9 @@
     # Whether a run that was itself a repeat made this call.
     is_call_of_repeat: bool = False
     is_poison: bool = False
+    # Key that the client sent, and whether the route asks for one.
+    key: str = ""
+    needs_key: bool = False
     ended_at: float = 0.0
     # "answer", "closed", "timeout", "left" or "not connected".
     ending: str = ""
@@ -76,6 +84,9 @@
     given: float | None
     # Whether the request had arrived somewhere before.
     is_repeat: bool
+    # Organisation that the request names, and whether it shows a key.
+    organisation: str = ""
+    has_key: bool = False
     is_run: bool = False
     status: int = 0
     stamp: str = ""
@@ -99,6 +110,15 @@
     return {service for v in versions for service in v.services.get(prefix, ())}
 
 
+@dataclasses.dataclass
+class KeyLife:
+    """When a key was part of the configuration in force."""
+
+    organisation: str
+    added_at: float
+    withdrawn_at: float = float("inf")
+
+
 @dataclasses.dataclass
 class Acknowledgement:
     """A node's answer to a backend server that says that it leaves."""
@@ -126,6 +146,10 @@
         # Service beside each node, by the node's name.
         self.services = {}
         self.versions = []
+        # Keys that a configuration held, as KeyLife by key, and limits as
+        # (rate, burst) by organisation. Empty in runs without organisations.
+        self.keys = {}
+        self.limits = {}
         self.acknowledgements = []
         self.faults = []
         # Starts of nodes' processes and planned stops, as (node, time).
