tests: Rewrite settings in the soak only if they change

The soak itself had stood still for up to 9.1 s beside other load on the machine: a stack trace taken meanwhile shows it in open() of a settings file that it truncated, at each start and SIGHUP.

A settings file that is the same as before is no longer written. Nodes read the same content as before, so no check changes.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -125,7 +125,11 @@
             *(ORGANISATION_SETTINGS if self.world.keys else ()),
         ]
         path = self.world.folder / f"{self.name}.ini"
-        path.write_text("\n".join(lines) + "\n")
+        text = "\n".join(lines) + "\n"
+        # Truncating the file of an earlier start held the soak up for seconds
+        # while the disk was busy, and then all that it times came late.
+        if not path.exists() or path.read_text() != text:
+            path.write_text(text)
         return path
 
     def start(self):
