edge: Log each refusal, eviction and closing with its client

Operators saw memory_refusals and memory_evictions rise and could not tell which clients held the memory.

Refusals for want of memory, evictions, refusals of slow bodies, connections closed for new ones, pauses of accepting and unidentified links that are closed have a line of the component edge: address, bytes asked, held and in use, and the bound. No line contains a body or a head. logging::Log limits the rate.

--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -138,6 +138,12 @@
       input_(kReadBytes),
       last_received_(MonotonicClock::now()) {}
 
+std::string FramedConnection::RemoteAddress() const {
+  boost::system::error_code error;
+  const auto endpoint = socket_.remote_endpoint(error);
+  return error ? std::string() : endpoint.address().to_string();
+}
+
 void FramedConnection::Start(OnFrame on_frame, OnClosed on_closed) {
   on_frame_ = std::move(on_frame);
   on_closed_ = std::move(on_closed);
--- a/libraries/sidecar/framed_connection.h
+++ b/libraries/sidecar/framed_connection.h
@@ -57,6 +57,9 @@
 
   bool is_closed() const { return is_closed_; }
 
+  // IP address of the other side, for log lines; empty if it has left.
+  std::string RemoteAddress() const;
+
   // When bytes last arrived.
   MonotonicTime last_received() const { return last_received_; }
 
--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -17,6 +17,8 @@
 #include <utility>
 #include <vector>
 
+#include "logging/log.h"
+
 namespace oleandertide::sidecar {
 
 namespace http = boost::beast::http;
@@ -105,11 +107,13 @@
   }
 
   void Start() {
+    // The system no longer tells it once the client has left.
+    boost::system::error_code error;
+    const auto client = socket_.remote_endpoint(error);
+    if (!error) client_ = client.address();
     if (budget_ != nullptr) {
-      boost::system::error_code error;
-      const auto client = socket_.remote_endpoint(error);
       account_ = budget_->Open(
-          error ? std::string() : client.address().to_string(),
+          error ? std::string() : client_.to_string(),
           [weak = weak_from_this()] {
             if (const auto self = weak.lock()) self->OnEvicted();
           },
@@ -135,6 +139,8 @@
 
   MonotonicTime waiting_since() const { return waiting_since_; }
 
+  const boost::asio::ip::address& client() const { return client_; }
+
   void Send(RequestNumber number, HttpAnswer answer) {
     Pending* pending = Find(number);
     if (pending == nullptr || pending->answer) return;
@@ -187,10 +193,15 @@
       return;
     }
     if (now - window_since_ < bounds.least_body_window) return;
-    const bool is_slow = window_bytes_ < bounds.least_body_bytes;
+    const std::size_t arrived = std::exchange(window_bytes_, 0);
     window_since_ = now;
-    window_bytes_ = 0;
-    if (is_slow) Fail({408});
+    if (arrived >= bounds.least_body_bytes) return;
+    logging::Log(logging::Level::kInfo, "edge", "slow body refused",
+                 {{"client", client_.to_string()},
+                  {"held", charged_bytes_},
+                  {"arrived", arrived},
+                  {"least", bounds.least_body_bytes}});
+    Fail({408});
   }
 
   // Whether no request has been read in part and no answer is on its way.
@@ -267,7 +278,16 @@
     if (!account_) return true;
     const std::size_t bytes = CountHeldBytes();
     if (bytes == charged_bytes_) return true;
-    if (!budget_->Set(*account_, bytes, MonotonicClock::now())) return false;
+    if (!budget_->Set(*account_, bytes, MonotonicClock::now())) {
+      logging::Log(logging::Level::kWarning, "edge",
+                   "refused for want of memory",
+                   {{"client", client_.to_string()},
+                    {"asked", bytes},
+                    {"held", charged_bytes_},
+                    {"in_use", budget_->used()},
+                    {"bound", budget_->capacity()}});
+      return false;
+    }
     charged_bytes_ = bytes;
     return true;
   }
@@ -305,8 +325,15 @@
 
   // Memory is short, and the client makes no progress.
   void OnEvicted() {
-    charged_bytes_ = 0;
+    const std::size_t held = std::exchange(charged_bytes_, 0);
     if (is_closed_) return;
+    // What is in use includes what was held.
+    logging::Log(logging::Level::kWarning, "edge", "evicted for want of memory",
+                 {{"client", client_.to_string()},
+                  {"held", held},
+                  {"in_use", budget_->used() + held},
+                  {"bound", budget_->capacity()},
+                  {"answer_unread", is_writing_}});
     if (is_writing_ || server_ == nullptr) {
       Close();
       return;
@@ -642,6 +669,7 @@
   HttpServer* server_;
   Tcp::socket socket_;
   ByteBudget* const budget_;
+  boost::asio::ip::address client_;
   std::optional<ByteBudget::AccountId> account_;
   // What the account holds.
   std::size_t charged_bytes_ = 0;
@@ -726,6 +754,10 @@
 void HttpServer::Accept() {
   if (bounds_.max_connections != 0 &&
       connections_.size() > bounds_.max_connections) {
+    logging::Log(logging::Level::kWarning, "edge", "accepting paused",
+                 {{"listening", ListeningAddress()},
+                  {"connections", connections_.size()},
+                  {"bound", bounds_.max_connections}});
     accept_timer_.Start(detail::kAcceptPause, [this] {
       MakeRoom();
       Accept();
@@ -746,6 +778,13 @@
       });
 }
 
+std::string HttpServer::ListeningAddress() const {
+  boost::system::error_code error;
+  const auto endpoint = acceptor_.local_endpoint(error);
+  if (error) return {};
+  return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+}
+
 void HttpServer::Add(Tcp::socket socket) {
   boost::system::error_code ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
@@ -780,8 +819,16 @@
       [](const Candidate& candidate) {
         return std::pair(candidate.idle_class, candidate.since);
       });
+  const std::string listening = ListeningAddress();
   for (std::size_t i = 0; i < count; ++i) {
-    candidates[i].connection->Close();
+    const auto& connection = candidates[i].connection;
+    logging::Log(logging::Level::kInfo, "edge", "closed for a new connection",
+                 {{"client", connection->client().to_string()},
+                  {"listening", listening},
+                  {"idle_ms", ToMilliseconds(now - candidates[i].since)},
+                  {"connections", connections_.size()},
+                  {"bound", bounds_.max_connections}});
+    connection->Close();
   }
   closed_for_new_ += count;
 }
--- a/libraries/sidecar/http_server.h
+++ b/libraries/sidecar/http_server.h
@@ -150,6 +150,8 @@
   HttpServer(EventLoop& loop, Tcp::acceptor acceptor, Handler handler,
              IsRepeatable is_repeatable);
   void Accept();
+  // For log lines; empty once the server no longer listens.
+  std::string ListeningAddress() const;
   void Add(Tcp::socket socket);
   // Closes idle connections for a new one if there are as many as allowed.
   void MakeRoom();
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -132,7 +132,14 @@
     ++unknown;
     if (!oldest || session->accepted_at < oldest->accepted_at) oldest = session;
   }
-  if (unknown >= kMaxUnknownSessions) oldest->connection->Close();
+  if (unknown < kMaxUnknownSessions) return;
+  logging::Log(
+      logging::Level::kWarning, "edge", "closed an unidentified link",
+      {{"client", oldest->connection->RemoteAddress()},
+       {"open_ms", ToMilliseconds(MonotonicClock::now() - oldest->accepted_at)},
+       {"connections", unknown},
+       {"bound", kMaxUnknownSessions}});
+  oldest->connection->Close();
 }
 
 void LinkServer::OnFrame(const std::shared_ptr<Session>& session,
--- a/tests/sidecar/http_server_test.cc
+++ b/tests/sidecar/http_server_test.cc
@@ -3,13 +3,17 @@
 #include "sidecar/http_server.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdio>
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 #include "sidecar/mesh_fixture.h"
@@ -252,6 +256,75 @@
   REQUIRE(budget.used() == 0);
 }
 
+// Runs the loop until `expected` is logged, 10 s at most, and returns what was
+// logged.
+std::string LogUntil(EventLoop& loop, std::string_view expected) {
+  std::FILE* const file = std::tmpfile();
+  const int saved = dup(STDERR_FILENO);
+  dup2(fileno(file), STDERR_FILENO);
+  std::string text;
+  const MonotonicTime end = MonotonicClock::now() + seconds(10);
+  while (text.find(expected) == std::string::npos &&
+         MonotonicClock::now() < end) {
+    loop.restart();
+    loop.run_for(milliseconds(10));
+    text.resize(std::size_t{1} << 16U);
+    const ssize_t size = pread(fileno(file), text.data(), text.size(), 0);
+    text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+  }
+  dup2(saved, STDERR_FILENO);
+  close(saved);
+  std::fclose(file);
+  return text;
+}
+
+// Guards against clients that take a node's memory and cannot be found, and
+// against lines that show what a request contains.
+TEST_CASE("who is refused or evicted for want of memory is logged") {
+  EventLoop loop(1);
+  const Address address = UnusedAddress();
+  ByteBudget budget({.capacity = 300'000, .stall_limit = seconds(1)});
+  auto server =
+      HttpServer::Create(loop, address,
+                         [](const std::shared_ptr<HttpRequest>& /*request*/,
+                            HttpReply reply) { reply.Send({}); });
+  REQUIRE(server.has_value());
+  server.value()->set_bounds({.budget = &budget, .max_connections = 2});
+  const std::string unfinished =
+      "POST /private HTTP/1.1\r\nHost: h\r\nx-key: private\r\n"
+      "Content-Length: 100000\r\n\r\nprivate";
+  RawClient first(loop, address);
+  RawClient second(loop, address);
+  first.Send(unfinished);
+  const MonotonicTime end = MonotonicClock::now() + seconds(10);
+  while (budget.used() == 0 && MonotonicClock::now() < end) {
+    loop.restart();
+    loop.run_for(milliseconds(1));
+  }
+  second.Send(unfinished);
+  const std::string refusal =
+      "edge \"refused for want of memory\" client=127.0.0.1 asked=200000 "
+      "held=0 "
+      "in_use=200000 bound=300000";
+  const std::string refused = LogUntil(loop, refusal);
+  REQUIRE(refused.find(refusal) != std::string::npos);
+  // The first one is stalled after this; the refused connection is closed for
+  // the third.
+  std::this_thread::sleep_for(milliseconds(1050));
+  RawClient third(loop, address);
+  third.Send(unfinished);
+  const std::string eviction =
+      "edge \"evicted for want of memory\" client=127.0.0.1 held=200000 "
+      "in_use=200000 bound=300000";
+  const std::string evicted = LogUntil(loop, eviction);
+  REQUIRE(evicted.find(eviction) != std::string::npos);
+  REQUIRE(evicted.find("edge \"closed for a new connection\" client=127.0.0.1 "
+                       "listening=" +
+                       address.ToString()) != std::string::npos);
+  REQUIRE((refused + evicted).find("private") == std::string::npos);
+  for (RawClient* client : {&first, &second, &third}) client->Close();
+}
+
 // Guards against a process that ends, or a connection that hangs, by a field
 // that is longer than the library which keeps fields bears.
 TEST_CASE("a field that is too long is refused wherever it stands") {
