edge: Put frames of links and answers being read into the account

Frames on links (up to 80 MiB each, once a node has said who it is) and answers of the backend server (backend.max-answer each) were read beside the account of bytes. Clients could hold all of it while such bytes came on top.

The receive buffer of a link above 64 KiB is charged before it grows, the body of an answer above 64 KiB while it is read. Both come before clients: they use the reserve, count in no share, and large bodies that still arrive give way if stalled connections do not make room. A frame that does not fit even then closes its link with a log line. An answer is counted but never refused, since its request has run. Smaller frames and answers cost a comparison. A link's buffer also shrinks when the beginning of the next frame stands behind a large one.

The cost for small frames was not measured.

--- a/libraries/sidecar/backend_client.cc
+++ b/libraries/sidecar/backend_client.cc
@@ -19,8 +19,9 @@
 
 }  // namespace
 
-BackendClient::BackendClient(EventLoop& loop, Tcp::endpoint endpoint)
-    : loop_(loop), endpoint_(std::move(endpoint)) {}
+BackendClient::BackendClient(EventLoop& loop, Tcp::endpoint endpoint,
+                             ByteBudget* budget)
+    : loop_(loop), endpoint_(std::move(endpoint)), budget_(budget) {}
 
 BackendClient::~BackendClient() {
   CloseIdle();
@@ -56,6 +57,7 @@
   if (!connection) {
     connection =
         std::make_shared<HttpConnection>(loop_, endpoint_, kConnectLimit);
+    connection->set_budget(budget_);
   }
   active_.emplace(id, connection);
   exchange.on_answer =
--- a/libraries/sidecar/backend_client.h
+++ b/libraries/sidecar/backend_client.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "sidecar/byte_budget.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_connection.h"
 
@@ -21,7 +22,8 @@
  public:
   using ExchangeId = std::uint64_t;
 
-  BackendClient(EventLoop& loop, Tcp::endpoint endpoint);
+  // `budget` is the account for answers; outlives the client. Null: none.
+  BackendClient(EventLoop& loop, Tcp::endpoint endpoint, ByteBudget* budget);
   ~BackendClient();
 
   // Sends a request. A backend server may forget an idle connection, and a
@@ -46,6 +48,7 @@
 
   EventLoop& loop_;
   const Tcp::endpoint endpoint_;
+  ByteBudget* const budget_;
   ExchangeId next_id_ = 1;
   std::unordered_map<ExchangeId, Connection> active_;
   // The one that was used last is at the end.
--- a/libraries/sidecar/byte_budget.cc
+++ b/libraries/sidecar/byte_budget.cc
@@ -40,6 +40,12 @@
   return id;
 }
 
+ByteBudget::AccountId ByteBudget::OpenMesh(MonotonicTime now) {
+  const AccountId id = next_id_++;
+  accounts_.emplace(id, Account{.owner = Owner::kMesh, .progress_at = now});
+  return id;
+}
+
 void ByteBudget::Close(AccountId id) {
   Account& account = accounts_.at(id);
   Apply(id, account, 0);
@@ -49,13 +55,13 @@
 bool ByteBudget::IsGranted(const Account& account, std::size_t bytes) const {
   if (options_.capacity == 0 || bytes <= account.bytes) return true;
   const std::size_t others = used_ - account.bytes;
-  if (bytes <= options_.small_bytes) {
+  if (account.owner == Owner::kMesh || bytes <= options_.small_bytes) {
     return others + bytes <= options_.capacity;
   }
   if (others + bytes > options_.capacity - options_.reserve) return false;
   const auto found = clients_.find(account.client);
   const std::size_t own = found == clients_.end() ? 0 : found->second;
-  if (own == used_) return true;
+  if (own == used_by_clients_) return true;
   return static_cast<double>(own - account.bytes + bytes) <=
          options_.client_share * static_cast<double>(options_.capacity);
 }
@@ -69,13 +75,29 @@
   return std::nullopt;
 }
 
-bool ByteBudget::Set(AccountId id, std::size_t bytes, MonotonicTime now) {
-  while (!IsGranted(accounts_.at(id), bytes)) {
-    const auto victim = FindStalled(id, now);
-    if (!victim) {
-      ++refused_count_;
-      return false;
-    }
+std::optional<ByteBudget::AccountId> ByteBudget::FindSubordinate(
+    const Account& account, std::size_t bytes) const {
+  if (account.owner != Owner::kMesh) return std::nullopt;
+  std::size_t left = used_ - account.bytes + bytes;
+  std::optional<AccountId> first;
+  for (const auto& [progress_at, id] : waiting_) {
+    const Account& other = accounts_.at(id);
+    if (!other.is_for_body || other.bytes <= options_.small_bytes) continue;
+    if (!first) first = id;
+    left -= other.bytes;
+    if (left <= options_.capacity) return first;
+  }
+  return std::nullopt;
+}
+
+bool ByteBudget::MakeRoom(AccountId id, std::size_t bytes, MonotonicTime now) {
+  while (true) {
+    const auto found = accounts_.find(id);
+    if (found == accounts_.end()) return false;
+    if (IsGranted(found->second, bytes)) return true;
+    auto victim = FindStalled(id, now);
+    if (!victim) victim = FindSubordinate(found->second, bytes);
+    if (!victim) return false;
     ++evicted_count_;
     Account& account = accounts_.at(*victim);
     Apply(*victim, account, 0);
@@ -83,10 +105,23 @@
     const auto on_evict = account.on_evict;
     if (on_evict) on_evict();
   }
+}
+
+bool ByteBudget::Set(AccountId id, std::size_t bytes, MonotonicTime now) {
+  if (!MakeRoom(id, bytes, now)) {
+    ++refused_count_;
+    return false;
+  }
   Apply(id, accounts_.at(id), bytes);
   return true;
 }
 
+void ByteBudget::Take(AccountId id, std::size_t bytes, MonotonicTime now) {
+  MakeRoom(id, bytes, now);
+  const auto found = accounts_.find(id);
+  if (found != accounts_.end()) Apply(id, found->second, bytes);
+}
+
 void ByteBudget::Force(AccountId id, std::size_t bytes) {
   Apply(id, accounts_.at(id), bytes);
 }
@@ -95,9 +130,12 @@
   if (account.bytes == bytes) return;
   const bool was_listed = IsListed(account);
   used_ = used_ - account.bytes + bytes;
-  const auto client = clients_.try_emplace(account.client, 0).first;
-  client->second = client->second - account.bytes + bytes;
-  if (client->second == 0) clients_.erase(client);
+  if (account.owner == Owner::kClient) {
+    used_by_clients_ = used_by_clients_ - account.bytes + bytes;
+    const auto client = clients_.try_emplace(account.client, 0).first;
+    client->second = client->second - account.bytes + bytes;
+    if (client->second == 0) clients_.erase(client);
+  }
   account.bytes = bytes;
   if (was_listed == IsListed(account)) return;
   if (was_listed) {
@@ -107,16 +145,19 @@
   }
 }
 
-void ByteBudget::SetWaiting(AccountId id, bool is_waiting, MonotonicTime now) {
+void ByteBudget::SetWaiting(AccountId id, bool is_waiting, MonotonicTime now,
+                            bool is_for_body) {
   Account& account = accounts_.at(id);
   if (IsListed(account)) waiting_.erase({account.progress_at, id});
   account.is_waiting = is_waiting;
+  account.is_for_body = is_for_body;
   account.progress_at = now;
   if (IsListed(account)) waiting_.insert({account.progress_at, id});
 }
 
 void ByteBudget::RecordProgress(AccountId id, MonotonicTime now) {
-  SetWaiting(id, accounts_.at(id).is_waiting, now);
+  const Account& account = accounts_.at(id);
+  SetWaiting(id, account.is_waiting, now, account.is_for_body);
 }
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/byte_budget.h
+++ b/libraries/sidecar/byte_budget.h
@@ -1,9 +1,12 @@
-// Memory that a process may hold for its clients.
+// Memory that a process may hold for its clients and for other nodes.
 //
 // Load pattern: clients send many large bodies at once and stop just short of
 // their end, so that nothing of what is buffered can be released. The sum of
 // what all connections hold is bounded, and when it is short, connections that
 // make no progress give way.
+//
+// Order of precedence when it is short: links between nodes and answers of the
+// backend server, small requests of clients, large ones.
 
 #ifndef OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
 #define OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
@@ -47,26 +50,43 @@
 
   using AccountId = std::uint64_t;
 
+  // Whose bytes an account holds.
+  enum class Owner : std::uint8_t {
+    kClient,
+    // Another node or the backend server: may use the reserve, has no share,
+    // and large bodies that arrive give way to it.
+    kMesh,
+  };
+
   explicit ByteBudget(const Options& options) : options_(options) {}
 
-  // Opens an account that holds nothing. `on_evict` is to release the bytes.
+  // Opens an account that holds nothing. `on_evict` is to release the bytes; it
+  // may close any account.
   AccountId Open(const std::string& client, std::function<void()> on_evict,
                  MonotonicTime now);
+  // The same for other nodes and the backend server; it is never evicted.
+  AccountId OpenMesh(MonotonicTime now);
 
   // Precondition of all: the account is open.
   void Close(AccountId id);
 
   // Changes what an account holds; returns whether that is granted. Less is
-  // always granted. Evicts accounts that make no progress, the longest first,
-  // if that makes room.
+  // always granted. Evicts accounts that make no progress, the longest first.
+  // Returns false if one that was evicted closed this one.
   bool Set(AccountId id, std::size_t bytes, MonotonicTime now);
 
   // The same for bytes that exist already, such as an answer.
   void Force(AccountId id, std::size_t bytes);
 
+  // The same, but evicts as Set does before. Does nothing more if one that was
+  // evicted closed the account.
+  void Take(AccountId id, std::size_t bytes, MonotonicTime now);
+
   // Sets whether the account waits for its client and may be evicted; that
-  // counts as progress.
-  void SetWaiting(AccountId id, bool is_waiting, MonotonicTime now);
+  // counts as progress. One that waits for a body also gives way to kMesh while
+  // it makes progress: its request has not run, and no answer is lost.
+  void SetWaiting(AccountId id, bool is_waiting, MonotonicTime now,
+                  bool is_for_body = false);
 
   // The client of a waiting account has sent or taken bytes.
   void RecordProgress(AccountId id, MonotonicTime now);
@@ -78,11 +98,13 @@
 
  private:
   struct Account {
-    std::string client;
-    std::function<void()> on_evict;
+    Owner owner = Owner::kClient;
+    std::string client{};
+    std::function<void()> on_evict{};
     std::size_t bytes = 0;
     bool is_waiting = false;
-    MonotonicTime progress_at;
+    bool is_for_body = false;
+    MonotonicTime progress_at{};
   };
   // Accounts that wait for their clients, the longest without progress first.
   using Waiting = std::pair<MonotonicTime, AccountId>;
@@ -90,6 +112,13 @@
   bool IsGranted(const Account& account, std::size_t bytes) const;
   std::optional<AccountId> FindStalled(AccountId except,
                                        MonotonicTime now) const;
+  // Returns the large account of a client that is to give way to `account`
+  // although it is not stalled; nothing if all of them together would not make
+  // room for `bytes`.
+  std::optional<AccountId> FindSubordinate(const Account& account,
+                                           std::size_t bytes) const;
+  // Evicts until `bytes` are granted; returns whether they are.
+  bool MakeRoom(AccountId id, std::size_t bytes, MonotonicTime now);
   void Apply(AccountId id, Account& account, std::size_t bytes);
   bool IsListed(const Account& account) const {
     return account.is_waiting && account.bytes > 0;
@@ -101,6 +130,8 @@
   std::unordered_map<std::string, std::size_t> clients_;
   std::set<Waiting> waiting_;
   std::size_t used_ = 0;
+  // Part of it that is held for clients.
+  std::size_t used_by_clients_ = 0;
   AccountId next_id_ = 1;
   std::uint64_t refused_count_ = 0;
   std::uint64_t evicted_count_ = 0;
--- a/libraries/sidecar/framed_connection.cc
+++ b/libraries/sidecar/framed_connection.cc
@@ -208,7 +208,22 @@
     // Memory grows as the bytes arrive: what a frame says of its size costs its
     // sender nothing.
     const std::size_t least = input_size_ + kReadBytes;
-    input_.resize(std::max(least, std::min(input_.size() * 2, frame_bytes_)));
+    const std::size_t bytes =
+        std::max(least, std::min(input_.size() * 2, frame_bytes_));
+    if (bytes > kKeptBufferBytes && !ChargeInput(bytes)) {
+      // Eviction of a client may have closed the connection.
+      if (is_closed_) return;
+      logging::Log(logging::Level::kWarning, "link",
+                   "frame refused for want of memory",
+                   {{"address", RemoteAddress()},
+                    {"asked", bytes},
+                    {"frame", frame_bytes_},
+                    {"in_use", budget_->used()},
+                    {"bound", budget_->capacity()}});
+      Close();
+      return;
+    }
+    input_.resize(bytes);
   }
   socket_.async_read_some(
       boost::asio::buffer(input_.data() + input_size_,
@@ -258,13 +273,27 @@
   if (used > 0) {
     std::memmove(input_.data(), input_.data() + used, input_size_ - used);
     input_size_ -= used;
-    if (input_size_ == 0 && input_.size() > kKeptBufferBytes) {
-      input_ = std::vector<char>(kReadBytes);
-    }
+    if (input_.size() > kKeptBufferBytes) ShrinkInput();
   }
   return true;
 }
 
+bool FramedConnection::ChargeInput(std::size_t bytes) {
+  if (budget_ == nullptr) return true;
+  const MonotonicTime now = MonotonicClock::now();
+  if (!account_) account_ = budget_->OpenMesh(now);
+  return budget_->Set(*account_, bytes, now);
+}
+
+void FramedConnection::ShrinkInput() {
+  // The beginning of the next frame must not keep the memory of a large one.
+  if (input_size_ > kReadBytes) return;
+  std::vector<char> smaller(input_size_ + kReadBytes);
+  std::memcpy(smaller.data(), input_.data(), input_size_);
+  input_ = std::move(smaller);
+  if (account_) budget_->Force(*account_, 0);
+}
+
 bool FramedConnection::ReadFlat(std::string_view message, bool is_compressed,
                                 std::string_view body) {
   const auto words = ReadMessage(message, is_compressed);
@@ -296,6 +325,9 @@
 void FramedConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
+  if (const auto account = std::exchange(account_, std::nullopt)) {
+    budget_->Close(*account);
+  }
   boost::system::error_code ignored;
   socket_.close(ignored);
   // This may be called by on_frame_ itself, which must outlive the call.
--- a/libraries/sidecar/framed_connection.h
+++ b/libraries/sidecar/framed_connection.h
@@ -9,12 +9,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "core/time.h"
+#include "sidecar/byte_budget.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/link.capnp.h"
 
@@ -49,6 +51,11 @@
   // Precondition: no larger one has begun.
   void set_max_frame_bytes(std::size_t bytes) { max_frame_bytes_ = bytes; }
 
+  // Sets the account for the memory of large frames from now on; a frame for
+  // which there is none closes the connection. The budget outlives the open
+  // connection. Null: not in an account.
+  void set_budget(ByteBudget* budget) { budget_ = budget; }
+
   // Larger than any configuration, request or answer that clients may send.
   static constexpr std::size_t kMaxFrameBytes = std::size_t{80} << 20U;
 
@@ -73,6 +80,10 @@
 
  private:
   void Read();
+  // Puts the buffer of received bytes into the account; returns whether there
+  // is memory for it.
+  bool ChargeInput(std::size_t bytes);
+  void ShrinkInput();
   // Each returns whether the bytes were well-formed.
   bool ParseFrames();
   bool ReadFlat(std::string_view message, bool is_compressed,
@@ -90,6 +101,9 @@
   std::size_t max_frame_bytes_ = kMaxFrameBytes;
   // Bytes of the frame that has begun, once it has told them.
   std::size_t frame_bytes_ = 0;
+  ByteBudget* budget_ = nullptr;
+  // Opened for the first large frame.
+  std::optional<ByteBudget::AccountId> account_;
   std::string pending_;
   std::string writing_;
   MonotonicTime last_received_;
--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -12,6 +12,9 @@
 
 constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
 
+// Smaller answers are not in the account: they are read at once.
+constexpr std::size_t kUncountedBytes = std::size_t{64} << 10U;
+
 constexpr std::size_t kMaxHeadBytes = std::numeric_limits<std::uint16_t>::max();
 
 // Bytes of a head, or of a chunk's line with its extensions, that may be kept
@@ -145,10 +148,12 @@
     StartTimer(exchange_->limit, HttpFailure::kTimeout);
   }
   Parse();
+  if (exchange_ && parser_->body_capacity() > kUncountedBytes) ChargeAnswer();
   Read();
 }
 
 void HttpConnection::BeginAnswer() {
+  if (charged_bytes_ > 0) ReleaseCharge();
   parser_.emplace(HttpMessageLimits{.head_bytes = kMaxHeadBytes,
                                     .body_bytes = exchange_->max_body_bytes});
   if (exchange_->is_head_request) parser_->set_without_body();
@@ -165,6 +170,20 @@
   if (parser_->is_complete()) FinishAnswer();
 }
 
+void HttpConnection::ChargeAnswer() {
+  const std::size_t bytes = parser_->body_capacity();
+  if (budget_ == nullptr || bytes == charged_bytes_) return;
+  const MonotonicTime now = MonotonicClock::now();
+  if (!account_) account_ = budget_->OpenMesh(now);
+  charged_bytes_ = bytes;
+  budget_->Take(*account_, bytes, now);
+}
+
+void HttpConnection::ReleaseCharge() {
+  charged_bytes_ = 0;
+  if (account_) budget_->Force(*account_, 0);
+}
+
 void HttpConnection::FinishAnswer() {
   HttpResponse response = parser_->Release();
   if (response.result_int() >= 100 && response.result_int() < 200) {
@@ -188,6 +207,8 @@
   const auto self = shared_from_this();
   const auto on_answer = std::move(exchange_->on_answer);
   exchange_.reset();
+  // Whoever takes the answer charges it.
+  if (charged_bytes_ > 0) ReleaseCharge();
   if (!is_reusable_) Close();
   on_answer(std::move(response));
 }
@@ -227,6 +248,9 @@
   if (is_closed_) return;
   is_closed_ = true;
   exchange_.reset();
+  if (const auto account = std::exchange(account_, std::nullopt)) {
+    budget_->Close(*account);
+  }
   timer_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -14,6 +14,7 @@
 #include <string_view>
 
 #include "core/time.h"
+#include "sidecar/byte_budget.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_parser.h"
 #include "sidecar/timer.h"
@@ -75,6 +76,10 @@
   // Closes the connection; callbacks of the exchange are not called.
   void Close();
 
+  // Sets the account for large answers that are being read; they are never
+  // refused. Outlives the open connection. Precondition: no exchange has begun.
+  void set_budget(ByteBudget* budget) { budget_ = budget; }
+
   // Sets what to call when the connection ends without an exchange.
   void set_on_closed(std::function<void()> on_closed) {
     on_closed_ = std::move(on_closed);
@@ -101,6 +106,10 @@
   void FinishAnswer();
   // Goes on to the answer behind one that is not the exchange's.
   void SkipAnswer();
+  // Puts the answer that is being read into the account. The connection may be
+  // closed by it.
+  void ChargeAnswer();
+  void ReleaseCharge();
   void OnEnd(const boost::system::error_code& error);
   void Fail(HttpFailure failure);
   void StartTimer(Duration limit, HttpFailure failure);
@@ -112,6 +121,10 @@
   boost::beast::flat_buffer buffer_;
   std::optional<HttpResponseParser> parser_;
   std::optional<HttpExchange> exchange_;
+  ByteBudget* budget_ = nullptr;
+  // Opened for the first large answer.
+  std::optional<ByteBudget::AccountId> account_;
+  std::size_t charged_bytes_ = 0;
   std::function<void()> on_closed_;
   MonotonicTime idle_since_;
   std::optional<Duration> keep_alive_;
--- a/libraries/sidecar/http_parser.h
+++ b/libraries/sidecar/http_parser.h
@@ -62,6 +62,7 @@
   }
 
   Message& message() { return message_; }
+  std::size_t body_capacity() const { return message_.body().capacity(); }
 
  private:
   using ErrorCode = boost::system::error_code;
@@ -231,6 +232,9 @@
 
   bool is_complete() const { return builder_.is_done(); }
 
+  // Memory of the body as far as it has been read.
+  std::size_t body_capacity() const { return builder_.body_capacity(); }
+
   // Precondition: is_complete(); called once.
   Message Release() { return std::move(builder_.message()); }
 
--- a/libraries/sidecar/http_server.cc
+++ b/libraries/sidecar/http_server.cc
@@ -301,12 +301,17 @@
   // Tells the budget whether the client is waited for.
   void UpdateWaiting() {
     if (!account_) return;
-    const bool is_waiting =
-        is_writing_ || (has_partial_request_ && may_parse());
-    if (is_waiting == is_waiting_) return;
+    const bool is_for_body =
+        !is_writing_ && has_partial_request_ && may_parse();
+    const bool is_waiting = is_writing_ || is_for_body;
+    if (is_waiting == is_waiting_ && is_for_body == is_waiting_for_body_) {
+      return;
+    }
     is_waiting_ = is_waiting;
+    is_waiting_for_body_ = is_for_body;
     progress_bytes_ = 0;
-    budget_->SetWaiting(*account_, is_waiting, MonotonicClock::now());
+    budget_->SetWaiting(*account_, is_waiting, MonotonicClock::now(),
+                        is_for_body);
   }
 
   void RecordProgress(std::size_t bytes) {
@@ -323,7 +328,7 @@
     }
   }
 
-  // Memory is short, and the client makes no progress.
+  // Memory is short, and the client makes no progress or holds up a link.
   void OnEvicted() {
     const std::size_t held = std::exchange(charged_bytes_, 0);
     if (is_closed_) return;
@@ -681,6 +686,7 @@
   std::size_t window_bytes_ = 0;
   MonotonicTime window_since_;
   bool is_waiting_ = false;
+  bool is_waiting_for_body_ = false;
   // Bytes behind the requests in progress, and of a request that is not whole.
   boost::beast::flat_buffer unparsed_;
   // Number of bytes behind the request that is being handled right after it was
--- a/libraries/sidecar/link_client.cc
+++ b/libraries/sidecar/link_client.cc
@@ -152,6 +152,7 @@
 
 void LinkClient::OnConnected(Peer& peer, Tcp::socket socket) {
   peer.connection = std::make_shared<FramedConnection>(std::move(socket));
+  peer.connection->set_budget(budget_);
   peer.connection->set_on_queued([this](std::size_t bytes) {
     backlog_.Add(MonotonicClock::now(), bytes);
   });
--- a/libraries/sidecar/link_client.h
+++ b/libraries/sidecar/link_client.h
@@ -50,6 +50,10 @@
              mesh::LinkBacklog& backlog, Callbacks callbacks);
   ~LinkClient();
 
+  // Sets the account for frames of other nodes; outlives the client.
+  // Precondition: no node has been learnt.
+  void set_budget(ByteBudget* budget) { budget_ = budget; }
+
   // Takes in a node, or new facts of a known one; returns whether there were
   // any.
   bool Learn(const NodeIdentity& node);
@@ -116,6 +120,7 @@
   RandomSource& random_;
   mesh::LinkBacklog& backlog_;
   Callbacks callbacks_;
+  ByteBudget* budget_ = nullptr;
   // Never erased: pointers to entries stay valid.
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
   std::string pinned_;
--- a/libraries/sidecar/link_server.cc
+++ b/libraries/sidecar/link_server.cc
@@ -157,6 +157,7 @@
       const NodeIdentity& node = hello.value();
       session->connection->set_max_frame_bytes(
           FramedConnection::kMaxFrameBytes);
+      session->connection->set_budget(budget_);
       session->node = node.name;
       session->is_in_own_data_centre = node.data_centre == data_centre_;
       session->connection->set_packs(frame.getHello().getAcceptsPacked());
--- a/libraries/sidecar/link_server.h
+++ b/libraries/sidecar/link_server.h
@@ -19,6 +19,7 @@
 #include "core/time.h"
 #include "mesh/bulk_schedule.h"
 #include "mesh/link_backlog.h"
+#include "sidecar/byte_budget.h"
 #include "sidecar/call.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/framed_connection.h"
@@ -54,6 +55,10 @@
       Receiver& receiver, mesh::LinkBacklog& backlog, Callbacks callbacks);
   ~LinkServer();
 
+  // Sets the account for frames of nodes that have said who they are; outlives
+  // the server. Precondition: called before the loop runs the server.
+  void set_budget(ByteBudget* budget) { budget_ = budget; }
+
   // Sends the status to all links now.
   void Broadcast();
 
@@ -150,6 +155,7 @@
   // Expected bytes of the answers to calls in progress.
   std::size_t promised_bytes_ = 0;
   Callbacks callbacks_;
+  ByteBudget* budget_ = nullptr;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   bool is_shutting_down_ = false;
   // What nodes of the own data centre were last told.
--- a/libraries/sidecar/receiver.h
+++ b/libraries/sidecar/receiver.h
@@ -45,6 +45,8 @@
     bool measures_pace = false;
     // A larger answer is unusable.
     std::size_t max_answer_bytes = 0;
+    // Account for answers that are being read; outlives the receiver.
+    ByteBudget* budget = nullptr;
   };
 
   Receiver(EventLoop& loop, const Options& options,
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -151,7 +151,8 @@
                    .measures_pace = settings.pace.measures_speed,
                    .max_answer_bytes =
                        static_cast<std::size_t>(settings.backend.max_answer_kb)
-                       << 10U},
+                       << 10U,
+                   .budget = &budget_},
                   quarantine_, metrics_),
         backlog_(settings.node.link_mbps),
         links_(loop, identity_, random_, backlog_, MakeLinkCallbacks()),
@@ -215,6 +216,7 @@
                    .metrics = metrics_},
                   settings.deployment, [this] { OnOrdersChanged(); }),
         stop_timer_(loop) {
+    links_.set_budget(&budget_);
     if (!settings.deployment.has_limits) return;
     limits_.emplace(
         Limits::Parts{.loop = loop,
@@ -248,6 +250,7 @@
                    coordination_.OnReport(node, message);
                  }}));
     link_server_ = std::move(link_server);
+    link_server_->set_budget(&budget_);
     receiver_.set_on_standing_changed([this] {
       link_server_->Broadcast();
       // A backend server that has just started waits for the orders.
--- a/tests/sidecar/byte_budget_test.cc
+++ b/tests/sidecar/byte_budget_test.cc
@@ -106,6 +106,82 @@
   REQUIRE(fixture.budget.used() == 600 * kKb);
 }
 
+// Guards against links that are lost, and their calls with them, because
+// clients hold the memory; and against clients that are refused their share
+// because a link is in use.
+TEST_CASE("a link uses the reserve and counts in no share") {
+  Fixture fixture;
+  const auto client = fixture.Open("a");
+  const auto link = fixture.budget.OpenMesh(fixture.now);
+  REQUIRE(fixture.budget.Set(client, 400 * kKb, fixture.now));
+  REQUIRE(fixture.budget.Set(link, 100 * kKb, fixture.now));
+  // More than half of the capacity, but no other client holds any.
+  REQUIRE(fixture.budget.Set(client, 800 * kKb, fixture.now));
+  REQUIRE(fixture.budget.Set(link, 200 * kKb, fixture.now));
+  REQUIRE_FALSE(fixture.budget.Set(link, 201 * kKb, fixture.now));
+  REQUIRE_FALSE(fixture.budget.Set(client, 801 * kKb, fixture.now));
+  fixture.budget.Close(link);
+  REQUIRE(fixture.budget.used() == 800 * kKb);
+}
+
+// Guards against clients that hold up links by bodies which never stall,
+// against small requests and answers that are given up for a link, and against
+// evictions that are of no use.
+TEST_CASE("large bodies that arrive give way to a link") {
+  Fixture fixture;
+  std::vector<int> evicted;
+  const auto open = [&](int number, std::size_t bytes, bool is_waiting,
+                        bool is_for_body) {
+    const auto id = fixture.budget.Open(
+        "a", [&evicted, number] { evicted.push_back(number); }, fixture.now);
+    fixture.now += milliseconds(1);
+    fixture.budget.SetWaiting(id, is_waiting, fixture.now, is_for_body);
+    REQUIRE(fixture.budget.Set(id, bytes, fixture.now));
+  };
+  open(0, 100 * kKb, true, false);
+  open(1, 10 * kKb, true, true);
+  open(2, 100 * kKb, false, false);
+  open(3, 300 * kKb, true, true);
+  open(4, 300 * kKb, true, true);
+  const auto link = fixture.budget.OpenMesh(fixture.now);
+  REQUIRE_FALSE(fixture.budget.Set(link, 791 * kKb, fixture.now));
+  REQUIRE(evicted.empty());
+  REQUIRE(fixture.budget.Set(link, 400 * kKb, fixture.now));
+  REQUIRE(evicted == std::vector{3});
+  REQUIRE(fixture.budget.Set(link, 790 * kKb, fixture.now));
+  REQUIRE(evicted == std::vector{3, 4});
+  REQUIRE(fixture.budget.used() == 1000 * kKb);
+}
+
+// Guards against the loss of an answer to a request that has run, and against
+// clients that are granted what such answers hold.
+TEST_CASE("an answer is counted even if it does not fit") {
+  Fixture fixture;
+  const auto answer = fixture.budget.OpenMesh(fixture.now);
+  fixture.budget.Take(answer, 1200 * kKb, fixture.now);
+  REQUIRE(fixture.budget.used() == 1200 * kKb);
+  REQUIRE(fixture.budget.refused_count() == 0);
+  REQUIRE_FALSE(fixture.budget.Set(fixture.Open("a"), kKb, fixture.now));
+}
+
+// Guards against a process that ends because the eviction of a client cancels
+// the call whose answer asks for memory.
+TEST_CASE("an eviction may close the account that asks") {
+  Fixture fixture;
+  const auto asking = fixture.budget.OpenMesh(fixture.now);
+  const auto client = fixture.budget.Open(
+      "a", [&] { fixture.budget.Close(asking); }, fixture.now);
+  fixture.budget.SetWaiting(client, true, fixture.now, true);
+  REQUIRE(fixture.budget.Set(client, 800 * kKb, fixture.now));
+  const bool is_taken = GENERATE(false, true);
+  if (is_taken) {
+    fixture.budget.Take(asking, 500 * kKb, fixture.now);
+  } else {
+    REQUIRE_FALSE(fixture.budget.Set(asking, 500 * kKb, fixture.now));
+  }
+  REQUIRE(fixture.budget.used() == 0);
+}
+
 TEST_CASE("without a capacity everything is granted") {
   ByteBudget budget(ByteBudget::ForMemory(0));
   const auto id = budget.Open("a", {}, MonotonicTime{});
--- a/tests/sidecar/framed_connection_test.cc
+++ b/tests/sidecar/framed_connection_test.cc
@@ -158,6 +158,61 @@
   REQUIRE(is_closed);
 }
 
+// Guards against memory of links that is in no account, and against an account
+// that keeps what a large frame held.
+TEST_CASE("a large frame is in the account until it has been handled") {
+  SocketPair pair;
+  ByteBudget budget({.capacity = 1'000'000});
+  const auto sender = std::make_shared<FramedConnection>(std::move(pair.first));
+  const auto receiver =
+      std::make_shared<FramedConnection>(std::move(pair.second));
+  receiver->set_budget(&budget);
+  std::vector<std::size_t> used;
+  sender->Start([](auto, auto) {}, [] {});
+  receiver->Start([&](auto, auto) { used.push_back(budget.used()); }, [] {});
+  capnp::MallocMessageBuilder message;
+  message.initRoot<wire::Frame>().initAnswer().setId(1);
+  const auto send = [&](std::size_t bytes) {
+    sender->Send(message, std::string(bytes, 'x'));
+    pair.loop.restart();
+    pair.loop.run_for(milliseconds(100));
+  };
+  send(300'000);
+  REQUIRE(used.size() == 1);
+  REQUIRE(used[0] >= 300'000);
+  REQUIRE(used[0] < 400'000);
+  REQUIRE(budget.used() == 0);
+  send(20'000);
+  REQUIRE(used.size() == 2);
+  REQUIRE(used[1] == 0);
+  sender->Close();
+  receiver->Close();
+  pair.loop.restart();
+  pair.loop.run_for(milliseconds(10));
+}
+
+// Guards against frames that take more than the memory of the process.
+TEST_CASE("a frame for which there is no memory closes the connection") {
+  SocketPair pair;
+  ByteBudget budget({.capacity = 200'000});
+  const auto sender = std::make_shared<FramedConnection>(std::move(pair.first));
+  const auto receiver =
+      std::make_shared<FramedConnection>(std::move(pair.second));
+  receiver->set_budget(&budget);
+  bool is_closed = false;
+  int frames = 0;
+  sender->Start([](auto, auto) {}, [] {});
+  receiver->Start([&](auto, auto) { ++frames; }, [&] { is_closed = true; });
+  capnp::MallocMessageBuilder message;
+  message.initRoot<wire::Frame>().initAnswer().setId(1);
+  sender->Send(message, std::string(300'000, 'x'));
+  pair.loop.run_for(milliseconds(100));
+  REQUIRE(is_closed);
+  REQUIRE(frames == 0);
+  REQUIRE(budget.used() == 0);
+  REQUIRE(budget.refused_count() == 1);
+}
+
 // Guards against packed messages that are cut, claim more words than they have,
 // or expand without end.
 TEST_CASE("malformed packed messages end the connection") {
--- /dev/null
+++ b/tests/sidecar/http_connection_test.cc
@@ -0,0 +1,58 @@
+// Answers of a backend server that are being read.
+
+#include "sidecar/http_connection.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "sidecar/raw_server.h"
+
+namespace oleandertide::sidecar {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against answers that are in no account while they are read, against
+// accounts that keep them, and against an answer that is lost for want of
+// memory.
+TEST_CASE("a large answer is in the account while it is read") {
+  const std::size_t capacity = GENERATE(1'000'000, 100'000);
+  EventLoop loop(1);
+  ByteBudget budget({.capacity = capacity});
+  RawServer server(loop, [](const RawRequest& /*request*/) {
+    return RawReply{.bytes = StampedAnswer(std::string(2'000'000, 'x'))};
+  });
+  const auto connection =
+      std::make_shared<HttpConnection>(loop, server.endpoint(), seconds(2));
+  connection->set_budget(&budget);
+  std::size_t received = 0;
+  std::size_t used_at_answer = 1;
+  bool is_ended = false;
+  HttpExchange exchange;
+  exchange.head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  exchange.limit = seconds(10);
+  exchange.on_answer = [&](const HttpResponse& response) {
+    received = response.body().size();
+    used_at_answer = budget.used();
+    is_ended = true;
+  };
+  exchange.on_failure = [&](HttpFailure /*failure*/) { is_ended = true; };
+  connection->Start(std::move(exchange));
+  std::size_t most = 0;
+  while (!is_ended) {
+    loop.run_one_for(milliseconds(100));
+    most = std::max(most, budget.used());
+  }
+  connection->Close();
+  REQUIRE(received == 2'000'000);
+  REQUIRE(most >= 1'000'000);
+  REQUIRE(used_at_answer == 0);
+  REQUIRE(budget.used() == 0);
+}
+
+}  // namespace
+}  // namespace oleandertide::sidecar
