--- a/tests/organisations/limits_test.cc
+++ b/tests/organisations/limits_test.cc
@@ -216,8 +216,7 @@
     }
     for (Node& node : nodes_) {
       // A node in touch with the store has the limits in time.
-      if (!node.is_cut &&
-          (!faults_.is_active || random_.Below(100) == 0)) {
+      if (!node.is_cut && (!faults_.is_active || random_.Below(100) == 0)) {
         for (const auto& [name, limit] : node.limits) {
           if (limits_.at(name).rate < limit.rate) {
             node.stock->EndStandingRate(name);
