--- a/benchmarks/configuration_check/configuration_check_benchmark.cc
+++ b/benchmarks/configuration_check/configuration_check_benchmark.cc
@@ -8,9 +8,9 @@
 #include <string>
 #include <string_view>
 
-#include "command/configuration_check.h"
+#include "platform/checks/configuration_check.h"
 
-namespace oleandertide::command {
+namespace oleandertide::platform {
 namespace {
 
 // One service for each ten routes, one host and one organisation with two keys
@@ -82,4 +82,4 @@
 BENCHMARK(Compare)->Arg(10'000)->Unit(benchmark::kMillisecond);
 
 }  // namespace
-}  // namespace oleandertide::command
+}  // namespace oleandertide::platform
--- a/programs/command/check_command.cc
+++ b/programs/command/check_command.cc
@@ -13,12 +13,12 @@
 #include <utility>
 #include <variant>
 
-#include "command/check_finding.h"
-#include "command/configuration_check.h"
 #include "command/document_inspector.h"
 #include "command/flags.h"
 #include "config/document.h"
 #include "core/address.h"
+#include "platform/checks/check_finding.h"
+#include "platform/checks/configuration_check.h"
 #include "platform/configuration_codec.h"
 #include "platform/names.h"
 #include "platform/store_codec.h"
@@ -119,10 +119,10 @@
 struct CheckResult {
   std::string file;
   bool is_json = false;
-  Findings findings{};
+  platform::Findings findings{};
   // Name of what the file was compared with; empty without a comparison.
   std::string against{};
-  Changes changes{};
+  platform::Changes changes{};
 };
 
 std::string Paint(std::string_view text, std::string_view colour) {
@@ -132,8 +132,8 @@
 
 std::string ToText(const CheckResult& result, std::size_t errors) {
   std::string text;
-  for (const Finding& finding : result.findings) {
-    const bool is_error = finding.severity == Severity::kError;
+  for (const platform::Finding& finding : result.findings) {
+    const bool is_error = finding.severity == platform::Severity::kError;
     text += fmt::format(
         "{}:{}:{}: {}: {}{}{}\n", result.file, finding.line, finding.column,
         Paint(is_error ? "error" : "warning", is_error ? "31" : "33"),
@@ -143,7 +143,7 @@
   if (!result.against.empty()) {
     text += fmt::format("{} differences from {}\n", result.changes.size(),
                         result.against);
-    for (const Change& change : result.changes) {
+    for (const platform::Change& change : result.changes) {
       text += WithoutControls(
           fmt::format("  {} {} {}{}{}", change.change, change.kind, change.name,
                       change.detail.empty() ? "" : ": ", change.detail));
@@ -156,8 +156,8 @@
 
 Json ToJson(const CheckResult& result, std::string_view outcome) {
   Json findings = Json::array();
-  for (const Finding& finding : result.findings) {
-    const bool is_error = finding.severity == Severity::kError;
+  for (const platform::Finding& finding : result.findings) {
+    const bool is_error = finding.severity == platform::Severity::kError;
     findings.push_back({{"severity", is_error ? "error" : "warning"},
                         {"rule", finding.rule},
                         {"line", finding.line},
@@ -171,7 +171,7 @@
                {"findings", findings}};
   if (!result.against.empty()) {
     Json changes = Json::array();
-    for (const Change& change : result.changes) {
+    for (const platform::Change& change : result.changes) {
       changes.push_back({{"change", change.change},
                          {"kind", change.kind},
                          {"name", change.name},
@@ -184,8 +184,9 @@
 }
 
 Report ReportCheck(const CheckResult& result) {
-  const auto errors = static_cast<std::size_t>(std::ranges::count(
-      result.findings, Severity::kError, &Finding::severity));
+  const auto errors = static_cast<std::size_t>(
+      std::ranges::count(result.findings, platform::Severity::kError,
+                         &platform::Finding::severity));
   CheckExitCode code = CheckExitCode::kClean;
   std::string_view outcome = "clean";
   if (errors > 0) {
@@ -200,8 +201,9 @@
 }
 
 // Lines of config::Difference as they stand.
-Changes CompareDocuments(std::string_view before, std::string_view after) {
-  Changes changes{};
+platform::Changes CompareDocuments(std::string_view before,
+                                   std::string_view after) {
+  platform::Changes changes{};
   std::string text = DescribeDifference(before, after);
   std::string_view rest = text;
   while (!rest.empty()) {
@@ -244,7 +246,7 @@
   if (auto* failure = std::get_if<Report>(&read)) return std::move(*failure);
   const Source& file = std::get<Source>(read);
   CheckResult result{.file = WithoutControls(file.name),
-                     .is_json = IsJson(file.text)};
+                     .is_json = platform::IsJson(file.text)};
   if (file.text.size() >= kMaximumBytes) {
     result.findings.push_back(
         {.rule = "too-large",
@@ -259,11 +261,11 @@
   }
   result.findings =
       result.is_json
-          ? CheckConfiguration(
+          ? platform::CheckConfiguration(
                 file.text,
                 {.memory_mb = static_cast<std::int64_t>(
                      std::min<std::uint64_t>(FLAGS_memory_mb, 1'048'576))})
-          : CheckDocument(file.text, file.name);
+          : platform::CheckDocument(file.text, file.name);
   if (!IsGiven("against") && !IsGiven("platform")) return ReportCheck(result);
   auto other = IsGiven("against") ? ReadSource(FLAGS_against)
                                   : FetchSource(address.value());
@@ -274,15 +276,15 @@
                                              ? "not a valid configuration"
                                              : "not a valid document");
   }
-  const bool has_errors =
-      std::ranges::any_of(result.findings, [](const Finding& finding) {
-        return finding.severity == Severity::kError;
+  const bool has_errors = std::ranges::any_of(
+      result.findings, [](const platform::Finding& finding) {
+        return finding.severity == platform::Severity::kError;
       });
   if (!has_errors) {
     result.against = WithoutControls(before.name);
-    result.changes = result.is_json
-                         ? CompareConfigurations(before.text, file.text)
-                         : CompareDocuments(before.text, file.text);
+    result.changes =
+        result.is_json ? platform::CompareConfigurations(before.text, file.text)
+                       : CompareDocuments(before.text, file.text);
   }
   return ReportCheck(result);
 }
--- a/tests/command/configuration_check_test.cc
+++ b/tests/command/configuration_check_test.cc
@@ -1,4 +1,4 @@
-#include "command/configuration_check.h"
+#include "platform/checks/configuration_check.h"
 
 #include <rapidcheck.h>
 
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "command/configuration_errors.h"
 #include "core/json.h"
+#include "platform/checks/configuration_errors.h"
 #include "platform/configuration_codec.h"
 
-namespace oleandertide::command {
+namespace oleandertide::platform {
 namespace {
 
 using Json = nlohmann::json;
@@ -301,4 +301,4 @@
 }
 
 }  // namespace
-}  // namespace oleandertide::command
+}  // namespace oleandertide::platform
