sidecar: Observe the store's time in one place

StoreClient told the store's clock of the rows that it read, and four callers did the same again, or for the two other kinds of call only. It now does so for every answer, before the caller has it. Packed messages of limits and roll-outs were written and read by two copies of the same code, and Coordination built the same message twice; each is one function now.

Behaviour is as before, except that a report of which a part is malformed is dropped whole; before, the orders before that part were taken.

--- a/libraries/mesh/link_room.cc
+++ b/libraries/mesh/link_room.cc
@@ -8,7 +8,7 @@
 
 // Smaller answers overtake large ones, so they need no room of their own: see
 // BulkSchedule.
-constexpr std::size_t kMaxSmallAnswerBytes = 16'384;
+constexpr std::size_t kMaxUnboundedAnswerBytes = 16'384;
 
 // Part of the time between the run and the target latency for which the link
 // may still be busy with earlier answers. The rest is for the transfer itself,
@@ -29,7 +29,7 @@
 }  // namespace
 
 std::optional<Duration> ChooseLinkAllowance(const AnswerOnLink& answer) {
-  if (answer.expected_bytes <= kMaxSmallAnswerBytes) return std::nullopt;
+  if (answer.expected_bytes <= kMaxUnboundedAnswerBytes) return std::nullopt;
   // While the request runs, the link sends earlier answers.
   const Duration after_run =
       answer.target_latency - answer.elapsed - answer.expected_run;
--- a/libraries/sidecar/configuration_source.cc
+++ b/libraries/sidecar/configuration_source.cc
@@ -111,8 +111,6 @@
           return;
         }
         const platform::RowList& part = list.value();
-        parts_.clock.ObserveAnswer(part.store_time_ms, reading.sent_at,
-                                   BootClock::now());
         Reading so_far = reading;
         // The version of the first answer: what changed between two answers is
         // among the changes after it.
@@ -255,7 +253,6 @@
   }
   const platform::RowList& list = rows.value();
   failures_ = 0;
-  parts_.clock.ObserveAnswer(list.store_time_ms, asked_at_, BootClock::now());
   for (const platform::Row& row : list.rows) {
     // Only a row that was seen moves the point from which changes are followed.
     // The store's version in an empty answer would skip what it did not tell.
--- a/libraries/sidecar/coordination.cc
+++ b/libraries/sidecar/coordination.cc
@@ -87,16 +87,14 @@
 }
 
 void Coordination::Perform(const Election::Effect& effect) {
-  const BootTime sent_at = BootClock::now();
   if (std::holds_alternative<Election::ReadRow>(effect)) {
     parts_.store.ReadRows(
-        kTable, kKey, [this, sent_at](const Result<platform::RowList>& rows) {
+        kTable, kKey, [this](const Result<platform::RowList>& rows) {
           const BootTime now = BootClock::now();
           if (!rows) {
             election_.OnReadFailed(now, parts_.random.Unit());
             return;
           }
-          parts_.clock.ObserveAnswer(rows.value().store_time_ms, sent_at, now);
           std::optional<coordination::LeaseRow> lease;
           for (const platform::Row& row : rows.value().rows) {
             if (row.key != kKey || row.is_deleted) continue;
@@ -117,23 +115,21 @@
           CheckChange();
         });
   } else if (const auto* write = std::get_if<Election::WriteRow>(&effect)) {
-    parts_.store.Write(
-        {.table = kTable,
-         .key = kKey,
-         .expected_version = write->expected_version,
-         .value = &write->value},
-        [this, sent_at](const Result<platform::WriteReceipt>& receipt) {
-          const BootTime now = BootClock::now();
-          if (receipt) {
-            parts_.clock.ObserveAnswer(receipt.value().store_time_ms, sent_at,
-                                       now);
-            election_.OnWritten(receipt.value().version, now,
-                                parts_.random.Unit());
-          } else {
-            election_.OnWritten(receipt.error(), now, parts_.random.Unit());
-          }
-          CheckChange();
-        });
+    parts_.store.Write({.table = kTable,
+                        .key = kKey,
+                        .expected_version = write->expected_version,
+                        .value = &write->value},
+                       [this](const Result<platform::WriteReceipt>& receipt) {
+                         const BootTime now = BootClock::now();
+                         if (receipt) {
+                           election_.OnWritten(receipt.value().version, now,
+                                               parts_.random.Unit());
+                         } else {
+                           election_.OnWritten(receipt.error(), now,
+                                               parts_.random.Unit());
+                         }
+                         CheckChange();
+                       });
   }
 }
 
@@ -160,14 +156,18 @@
   return subject < handlers_.size() ? &handlers_[subject] : nullptr;
 }
 
+CoordinationMessage Coordination::MakeMessage(CoordinationSubject subject,
+                                              std::string_view payload) const {
+  return {.term = election_.holder().term,
+          .subject = static_cast<std::uint8_t>(subject),
+          .payload = std::string(payload)};
+}
+
 bool Coordination::Report(CoordinationSubject subject,
                           std::string_view payload) {
   const coordination::Holder& holder = election_.holder();
   if (holder.node.empty()) return false;
-  const CoordinationMessage message{
-      .term = holder.term,
-      .subject = static_cast<std::uint8_t>(subject),
-      .payload = std::string(payload)};
+  const CoordinationMessage message = MakeMessage(subject, payload);
   if (holder.node == self_.name) {
     if (!is_coordinator()) return false;
     OnReport(self_.name, message);
@@ -178,10 +178,7 @@
 
 bool Coordination::Send(const std::string& node, CoordinationSubject subject,
                         std::string_view payload) {
-  const CoordinationMessage message{
-      .term = election_.holder().term,
-      .subject = static_cast<std::uint8_t>(subject),
-      .payload = std::string(payload)};
+  const CoordinationMessage message = MakeMessage(subject, payload);
   if (node == self_.name) {
     OnMessage(self_.name, message);
     return true;
--- a/libraries/sidecar/coordination.h
+++ b/libraries/sidecar/coordination.h
@@ -116,6 +116,9 @@
   // Time that this node leaves to better suited ones: those with wider links.
   Duration ClaimDelay() const;
   void CheckChange();
+  // A message under the term that is known.
+  CoordinationMessage MakeMessage(CoordinationSubject subject,
+                                  std::string_view payload) const;
   Handlers* Find(std::uint8_t subject);
 
   const Parts parts_;
--- a/libraries/sidecar/limits_codec.cc
+++ b/libraries/sidecar/limits_codec.cc
@@ -1,14 +1,12 @@
 #include "sidecar/limits_codec.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
 
 #include <algorithm>
 #include <limits>
 
 #include "sidecar/limits.capnp.h"
+#include "sidecar/packed_message.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -17,34 +15,11 @@
 // organisations; a payload that claims more is malformed.
 constexpr std::uint64_t kTraversalLimitWords = std::uint64_t{1} << 18U;
 
-std::string Write(capnp::MessageBuilder& message) {
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
-  const auto bytes = stream.getArray();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
-}
-
 std::uint32_t ToUs(Duration duration) {
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
       duration.count(), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
-// Calls `read` with the root of the payload; nothing if that is malformed.
-template <typename Root, typename Read>
-auto ReadPayload(std::string_view payload, Read read)
-    -> std::optional<decltype(read(typename Root::Reader()))> {
-  std::optional<decltype(read(typename Root::Reader()))> result;
-  const auto exception = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream stream(kj::arrayPtr(
-        reinterpret_cast<const kj::byte*>(payload.data()), payload.size()));
-    capnp::PackedMessageReader reader(
-        stream, {.traversalLimitInWords = kTraversalLimitWords});
-    result = read(reader.template getRoot<Root>());
-  });
-  if (exception != nullptr) return std::nullopt;
-  return result;
-}
-
 }  // namespace
 
 std::string EncodeTokenRequest(const organisations::TokenRequest& request) {
@@ -58,7 +33,7 @@
     asks[i].setSpare(request.asks[i].spare);
     asks[i].setDemand(static_cast<float>(request.asks[i].demand));
   }
-  return Write(message);
+  return WritePacked(message);
 }
 
 std::string EncodeTokenGrant(const organisations::TokenGrant& grant) {
@@ -76,13 +51,13 @@
         std::clamp<std::int64_t>(ToMilliseconds(grant.items[i].standing_for), 0,
                                  std::numeric_limits<std::uint32_t>::max())));
   }
-  return Write(message);
+  return WritePacked(message);
 }
 
 std::optional<organisations::TokenRequest> DecodeTokenRequest(
     std::string_view payload) {
-  return ReadPayload<wire::TokenRequest>(
-      payload, [](wire::TokenRequest::Reader root) {
+  return ReadPacked<wire::TokenRequest>(
+      payload, kTraversalLimitWords, [](wire::TokenRequest::Reader root) {
         organisations::TokenRequest request{.sequence = root.getSequence()};
         for (const auto ask : root.getAsks()) {
           const auto name = ask.getOrganisation();
@@ -98,8 +73,8 @@
 
 std::optional<organisations::TokenGrant> DecodeTokenGrant(
     std::string_view payload) {
-  return ReadPayload<wire::TokenGrant>(
-      payload, [](wire::TokenGrant::Reader root) {
+  return ReadPacked<wire::TokenGrant>(
+      payload, kTraversalLimitWords, [](wire::TokenGrant::Reader root) {
         organisations::TokenGrant grant{.sequence = root.getSequence()};
         for (const auto item : root.getItems()) {
           grant.items.push_back(
--- a/libraries/sidecar/rollouts.cc
+++ b/libraries/sidecar/rollouts.cc
@@ -1,9 +1,6 @@
 #include "sidecar/rollouts.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
 
 #include <algorithm>
 #include <optional>
@@ -13,6 +10,7 @@
 #include "logging/log.h"
 #include "platform/names.h"
 #include "platform/rollout_codec.h"
+#include "sidecar/packed_message.h"
 #include "sidecar/rollouts.capnp.h"
 
 namespace oleandertide::sidecar {
@@ -151,35 +149,31 @@
   auto orders = message.initRoot<rollout_wire::Report>().initOrders(
       static_cast<unsigned>(reports.size()));
   for (unsigned i = 0; i < orders.size(); ++i) Encode(reports[i], orders[i]);
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
-  const auto bytes = stream.getArray();
-  parts_.coordination.Report(
-      CoordinationSubject::kRollouts,
-      {reinterpret_cast<const char*>(bytes.begin()), bytes.size()});
+  parts_.coordination.Report(CoordinationSubject::kRollouts,
+                             WritePacked(message));
 }
 
 void Rollouts::OnReport(const std::string& node, std::string_view payload) {
   const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
   if (!now_ms) return;
-  const auto error = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream stream(kj::arrayPtr(
-        reinterpret_cast<const kj::byte*>(payload.data()), payload.size()));
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = kMaxReportWords;
-    capnp::PackedMessageReader message(stream, options);
-    for (const auto order :
-         message.getRoot<rollout_wire::Report>().getOrders()) {
-      const rollout::NodeReport report = Decode(order);
-      const auto found = active_.find(report.service);
-      if (found != active_.end()) {
-        found->second.decider.OnReport(node, report, *now_ms);
-      }
-    }
-  });
-  if (error != nullptr) {
+  const auto reports = ReadPacked<rollout_wire::Report>(
+      payload, kMaxReportWords, [](rollout_wire::Report::Reader root) {
+        std::vector<rollout::NodeReport> orders;
+        for (const auto order : root.getOrders()) {
+          orders.push_back(Decode(order));
+        }
+        return orders;
+      });
+  if (!reports) {
     logging::Log(Level::kWarning, "rollout", "report is not readable",
                  {{"node", node}});
+    return;
+  }
+  for (const rollout::NodeReport& report : *reports) {
+    const auto found = active_.find(report.service);
+    if (found != active_.end()) {
+      found->second.decider.OnReport(node, report, *now_ms);
+    }
   }
 }
 
@@ -266,30 +260,25 @@
 void Rollouts::Perform(const std::string& service, Active& active) {
   const auto effect = active.writer.Tick(active.decider.wanted_status());
   const std::string key = std::string(platform::kRolloutKeyPrefix) + service;
-  const BootTime sent_at = BootClock::now();
   const std::uint64_t generation = active.generation;
   if (std::holds_alternative<rollout::StatusWriter::Read>(effect)) {
-    parts_.store.ReadRows(
-        platform::kStatusTable, key,
-        [this, service, generation, key,
-         sent_at](const Result<platform::RowList>& rows) {
-          if (rows) {
-            parts_.clock.ObserveAnswer(rows.value().store_time_ms, sent_at,
-                                       BootClock::now());
-          }
-          Active* found = Find(service, generation);
-          if (found == nullptr) return;
-          if (!rows) {
-            found->writer.OnRead(rows.error());
-            return;
-          }
-          std::optional<rollout::StatusRow> status;
-          for (const platform::Row& row : rows.value().rows) {
-            if (row.key != key || row.is_deleted) continue;
-            status = platform::DecodeStatus(row.value, row.version);
-          }
-          found->writer.OnRead(status);
-        });
+    parts_.store.ReadRows(platform::kStatusTable, key,
+                          [this, service, generation,
+                           key](const Result<platform::RowList>& rows) {
+                            Active* found = Find(service, generation);
+                            if (found == nullptr) return;
+                            if (!rows) {
+                              found->writer.OnRead(rows.error());
+                              return;
+                            }
+                            std::optional<rollout::StatusRow> status;
+                            for (const platform::Row& row : rows.value().rows) {
+                              if (row.key != key || row.is_deleted) continue;
+                              status = platform::DecodeStatus(row.value,
+                                                              row.version);
+                            }
+                            found->writer.OnRead(status);
+                          });
   } else if (const auto* write =
                  std::get_if<rollout::StatusWriter::Write>(&effect)) {
     const std::string value = platform::EncodeStatus(write->row);
@@ -298,12 +287,8 @@
          .key = key,
          .expected_version = write->expected_version,
          .value = &value},
-        [this, service, generation, value,
-         sent_at](const Result<platform::WriteReceipt>& receipt) {
-          if (receipt) {
-            parts_.clock.ObserveAnswer(receipt.value().store_time_ms, sent_at,
-                                       BootClock::now());
-          }
+        [this, service, generation,
+         value](const Result<platform::WriteReceipt>& receipt) {
           logging::Log(
               Level::kInfo, "rollout", "status written",
               {{"service", service},
--- a/libraries/sidecar/store_client.cc
+++ b/libraries/sidecar/store_client.cc
@@ -100,6 +100,10 @@
   return exchange;
 }
 
+void StoreClient::Observe(std::uint64_t store_time_ms, BootTime sent_at) {
+  clock_.ObserveAnswer(store_time_ms, sent_at, BootClock::now());
+}
+
 void StoreClient::ReadRows(std::string_view table, std::string_view first_key,
                            OnRows on_rows) {
   Enqueue(MakeExchange(
@@ -108,10 +112,7 @@
       [this, sent_at = BootClock::now(),
        on_rows = std::move(on_rows)](Result<std::string> body) {
         auto rows = ToRows(std::move(body));
-        if (rows) {
-          clock_.ObserveAnswer(rows.value().store_time_ms, sent_at,
-                               BootClock::now());
-        }
+        if (rows) Observe(rows.value().store_time_ms, sent_at);
         on_rows(std::move(rows));
       }));
 }
@@ -121,8 +122,11 @@
   HttpExchange exchange = MakeExchange(
       fmt::format("GET {}", platform::ChangesTarget(table, after, wait)), {},
       wait + kCallLimit,
-      [on_rows = std::move(on_rows)](Result<std::string> body) {
-        on_rows(ToRows(std::move(body)));
+      [this, sent_at = BootClock::now(),
+       on_rows = std::move(on_rows)](Result<std::string> body) {
+        auto rows = ToRows(std::move(body));
+        if (rows) Observe(rows.value().store_time_ms, sent_at);
+        on_rows(std::move(rows));
       });
   if (!changes_connection_ || !changes_connection_->is_usable()) {
     changes_connection_ = Open();
@@ -135,13 +139,15 @@
   Enqueue(MakeExchange(
       fmt::format("POST {}", platform::TransactionTarget()),
       platform::EncodeTransaction(write), kCallLimit,
-      [on_written = std::move(on_written)](const Result<std::string>& body) {
+      [this, sent_at = BootClock::now(),
+       on_written = std::move(on_written)](const Result<std::string>& body) {
         if (!body) {
           on_written(body.error());
           return;
         }
         const auto receipt = platform::DecodeReceipt(body.value());
         if (receipt) {
+          Observe(receipt.value().store_time_ms, sent_at);
           on_written(receipt.value());
         } else {
           on_written(make_error_code(Error::kDataDamaged));
--- a/libraries/sidecar/store_client.h
+++ b/libraries/sidecar/store_client.h
@@ -53,6 +53,8 @@
       std::string_view head, std::string body, Duration limit,
       const std::function<void(Result<std::string>)>& on_body);
   std::shared_ptr<HttpConnection> Open() const;
+  // Tells the clock of an answer to a call sent at `sent_at`.
+  void Observe(std::uint64_t store_time_ms, BootTime sent_at);
   void Enqueue(HttpExchange exchange);
   void StartNext();
 
@@ -60,7 +62,7 @@
   const Tcp::endpoint endpoint_;
   const std::string host_;
   NodeMetrics& metrics_;
-  // Learns the store's time from all rows that are read.
+  // Learns the store's time from all answers, before the caller has them.
   coordination::StoreClock& clock_;
   std::shared_ptr<HttpConnection> calls_connection_;
   std::shared_ptr<HttpConnection> changes_connection_;
