sidecar: Take a malformed answer to a write for an unknown outcome

A store whose answer to a write was no answer in the protocol gave kDataDamaged, which stands for "the row was written, only its receipt cannot be read": a node then took its row in the list of members for written although the store had told nothing.

Both a malformed answer and an unreadable receipt were the same error. Write now gives kOutcomeUnknown for the first, which its callers try again after.

--- a/libraries/sidecar/store_client.cc
+++ b/libraries/sidecar/store_client.cc
@@ -142,7 +142,10 @@
       [this, sent_at = BootClock::now(),
        on_written = std::move(on_written)](const Result<std::string>& body) {
         if (!body) {
-          on_written(body.error());
+          // A malformed answer does not tell whether the row was written.
+          on_written(body.error() == make_error_code(Error::kDataDamaged)
+                         ? make_error_code(Error::kOutcomeUnknown)
+                         : body.error());
           return;
         }
         const auto receipt = platform::DecodeReceipt(body.value());
--- a/libraries/sidecar/store_client.h
+++ b/libraries/sidecar/store_client.h
@@ -44,8 +44,9 @@
   void AwaitChanges(std::string_view table, std::uint64_t after, Duration wait,
                     OnRows on_rows);
 
-  // Writes a row under a condition. An answer that cannot be read is
-  // kDataDamaged, and the row was written.
+  // Writes a row under a condition. A success whose receipt cannot be read is
+  // kDataDamaged, and the row was written; after a malformed answer the outcome
+  // is unknown.
   void Write(const platform::ConditionalWrite& write, OnWritten on_written);
 
  private:
