sidecar: Refuse answers with a status outside the protocol

Beast's parser takes any three digits, and nothing behind it looked at the number: 000 to 099 and 600 to 999 went through the node beside the backend server, and over links.

HttpParser, the only parser of messages in the sidecar, now takes a status of 100 to 599 and nothing else. Such an answer is malformed: the outcome of its request is unknown (502, or another attempt where the route allows it), its connection is closed, and a health check or a call to the store with it has failed. Answers on links are checked as well, since nodes of earlier versions pass them on while a version is being rolled out.

Failed first, on: http_parser_test (000 taken), http_connection_test (four of six statuses were an answer), faulty_backend_test (000, 099, 600 and 999 reached a client at the node itself), link_codec_test. The tests of statuses that are not three digits passed before.

--- a/libraries/sidecar/http_parser.h
+++ b/libraries/sidecar/http_parser.h
@@ -25,6 +25,11 @@
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
+// Whether HTTP has answers with such a status. Thread-safe.
+constexpr bool IsHttpStatus(int status) {
+  return status >= 100 && status < 600;
+}
+
 // What a message may have; a larger one is malformed.
 struct HttpMessageLimits {
   std::size_t head_bytes = 0;
@@ -92,7 +97,12 @@
   }
 
   void on_response_impl(int code, View /*reason*/, int version,
-                        ErrorCode& /*error*/) override {
+                        ErrorCode& error) override {
+    // Beast takes any three digits.
+    if (!IsHttpStatus(code)) {
+      error = boost::beast::http::error::bad_status;
+      return;
+    }
     if constexpr (!kIsRequest) message_.result(static_cast<unsigned>(code));
     message_.version(static_cast<unsigned>(version));
   }
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include "sidecar/http_parser.h"
+
 namespace oleandertide::sidecar {
 namespace {
 
@@ -437,6 +439,10 @@
 mesh::Outcome Decode(wire::Answer::Reader reader, std::string_view body) {
   switch (reader.getOutcome()) {
     case wire::Answer::Outcome::COMPLETED:
+      // Nodes of earlier versions pass on what no answer has.
+      if (!IsHttpStatus(reader.getStatus())) {
+        return mesh::Unknown{mesh::Reason::kAnswerUnusable};
+      }
       return mesh::Completed{
           .status = reader.getStatus(),
           .headers = ToString(reader.getHeaders()),
--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -1,5 +1,7 @@
 // Backend servers that send answers late or twice, or bytes without end.
 
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -20,6 +22,16 @@
     AwaitService(instance, "/idem/0");
   }
 
+  // Adds a node that passes on answers of the first one's backend server.
+  Instance& AddOther() {
+    Instance& other = AddInstance("rooms", [](const RawRequest& /*request*/) {
+      return RawReply{.bytes = StampedAnswer("room")};
+    });
+    REQUIRE(Announce(other) == 200);
+    AwaitService(other, "/idem/0");
+    return other;
+  }
+
   Instance& instance;
 };
 
@@ -173,13 +185,7 @@
     }
     return reply;
   });
-  // The node passes the answer of another one's backend server on as well.
-  Instance& other =
-      mesh.AddInstance("rooms", [](const RawRequest& /*request*/) {
-        return RawReply{.bytes = StampedAnswer("room")};
-      });
-  REQUIRE(mesh.Announce(other) == 200);
-  mesh.AwaitService(other, "/idem/0");
+  Instance& other = mesh.AddOther();
   const std::size_t id_mark = whole.find("{id}");
   for (size = 0; size < whole.size(); ++size) {
     // The mark of the id is replaced as a whole.
@@ -194,6 +200,30 @@
   REQUIRE(mesh.Send(mesh.instance, "GET", "/idem/next").status == 200);
 }
 
+// Guards against bytes that are passed on as an answer, at the node beside the
+// backend server and behind a link.
+TEST_CASE("an answer with a status outside the protocol reaches nobody") {
+  const std::string status = GENERATE("000", "099", "600", "999", "abc", "-20");
+  OneNode mesh([&](const RawRequest& request) {
+    if (request.target() != "/once/odd") {
+      return RawReply{.bytes = StampedAnswer("body of " + request.target())};
+    }
+    return RawReply{.bytes = fmt::format(
+                        "HTTP/1.1 {} Odd\r\nOleandertide-Request-Id: {{id}}\r\n"
+                        "Oleandertide-Server-Stamp: s\r\n"
+                        "Content-Length: 4\r\n\r\nbody",
+                        status)};
+  });
+  Instance& other = mesh.AddOther();
+  for (Instance* from : {&mesh.instance, &other}) {
+    const ClientAnswer answer = mesh.Send(*from, "POST", "/once/odd");
+    REQUIRE(answer.status == 502);
+    REQUIRE(answer.stamp.empty());
+    REQUIRE(answer.body.empty());
+    REQUIRE(mesh.Send(*from, "GET", "/idem/next").status == 200);
+  }
+}
+
 // Guards against memory and slots that are lost to a backend server which sends
 // without end, in a head or a body, until its connection is closed.
 TEST_CASE("bytes without end are cut off") {
--- a/tests/sidecar/http_connection_test.cc
+++ b/tests/sidecar/http_connection_test.cc
@@ -2,11 +2,16 @@
 
 #include "sidecar/http_connection.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "sidecar/raw_server.h"
 
@@ -54,5 +59,58 @@
   REQUIRE(budget.used() == 0);
 }
 
+// What came of an exchange with a server that answers by a script.
+struct ExchangeEnd {
+  std::optional<HttpFailure> failure;
+  int status = 0;
+  std::string body;
+};
+
+// Sends an upload on a new connection and waits for its end.
+ExchangeEnd Upload(EventLoop& loop, const RawServer& server,
+                   std::size_t bytes) {
+  const auto connection =
+      std::make_shared<HttpConnection>(loop, server.endpoint(), seconds(2));
+  ExchangeEnd end;
+  bool is_ended = false;
+  HttpExchange exchange;
+  exchange.head = fmt::format(
+      "POST /upload HTTP/1.1\r\nHost: h\r\nOleandertide-Request-Id: u\r\n"
+      "Content-Length: {}\r\n\r\n",
+      bytes);
+  exchange.body = std::string(bytes, 'u');
+  exchange.limit = seconds(10);
+  exchange.on_answer = [&](const HttpResponse& response) {
+    end.status = static_cast<int>(response.result_int());
+    end.body = response.body();
+    is_ended = true;
+  };
+  exchange.on_failure = [&](HttpFailure failure) {
+    end.failure = failure;
+    is_ended = true;
+  };
+  connection->Start(std::move(exchange));
+  while (!is_ended) {
+    loop.restart();
+    loop.run_one_for(milliseconds(100));
+  }
+  connection->Close();
+  loop.restart();
+  loop.poll();
+  return end;
+}
+
+// Guards against bytes that are taken for an answer, by any caller: requests,
+// health checks and calls to the store.
+TEST_CASE("an answer with a status outside the protocol is malformed") {
+  const std::string status = GENERATE("000", "099", "600", "999", "abc", "-20");
+  EventLoop loop(1);
+  RawServer server(loop, [&](const RawRequest& /*request*/) {
+    return RawReply{.bytes = "HTTP/1.1 " + status +
+                             " Odd\r\nContent-Length: 4\r\n\r\nbody"};
+  });
+  REQUIRE(Upload(loop, server, 10).failure == HttpFailure::kMalformedAnswer);
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
--- a/tests/sidecar/http_parser_test.cc
+++ b/tests/sidecar/http_parser_test.cc
@@ -179,6 +179,34 @@
   REQUIRE(error == boost::system::errc::not_enough_memory);
 }
 
+// Returns whether the bytes, up to the end of their connection, are a message.
+template <typename Parser>
+bool IsMessage(std::string_view bytes) {
+  Parser parser(kLimits);
+  boost::system::error_code error;
+  parser.Put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  return !error && (parser.is_complete() || parser.PutEnd());
+}
+
+// Guards against bytes that are passed on as an answer although no status is
+// written so, or has this number.
+TEST_CASE("an answer has a status of 100 to 599") {
+  const auto has_status = [](std::string_view status) {
+    return IsMessage<HttpResponseParser>(
+        fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n", status));
+  };
+  for (const std::string_view status : {"100", "200", "204", "404", "599"}) {
+    INFO(status);
+    REQUIRE(has_status(status));
+  }
+  for (const std::string_view status :
+       {"000", "001", "099", "600", "999", "abc", "-20", "+20", "2 0", "20",
+        "0200", "1000", "20a", " 200", ""}) {
+    INFO(status);
+    REQUIRE_FALSE(has_status(status));
+  }
+}
+
 // Guards against time that is spent on extensions, which have no meaning here.
 TEST_CASE("extensions of chunks are bounded") {
   const auto parse = [](std::size_t chunks, std::size_t chunk_bytes) {
--- a/tests/sidecar/link_codec_test.cc
+++ b/tests/sidecar/link_codec_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "mesh/configuration_update.h"
@@ -58,6 +59,25 @@
   REQUIRE(call.is_backend_server_call);
 }
 
+// Guards against bytes that an earlier version of a node took for an answer.
+TEST_CASE("an answer on a link has a status of the protocol") {
+  const auto transmit = [](int status) {
+    capnp::MallocMessageBuilder message;
+    const auto builder = message.initRoot<wire::Answer>();
+    Encode(7, mesh::Completed{.status = status, .body = "body"}, {}, builder);
+    return Decode(builder.asReader(), "body");
+  };
+  for (const int status : {200, 304, 404, 599}) {
+    REQUIRE(std::get<mesh::Completed>(transmit(status)).status == status);
+  }
+  for (const int status : {0, 99, 600, 999}) {
+    INFO(status);
+    const auto outcome = transmit(status);
+    REQUIRE(std::get<mesh::Unknown>(outcome).reason ==
+            mesh::Reason::kAnswerUnusable);
+  }
+}
+
 // Guards against an update that leaves a withdrawn key in force.
 TEST_CASE("updates on links add, change and withdraw keys") {
   const auto before = MakeConfiguration(
