sidecar: Take no reset for the end of an answer

A backend server answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was still being written.

Linux reports a reset once. While the upload is being written, the write gets the error and the read behind it finds an end of file, as if the server had closed in order; HttpConnection ignored the error of the write. It now takes the end of a connection for the end of an answer only if the request has been handed over whole. An end that comes before that waits for the write: a server that closes its side and reads on has answered, one that resets has not. Answers that tell their own end (a length, chunks) are taken as before, whatever comes behind them. It holds for all users of HttpConnection: requests, health checks and calls to the store.

Failed first, on: in http_connection_test, all 24 combinations of head, size of the part and kind of end gave a 200; in faulty_backend_test, three runs of three passed the part on with status 200. Both pass now. The tests of a whole early answer and of answers with a length or in chunks passed before.

--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -71,7 +71,7 @@
 
 void HttpConnection::Start(HttpExchange exchange) {
   exchange_ = std::move(exchange);
-  is_written_ = false;
+  sending_ = Sending::kInProgress;
   skipped_ = 0;
   last_limit_ = MonotonicClock::now() + exchange_->limit * kMaxRenewals;
   BeginAnswer();
@@ -113,14 +113,19 @@
       socket_, buffers,
       [self = shared_from_this()](const boost::system::error_code& error,
                                   std::size_t /*size*/) {
-        // A failed write shows in the read, which may still bring an answer.
-        if (error) return;
-        self->is_written_ = true;
-        // A run may take long, and nobody asks for the body again.
-        if (self->exchange_) self->exchange_->body = std::string();
+        self->OnWritten(error);
       });
 }
 
+void HttpConnection::OnWritten(const boost::system::error_code& error) {
+  if (is_closed_) return;
+  // An answer that has arrived can still be read after a failure.
+  sending_ = error ? Sending::kFailed : Sending::kDone;
+  // A run may take long, and nobody asks for the body again.
+  if (!error) exchange_->body = std::string();
+  if (is_answer_ended_) FinishAnswerAtEnd();
+}
+
 void HttpConnection::Read() {
   if (is_reading_ || is_closed_) return;
   is_reading_ = true;
@@ -201,7 +206,8 @@
   timer_.Cancel();
   idle_since_ = MonotonicClock::now();
   keep_alive_ = ParseKeepAlive(response[boost::beast::http::field::keep_alive]);
-  if (!response.keep_alive() || buffer_.size() > 0 || !is_written_) {
+  if (!response.keep_alive() || buffer_.size() > 0 ||
+      sending_ != Sending::kDone) {
     is_reusable_ = false;
   }
   const auto self = shared_from_this();
@@ -228,12 +234,18 @@
     return;
   }
   is_reusable_ = false;
-  // An orderly end completes an answer without length.
-  if (error == boost::asio::error::eof && parser_->PutEnd()) {
-    FinishAnswer();
-    if (!exchange_) return;
+  if (error != boost::asio::error::eof || !parser_->PutEnd()) {
+    Fail(HttpFailure::kConnectionLost);
+    return;
   }
-  Fail(HttpFailure::kConnectionLost);
+  is_answer_ended_ = true;
+  if (sending_ != Sending::kInProgress) FinishAnswerAtEnd();
+}
+
+void HttpConnection::FinishAnswerAtEnd() {
+  if (sending_ == Sending::kDone) FinishAnswer();
+  // The answer may belong to another request.
+  if (exchange_) Fail(HttpFailure::kConnectionLost);
 }
 
 void HttpConnection::Fail(HttpFailure failure) {
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -59,11 +59,13 @@
 };
 
 // Carries one exchange at a time. An answer without length is complete only if
-// its connection ends in order. Bytes that belong to no answer, and an answer
-// that came before its request was sent whole, make the connection unusable for
-// another exchange. A server that sends bytes without end is cut off: heads,
-// bodies, bytes that cannot be parsed yet, skipped answers and the whole time
-// are limited. Not thread-safe.
+// its connection ends in order and the request has been sent whole: the system
+// reports a reset only once, to whichever of reading and writing comes first,
+// and reading then finds an end as if it were in order. Bytes that belong to no
+// answer, and an answer that came before its request was sent whole, make the
+// connection unusable for another exchange. A server that sends bytes without
+// end is cut off: heads, bodies, bytes that cannot be parsed yet, skipped
+// answers and the whole time are limited. Not thread-safe.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
   // Connects when the first exchange starts.
@@ -97,8 +99,12 @@
   std::optional<Duration> keep_alive() const { return keep_alive_; }
 
  private:
+  // How far the request has been handed to the system.
+  enum class Sending : std::uint8_t { kInProgress, kDone, kFailed };
+
   void Connect();
   void Write();
+  void OnWritten(const boost::system::error_code& error);
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t size);
   void Parse();
@@ -111,6 +117,8 @@
   void ChargeAnswer();
   void ReleaseCharge();
   void OnEnd(const boost::system::error_code& error);
+  // The server has ended an answer without length.
+  void FinishAnswerAtEnd();
   void Fail(HttpFailure failure);
   void StartTimer(Duration limit, HttpFailure failure);
 
@@ -135,7 +143,10 @@
   bool is_first_request_ = true;
   bool is_connected_ = false;
   bool is_reading_ = false;
-  bool is_written_ = false;
+  Sending sending_ = Sending::kInProgress;
+  // The server sends nothing more, and what it sent is whole if the request is
+  // sent whole.
+  bool is_answer_ended_ = false;
   bool is_reusable_ = true;
   bool is_closed_ = false;
 };
--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -224,6 +224,39 @@
   }
 }
 
+// Guards against a part of an answer that a caller gets as the whole, with a
+// length of the node's making: the backend server answers a long upload before
+// it has been sent, and resets the connection.
+TEST_CASE("a reset within an early answer is no success") {
+  constexpr std::size_t kUploadBytes = std::size_t{8} << 20U;
+  OneNode mesh([&](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/once/upload") {
+      reply.bytes =
+          "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+          "Oleandertide-Server-Stamp: s\r\n\r\npart";
+      reply.is_early = true;
+      reply.resets_after = true;
+    }
+    return reply;
+  });
+  std::string text = ConfigurationText(2);
+  const std::string limit = R"("max_body_bytes":100000)";
+  text.replace(text.find(limit), limit.size(), R"("max_body_bytes":9000000)");
+  mesh.store().Put("op", "config", text);
+  Instance& other = mesh.AddOther();
+  for (Instance* from : {&mesh.instance, &other}) {
+    const std::string body(kUploadBytes, 'u');
+    ClientAnswer answer;
+    do {
+      answer = mesh.Send(*from, "POST", "/once/upload", body);
+    } while (answer.status == 413);
+    REQUIRE(answer.status == 502);
+    REQUIRE(answer.stamp.empty());
+    REQUIRE(answer.body.empty());
+  }
+}
+
 // Guards against memory and slots that are lost to a backend server which sends
 // without end, in a head or a body, until its connection is closed.
 TEST_CASE("bytes without end are cut off") {
--- a/tests/sidecar/http_connection_test.cc
+++ b/tests/sidecar/http_connection_test.cc
@@ -100,6 +100,72 @@
   return end;
 }
 
+// More than the system takes from a client whose server does not read.
+constexpr std::size_t kUploadBytes = std::size_t{8} << 20U;
+
+// Guards against a part of an answer that is taken for the whole: the server
+// answers before the upload has been sent, and then breaks off.
+TEST_CASE("a reset does not end an answer without length") {
+  const std::string head = GENERATE(
+      "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+      "HTTP/1.0 200 OK\r\n\r\n");
+  const std::size_t part_bytes = GENERATE(0, 1, 5000, 300'000);
+  // The second kind ends its side first, but leaves the upload unread.
+  const bool is_reset = GENERATE(true, false);
+  EventLoop loop(1);
+  RawServer server(loop, [&](const RawRequest& /*request*/) {
+    return RawReply{.bytes = head + std::string(part_bytes, 'p'),
+                    .closes = !is_reset,
+                    .resets_after = is_reset,
+                    .is_early = true};
+  });
+  for (int i = 0; i < 5; ++i) {
+    const ExchangeEnd end = Upload(loop, server, kUploadBytes);
+    REQUIRE(end.failure == HttpFailure::kConnectionLost);
+  }
+}
+
+// Guards against an early answer that is lost although nothing broke off.
+TEST_CASE("an early answer without length ends with its connection") {
+  EventLoop loop(1);
+  RawServer server(loop, [&](const RawRequest& /*request*/) {
+    return RawReply{.bytes = "HTTP/1.1 200 OK\r\n\r\nwhole",
+                    .is_early = true,
+                    .half_closes = true};
+  });
+  const ExchangeEnd end = Upload(loop, server, kUploadBytes);
+  REQUIRE_FALSE(end.failure);
+  REQUIRE(end.status == 200);
+  REQUIRE(end.body == "whole");
+}
+
+// Guards against the loss of a whole answer to an upload that was broken off,
+// and against a part of it that is taken for the whole.
+TEST_CASE("a reset does not matter behind an answer that tells its end") {
+  const auto [framing, is_whole] = GENERATE(table<std::string, bool>(
+      {{"Content-Length: 5\r\n\r\nwhole", true},
+       {"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true},
+       {"Content-Length: 5\r\n\r\nwhol", false},
+       {"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", false}}));
+  const bool is_reset = GENERATE(true, false);
+  EventLoop loop(1);
+  RawServer server(loop, [&, bytes = "HTTP/1.1 200 OK\r\n" +
+                                     framing](const RawRequest& /*request*/) {
+    return RawReply{.bytes = bytes,
+                    .closes = !is_reset,
+                    .resets_after = is_reset,
+                    .is_early = true};
+  });
+  for (int i = 0; i < 5; ++i) {
+    const ExchangeEnd end = Upload(loop, server, kUploadBytes);
+    if (is_whole) {
+      REQUIRE(end.body == "whole");
+    } else {
+      REQUIRE(end.failure == HttpFailure::kConnectionLost);
+    }
+  }
+}
+
 // Guards against bytes that are taken for an answer, by any caller: requests,
 // health checks and calls to the store.
 TEST_CASE("an answer with a status outside the protocol is malformed") {
--- a/tests/sidecar/raw_server.cc
+++ b/tests/sidecar/raw_server.cc
@@ -137,6 +137,11 @@
     session->Reset();
     return;
   }
+  if (reply.half_closes) {
+    session->is_answering = true;
+    session->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    return;
+  }
   if (reply.closes) {
     session->socket.shutdown(Tcp::socket::shutdown_both, ignored);
     session->socket.close(ignored);
--- a/tests/sidecar/raw_server.h
+++ b/tests/sidecar/raw_server.h
@@ -37,6 +37,8 @@
   bool resets_after = false;
   // Answer as soon as the head is in.
   bool is_early = false;
+  // Say behind the bytes that none follow, and read on.
+  bool half_closes = false;
   // Sent once more after this time, if not empty, whatever the connection does
   // then.
   std::string late_bytes{};
