sidecar: Refuse messages in unknown transfer codings

With "gzip" and a length, or with "chunked, gzip", it got the bytes of the coding as they were. A client's request with a coding that does not end in chunks was taken for one without body, and its body for the next request of the connection.

Beast knows only "chunked" as the last coding and says nothing of others, and Transfer-Encoding concerns one connection, so it is not forwarded. HttpParser now takes "chunked" alone: no client and no node asks for another coding (TE). Such an answer is malformed (502, or another attempt), such a request is 400.

Failed first: http_parser_test, with and without other lines, for answers and requests; faulty_backend_test, three forms of three passed on with status 200.

--- a/libraries/sidecar/http_parser.h
+++ b/libraries/sidecar/http_parser.h
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/optional.hpp>
@@ -120,6 +122,13 @@
       error = boost::beast::http::error::header_limit;
       return;
     }
+    // The body of another coding would be passed on as if it had none, and a
+    // request with one would be taken for one without body.
+    if (name == boost::beast::http::field::transfer_encoding &&
+        !boost::beast::iequals(value, "chunked")) {
+      error = boost::beast::http::error::bad_transfer_encoding;
+      return;
+    }
     message_.insert(name, name_text, value);
   }
 
--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -224,6 +224,30 @@
   }
 }
 
+// Guards against a body that is passed on in a coding of which the caller is
+// not told.
+TEST_CASE("an answer in an unknown transfer coding reaches nobody") {
+  const std::string framing = GENERATE(
+      "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n"
+      "0\r\n\r\n",
+      "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+      "Transfer-Encoding: chunked, gzip\r\n\r\nbody");
+  OneNode mesh([&](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/once/coded") {
+      reply.bytes =
+          "HTTP/1.1 200 OK\r\nOleandertide-Request-Id: {id}\r\n"
+          "Oleandertide-Server-Stamp: s\r\n" +
+          framing;
+      reply.closes = true;
+    }
+    return reply;
+  });
+  const ClientAnswer answer = mesh.Send(mesh.instance, "POST", "/once/coded");
+  REQUIRE(answer.status == 502);
+  REQUIRE(answer.body.empty());
+}
+
 // Guards against a part of an answer that a caller gets as the whole, with a
 // length of the node's making: the backend server answers a long upload before
 // it has been sent, and resets the connection.
--- a/tests/sidecar/http_parser_test.cc
+++ b/tests/sidecar/http_parser_test.cc
@@ -207,6 +207,36 @@
   }
 }
 
+// Guards against a body that is passed on in a coding of which the receiver is
+// not told, and against the body of a request that is taken for the next one.
+TEST_CASE("chunks are the only coding of a body") {
+  const auto is_message = [](std::string_view fields) {
+    constexpr std::string_view kBody = "4\r\nbody\r\n0\r\n\r\n";
+    const std::string rest = fmt::format("{}\r\n{}", fields, kBody);
+    const bool is_answer =
+        IsMessage<HttpResponseParser>("HTTP/1.1 200 OK\r\n" + rest);
+    const bool is_request =
+        IsMessage<HttpRequestParser>("POST / HTTP/1.1\r\n" + rest);
+    REQUIRE(is_answer == is_request);
+    return is_answer;
+  };
+  REQUIRE(is_message("Transfer-Encoding: chunked\r\n"));
+  REQUIRE(is_message("transfer-encoding:  CHUNKED \r\n"));
+  for (const std::string_view coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "identity", "xchunked", "chunked;q=1", "chunked x", "\"chunked\"",
+        ""}) {
+    INFO(coding);
+    REQUIRE_FALSE(is_message(fmt::format("Transfer-Encoding: {}\r\n", coding)));
+  }
+  REQUIRE_FALSE(
+      is_message("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"));
+  REQUIRE_FALSE(
+      is_message("Transfer-Encoding: gzip\r\nContent-Length: 14\r\n"));
+  REQUIRE_FALSE(
+      is_message("Content-Length: 14\r\nTransfer-Encoding: chunked\r\n"));
+}
+
 // Guards against time that is spent on extensions, which have no meaning here.
 TEST_CASE("extensions of chunks are bounded") {
   const auto parse = [](std::size_t chunks, std::size_t chunk_bytes) {
