tests: Cover malformed fields and answers without body

They cover each byte in a name and in a value, ten malformed lines at the node itself and over a link, and bodies behind 204, 304, interim answers and answers to HEAD.

--- a/tests/sidecar/faulty_backend_test.cc
+++ b/tests/sidecar/faulty_backend_test.cc
@@ -224,6 +224,70 @@
   }
 }
 
+// Guards against a line that is passed on, or a body that is not the backend
+// server's.
+TEST_CASE("an answer with a malformed field reaches nobody") {
+  const std::string line =
+      GENERATE("Odd Name: 1", "Odd\x01Name: 1", "Odd\x7fName: 1", "Odd : 1",
+               ": 1", "Odd", " Folded: 1", "Content Length: 2",
+               "Content-Length : 2", "Transfer-Encoding : chunked");
+  // At the beginning of the head, or behind what tells the length.
+  const bool is_first = GENERATE(true, false);
+  OneNode mesh([&](const RawRequest& request) {
+    if (request.target() != "/once/odd") {
+      return RawReply{.bytes = StampedAnswer("body of " + request.target())};
+    }
+    return RawReply{.bytes = fmt::format(
+                        "HTTP/1.1 200 OK\r\n{}Oleandertide-Request-Id: {{id}}"
+                        "\r\nOleandertide-Server-Stamp: s\r\n"
+                        "Content-Length: 4\r\n{}\r\nbody",
+                        is_first ? line + "\r\n" : "",
+                        is_first ? "" : line + "\r\n")};
+  });
+  Instance& other = mesh.AddOther();
+  for (Instance* from : {&mesh.instance, &other}) {
+    const ClientAnswer answer = mesh.Send(*from, "POST", "/once/odd");
+    REQUIRE(answer.status == 502);
+    REQUIRE(answer.stamp.empty());
+    REQUIRE(answer.body.empty());
+  }
+}
+
+// Guards against bytes behind an answer that has no body, or of an interim one,
+// that are taken for an answer.
+TEST_CASE("an answer without body has none") {
+  const std::string method = GENERATE("GET", "HEAD");
+  const auto [status_line, status, body] =
+      GENERATE(table<std::string, int, std::string>(
+          {{"204 Empty", 204, ""},
+           {"304 Same", 304, ""},
+           {"100 Continue\r\n\r\nHTTP/1.1 200 OK", 200, "body"},
+           {"103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK", 200, "body"}}));
+  OneNode mesh([&, line = status_line](const RawRequest& request) {
+    RawReply reply{.bytes = StampedAnswer("body of " + request.target())};
+    if (request.target() == "/idem/empty") {
+      reply.bytes = fmt::format(
+          "HTTP/1.1 {}\r\nOleandertide-Request-Id: {{id}}\r\n"
+          "Oleandertide-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nbody",
+          line);
+    }
+    return reply;
+  });
+  const auto& listen = mesh.instance.settings.listen;
+  const std::string received = mesh.SendRaw(
+      listen.clients,
+      fmt::format("{} /idem/empty HTTP/1.1\r\nHost: a.example\r\n"
+                  "Oleandertide-Request-Id: raw\r\n"
+                  "Oleandertide-Deadline-Ms: 900\r\nConnection: close\r\n\r\n",
+                  method),
+      milliseconds(1000));
+  REQUIRE(received.starts_with(fmt::format("HTTP/1.1 {} ", status)));
+  const std::string expected = method == "HEAD" ? "" : body;
+  REQUIRE(received.substr(received.find("\r\n\r\n") + 4) == expected);
+  REQUIRE(mesh.Send(mesh.instance, "GET", "/idem/next").body ==
+          "body of /idem/next");
+}
+
 // Guards against a body that is passed on in a coding of which the caller is
 // not told.
 TEST_CASE("an answer in an unknown transfer coding reaches nobody") {
--- a/tests/sidecar/http_parser_test.cc
+++ b/tests/sidecar/http_parser_test.cc
@@ -207,6 +207,40 @@
   }
 }
 
+// Guards against lines that are passed on, or that hide where the body begins.
+TEST_CASE("a line of a head is a name, a colon and a value") {
+  const auto is_message = [](std::string_view line) {
+    const std::string rest =
+        fmt::format("{}\r\nContent-Length: 4\r\n\r\nbody", line);
+    const bool is_answer =
+        IsMessage<HttpResponseParser>("HTTP/1.1 200 OK\r\n" + rest);
+    const bool is_request =
+        IsMessage<HttpRequestParser>("POST / HTTP/1.1\r\n" + rest);
+    REQUIRE(is_answer == is_request);
+    return is_answer;
+  };
+  REQUIRE(is_message("X-Name: a value"));
+  REQUIRE(is_message("X!#$%&'*+-.^_`|~1:"));
+  constexpr std::string_view kSeparators = "()<>@,;\\\"/[]?={}";
+  for (int byte = 0; byte < 256; ++byte) {
+    const char character = static_cast<char>(byte);
+    const bool is_in_name = byte > ' ' && byte < 127 && character != ':' &&
+                            kSeparators.find(character) == kSeparators.npos;
+    const std::string name = fmt::format("X{}Name", character);
+    INFO("byte " << byte);
+    REQUIRE(is_message(name + ": 1") == (is_in_name || character == ':'));
+    // Line ends are left out: they may end the line, or fold it.
+    const bool is_in_value = (byte >= ' ' && byte != 127) || character == '\t';
+    if (character == '\r' || character == '\n') continue;
+    REQUIRE(is_message(fmt::format("X: a{}b", character)) == is_in_value);
+  }
+  for (const std::string_view line : {"X : 1", "X\t: 1", " X: 1", "\tX: 1",
+                                      ": 1", "X", "X: a\rb", "X: a\nY: b"}) {
+    INFO(line);
+    REQUIRE_FALSE(is_message(line));
+  }
+}
+
 // Guards against a body that is passed on in a coding of which the receiver is
 // not told, and against the body of a request that is taken for the next one.
 TEST_CASE("chunks are the only coding of a body") {
