sidecar: Bound the memory of answers that are being read

Each answer was bounded, at 16 MiB by default, but not their sum: the account of memory counted answers that are being read and never refused them.

An answer now asks for memory before its buffer grows, as its bytes arrive; what it says of its length costs nothing. If stalled clients and bodies that still arrive do not make room, the largest answer that is being read gives way, to smaller ones and to frames of links. Its request has run, so its outcome is unknown (502, or another attempt). Large answers leave the reserve to small requests. Answers of the store are in the account as well. Capacities double up to the most that a body may have; before, the last step copied almost the whole buffer, beside what was granted.

--- a/libraries/mesh/outcome.h
+++ b/libraries/mesh/outcome.h
@@ -33,7 +33,8 @@
   kConnectFailed,
   // The connection ended before the answer was complete.
   kConnectionLost,
-  // The answer belonged to another request or could not be parsed.
+  // The answer belonged to another request, could not be parsed, or there was
+  // no memory for it.
   kAnswerUnusable,
   // The deadline of the request passed.
   kDeadlinePassed,
--- a/libraries/sidecar/byte_budget.cc
+++ b/libraries/sidecar/byte_budget.cc
@@ -46,6 +46,15 @@
   return id;
 }
 
+ByteBudget::AccountId ByteBudget::OpenAnswer(std::function<void()> on_evict,
+                                             MonotonicTime now) {
+  const AccountId id = next_id_++;
+  accounts_.emplace(id, Account{.owner = Owner::kAnswer,
+                                .on_evict = std::move(on_evict),
+                                .progress_at = now});
+  return id;
+}
+
 void ByteBudget::Close(AccountId id) {
   Account& account = accounts_.at(id);
   Apply(id, account, 0);
@@ -59,6 +68,7 @@
     return others + bytes <= options_.capacity;
   }
   if (others + bytes > options_.capacity - options_.reserve) return false;
+  if (account.owner == Owner::kAnswer) return true;
   const auto found = clients_.find(account.client);
   const std::size_t own = found == clients_.end() ? 0 : found->second;
   if (own == used_by_clients_) return true;
@@ -77,7 +87,7 @@
 
 std::optional<ByteBudget::AccountId> ByteBudget::FindSubordinate(
     const Account& account, std::size_t bytes) const {
-  if (account.owner != Owner::kMesh) return std::nullopt;
+  if (account.owner == Owner::kClient) return std::nullopt;
   std::size_t left = used_ - account.bytes + bytes;
   std::optional<AccountId> first;
   for (const auto& [progress_at, id] : waiting_) {
@@ -90,6 +100,22 @@
   return std::nullopt;
 }
 
+std::optional<ByteBudget::AccountId> ByteBudget::FindLargestAnswer(
+    AccountId id, std::size_t bytes) const {
+  const Account& account = accounts_.at(id);
+  if (account.owner == Owner::kClient) return std::nullopt;
+  std::size_t most =
+      account.owner == Owner::kAnswer ? bytes : options_.small_bytes;
+  std::optional<AccountId> largest;
+  for (const auto& [other_id, other] : accounts_) {
+    if (other.owner != Owner::kAnswer || other_id == id) continue;
+    if (other.bytes <= most) continue;
+    most = other.bytes;
+    largest = other_id;
+  }
+  return largest;
+}
+
 bool ByteBudget::MakeRoom(AccountId id, std::size_t bytes, MonotonicTime now) {
   while (true) {
     const auto found = accounts_.find(id);
@@ -97,6 +123,7 @@
     if (IsGranted(found->second, bytes)) return true;
     auto victim = FindStalled(id, now);
     if (!victim) victim = FindSubordinate(found->second, bytes);
+    if (!victim) victim = FindLargestAnswer(id, bytes);
     if (!victim) return false;
     ++evicted_count_;
     Account& account = accounts_.at(*victim);
@@ -116,12 +143,6 @@
   return true;
 }
 
-void ByteBudget::Take(AccountId id, std::size_t bytes, MonotonicTime now) {
-  MakeRoom(id, bytes, now);
-  const auto found = accounts_.find(id);
-  if (found != accounts_.end()) Apply(id, found->second, bytes);
-}
-
 void ByteBudget::Force(AccountId id, std::size_t bytes) {
   Apply(id, accounts_.at(id), bytes);
 }
--- a/libraries/sidecar/byte_budget.h
+++ b/libraries/sidecar/byte_budget.h
@@ -5,8 +5,12 @@
 // what all connections hold is bounded, and when it is short, connections that
 // make no progress give way.
 //
-// Order of precedence when it is short: links between nodes and answers of the
-// backend server, small requests of clients, large ones.
+// Load pattern: a backend server sends answers without end. Among answers that
+// are being read, the largest gives way, also to links: answers that end are
+// smaller.
+//
+// Order of precedence when it is short: links between nodes, small requests of
+// clients, answers that are being read, large requests of clients.
 
 #ifndef OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
 #define OLEANDERTIDE_SIDECAR_BYTE_BUDGET_H_
@@ -53,9 +57,13 @@
   // Whose bytes an account holds.
   enum class Owner : std::uint8_t {
     kClient,
-    // Another node or the backend server: may use the reserve, has no share,
-    // and large bodies that arrive give way to it.
+    // Another node: may use the reserve, has no share, and large answers that
+    // are being read and large bodies that arrive give way to it.
     kMesh,
+    // The backend server or the store, whose answer is being read: the same,
+    // but a large answer leaves the reserve to others, and only larger answers
+    // give way to it.
+    kAnswer,
   };
 
   explicit ByteBudget(const Options& options) : options_(options) {}
@@ -64,8 +72,10 @@
   // may close any account.
   AccountId Open(const std::string& client, std::function<void()> on_evict,
                  MonotonicTime now);
-  // The same for other nodes and the backend server; it is never evicted.
+  // The same for another node; it is never evicted.
   AccountId OpenMesh(MonotonicTime now);
+  // The same for answers that are being read.
+  AccountId OpenAnswer(std::function<void()> on_evict, MonotonicTime now);
 
   // Precondition of all: the account is open.
   void Close(AccountId id);
@@ -75,16 +85,13 @@
   // Returns false if one that was evicted closed this one.
   bool Set(AccountId id, std::size_t bytes, MonotonicTime now);
 
-  // The same for bytes that exist already, such as an answer.
+  // The same for bytes that exist already, such as an answer that is ready.
   void Force(AccountId id, std::size_t bytes);
 
-  // The same, but evicts as Set does before. Does nothing more if one that was
-  // evicted closed the account.
-  void Take(AccountId id, std::size_t bytes, MonotonicTime now);
-
-  // Sets whether the account waits for its client and may be evicted; that
-  // counts as progress. One that waits for a body also gives way to kMesh while
-  // it makes progress: its request has not run, and no answer is lost.
+  // Sets whether the account, which is a client's, waits for it and may be
+  // evicted; that counts as progress. One that waits for a body also gives way
+  // to kMesh and kAnswer while it makes progress: its request has not run, and
+  // no answer is lost.
   void SetWaiting(AccountId id, bool is_waiting, MonotonicTime now,
                   bool is_for_body = false);
 
@@ -117,6 +124,10 @@
   // room for `bytes`.
   std::optional<AccountId> FindSubordinate(const Account& account,
                                            std::size_t bytes) const;
+  // Returns the largest answer that is being read, if it is larger than the
+  // account would be.
+  std::optional<AccountId> FindLargestAnswer(AccountId id,
+                                             std::size_t bytes) const;
   // Evicts until `bytes` are granted; returns whether they are.
   bool MakeRoom(AccountId id, std::size_t bytes, MonotonicTime now);
   void Apply(AccountId id, Account& account, std::size_t bytes);
--- a/libraries/sidecar/http_connection.cc
+++ b/libraries/sidecar/http_connection.cc
@@ -7,6 +7,8 @@
 #include <limits>
 #include <utility>
 
+#include "logging/log.h"
+
 namespace oleandertide::sidecar {
 namespace {
 
@@ -58,6 +60,8 @@
       return "malformed-answer";
     case HttpFailure::kTimeout:
       return "timeout";
+    case HttpFailure::kNoMemory:
+      return "no-memory";
   }
   return "unknown";
 }
@@ -153,20 +157,32 @@
     StartTimer(exchange_->limit, HttpFailure::kTimeout);
   }
   Parse();
-  if (exchange_ && parser_->body_capacity() > kUncountedBytes) ChargeAnswer();
   Read();
 }
 
 void HttpConnection::BeginAnswer() {
   if (charged_bytes_ > 0) ReleaseCharge();
+  MayGrow may_grow;
+  if (budget_ != nullptr) {
+    may_grow = [this](std::size_t bytes) { return GrowAnswer(bytes); };
+  }
+  // What an answer says of its length costs its server nothing.
   parser_.emplace(HttpMessageLimits{.head_bytes = kMaxHeadBytes,
-                                    .body_bytes = exchange_->max_body_bytes});
+                                    .body_bytes = exchange_->max_body_bytes,
+                                    .reserves_whole_body = false},
+                  std::move(may_grow));
   if (exchange_->is_head_request) parser_->set_without_body();
 }
 
 void HttpConnection::Parse() {
   boost::system::error_code error;
   buffer_.consume(parser_->Put(buffer_.data(), error));
+  // An eviction may have cancelled the exchange.
+  if (is_closed_) return;
+  if (error == boost::system::errc::not_enough_memory) {
+    GiveUpAnswer();
+    return;
+  }
   if (error ||
       (!parser_->is_complete() && buffer_.size() > kMaxUnparsedBytes)) {
     Fail(HttpFailure::kMalformedAnswer);
@@ -175,13 +191,19 @@
   if (parser_->is_complete()) FinishAnswer();
 }
 
-void HttpConnection::ChargeAnswer() {
-  const std::size_t bytes = parser_->body_capacity();
-  if (budget_ == nullptr || bytes == charged_bytes_) return;
+bool HttpConnection::GrowAnswer(std::size_t bytes) {
+  if (bytes <= kUncountedBytes) return true;
   const MonotonicTime now = MonotonicClock::now();
-  if (!account_) account_ = budget_->OpenMesh(now);
+  if (!account_) {
+    account_ = budget_->OpenAnswer(
+        [weak = weak_from_this()] {
+          if (const auto self = weak.lock()) self->OnEvicted();
+        },
+        now);
+  }
+  if (!budget_->Set(*account_, bytes, now)) return false;
   charged_bytes_ = bytes;
-  budget_->Take(*account_, bytes, now);
+  return true;
 }
 
 void HttpConnection::ReleaseCharge() {
@@ -228,6 +250,23 @@
   Parse();
 }
 
+void HttpConnection::OnEvicted() {
+  GiveUpAnswer();
+  // The connection itself may live on in a handler.
+  parser_.reset();
+}
+
+void HttpConnection::GiveUpAnswer() {
+  logging::Log(logging::Level::kWarning, "http",
+               "answer given up for want of memory",
+               {{"server", endpoint_.address().to_string()},
+                {"port", endpoint_.port()},
+                {"held", charged_bytes_},
+                {"in_use", budget_->used()},
+                {"bound", budget_->capacity()}});
+  Fail(HttpFailure::kNoMemory);
+}
+
 void HttpConnection::OnEnd(const boost::system::error_code& error) {
   if (!exchange_) {
     Close();
--- a/libraries/sidecar/http_connection.h
+++ b/libraries/sidecar/http_connection.h
@@ -30,6 +30,7 @@
   kConnectionLost,
   kMalformedAnswer,
   kTimeout,
+  kNoMemory,
 };
 
 // Returns a text for logs. Thread-safe.
@@ -78,8 +79,9 @@
   // Closes the connection; callbacks of the exchange are not called.
   void Close();
 
-  // Sets the account for large answers that are being read; they are never
-  // refused. Outlives the open connection. Precondition: no exchange has begun.
+  // Sets the account for large answers that are being read: one for which there
+  // is no memory is given up. Null: not in an account. Outlives the open
+  // connection. Precondition: no exchange has begun.
   void set_budget(ByteBudget* budget) { budget_ = budget; }
 
   // Sets what to call when the connection ends without an exchange.
@@ -112,10 +114,14 @@
   void FinishAnswer();
   // Goes on to the answer behind one that is not the exchange's.
   void SkipAnswer();
-  // Puts the answer that is being read into the account. The connection may be
-  // closed by it.
-  void ChargeAnswer();
+  // Returns whether there is memory for an answer's body of `bytes`. May close
+  // the connection.
+  bool GrowAnswer(std::size_t bytes);
   void ReleaseCharge();
+  // Another account needs the memory, and this answer is the largest.
+  void OnEvicted();
+  // There is no memory for the answer.
+  void GiveUpAnswer();
   void OnEnd(const boost::system::error_code& error);
   // The server has ended an answer without length.
   void FinishAnswerAtEnd();
--- a/libraries/sidecar/http_parser.h
+++ b/libraries/sidecar/http_parser.h
@@ -40,6 +40,9 @@
   // KiB of it. They are dropped, so that only the time for them is to be
   // bounded.
   std::size_t chunk_extension_bytes = std::size_t{16} << 10U;
+  // Whether memory for a body with a length is asked for at once, so that one
+  // that has begun can be ended. Otherwise it is asked for as bytes arrive.
+  bool reserves_whole_body = true;
 };
 
 // Asked before memory for so many bytes of a body is taken; the message is
@@ -61,7 +64,8 @@
   MessageBuilder(const HttpMessageLimits& limits, MayGrow may_grow)
       : max_trailer_bytes_(limits.head_bytes),
         max_extension_bytes_(limits.chunk_extension_bytes),
-        max_body_bytes_(limits.body_bytes),
+        reserves_whole_body_(limits.reserves_whole_body),
+        most_body_bytes_(limits.body_bytes),
         may_grow_(std::move(may_grow)) {
     this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     this->body_limit(limits.body_bytes);
@@ -69,7 +73,6 @@
   }
 
   Message& message() { return message_; }
-  std::size_t body_capacity() const { return message_.body().capacity(); }
 
  private:
   using ErrorCode = boost::system::error_code;
@@ -137,10 +140,9 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          ErrorCode& error) override {
     if (!length || *length == 0) return;
-    // The whole length is asked for at once, so that a body that is begun can
-    // be ended.
     if (may_grow_) {
-      Grow(*length, error);
+      most_body_bytes_ = *length;
+      if (reserves_whole_body_) Grow(*length, error);
       return;
     }
     message_.body().reserve(
@@ -150,15 +152,23 @@
   std::size_t on_body_impl(View body, ErrorCode& error) override {
     std::string& text = message_.body();
     const std::size_t needed = text.size() + body.size();
-    if (may_grow_ && needed > text.capacity()) {
-      const std::size_t doubled =
-          std::max(needed, std::min(2 * text.capacity(), max_body_bytes_));
-      if (!Grow(doubled, error)) return 0;
+    if (may_grow_ && needed > text.capacity() &&
+        !Grow(ChooseCapacity(needed), error)) {
+      return 0;
     }
     text.append(body.data(), body.size());
     return body.size();
   }
 
+  // Returns a capacity for `needed` bytes. Capacities double up to the most
+  // that the body may have: while the bytes are copied, the old buffer and what
+  // is used of the new one together are not larger than the new one.
+  std::size_t ChooseCapacity(std::size_t needed) const {
+    std::size_t capacity = most_body_bytes_;
+    while (capacity / 2 >= needed) capacity /= 2;
+    return std::max(capacity, needed);
+  }
+
   // Returns whether there is memory for a body of `bytes`.
   bool Grow(std::size_t bytes, ErrorCode& error) {
     if (!may_grow_(bytes)) {
@@ -190,7 +200,8 @@
 
   const std::size_t max_trailer_bytes_;
   const std::size_t max_extension_bytes_;
-  const std::size_t max_body_bytes_;
+  const bool reserves_whole_body_;
+  std::size_t most_body_bytes_;
   const MayGrow may_grow_;
   Message message_;
   std::size_t extension_bytes_ = 0;
@@ -251,9 +262,6 @@
 
   bool is_complete() const { return builder_.is_done(); }
 
-  // Memory of the body as far as it has been read.
-  std::size_t body_capacity() const { return builder_.body_capacity(); }
-
   // Precondition: is_complete(); called once.
   Message Release() { return std::move(builder_.message()); }
 
--- a/libraries/sidecar/receiver.cc
+++ b/libraries/sidecar/receiver.cc
@@ -267,6 +267,9 @@
       queue_.RecordResult(false);
       Finish(id, mesh::Unknown{mesh::Reason::kAnswerUnusable}, false);
       return;
+    case HttpFailure::kNoMemory:
+      Finish(id, mesh::Unknown{mesh::Reason::kAnswerUnusable}, false);
+      return;
     case HttpFailure::kTimeout:
       Finish(id, mesh::Unknown{mesh::Reason::kDeadlinePassed}, true);
       return;
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -217,6 +217,7 @@
                   settings.deployment, [this] { OnOrdersChanged(); }),
         stop_timer_(loop) {
     links_.set_budget(&budget_);
+    store_.set_budget(&budget_);
     if (!settings.deployment.has_limits) return;
     limits_.emplace(
         Limits::Parts{.loop = loop,
--- a/libraries/sidecar/store_client.cc
+++ b/libraries/sidecar/store_client.cc
@@ -37,6 +37,7 @@
       return make_error_code(Error::kDataDamaged);
     case HttpFailure::kConnectionLost:
     case HttpFailure::kTimeout:
+    case HttpFailure::kNoMemory:
       break;
   }
   return make_error_code(Error::kOutcomeUnknown);
@@ -66,7 +67,10 @@
 }
 
 std::shared_ptr<HttpConnection> StoreClient::Open() const {
-  return std::make_shared<HttpConnection>(loop_, endpoint_, kConnectLimit);
+  auto connection =
+      std::make_shared<HttpConnection>(loop_, endpoint_, kConnectLimit);
+  connection->set_budget(budget_);
+  return connection;
 }
 
 HttpExchange StoreClient::MakeExchange(
--- a/libraries/sidecar/store_client.h
+++ b/libraries/sidecar/store_client.h
@@ -35,6 +35,10 @@
               NodeMetrics& metrics, coordination::StoreClock& clock);
   ~StoreClient();
 
+  // Sets the account for large answers; outlives the client. Precondition: no
+  // call has begun.
+  void set_budget(ByteBudget* budget) { budget_ = budget; }
+
   // Reads the rows of a table from `first_key` on.
   void ReadRows(std::string_view table, std::string_view first_key,
                 OnRows on_rows);
@@ -65,6 +69,7 @@
   NodeMetrics& metrics_;
   // Learns the store's time from all answers, before the caller has them.
   coordination::StoreClock& clock_;
+  ByteBudget* budget_ = nullptr;
   std::shared_ptr<HttpConnection> calls_connection_;
   std::shared_ptr<HttpConnection> changes_connection_;
   std::deque<HttpExchange> queue_;
