http: Refuse malformed and endless answers

An interim answer other than 100 was the final one. A head without end, a body without length and one in chunks had no bound: the library reports progress, by which the pool bounded answers, only for a body with a length.

ClientPool takes bodies itself and stops at the bound of an answer.

A reset within an early answer without length was a lost connection before: the library does not read after a failed write.

--- a/libraries/http/checked_client.h
+++ b/libraries/http/checked_client.h
@@ -13,8 +13,9 @@
 namespace oleandertide::http {
 
 // The library ends a chunked body at any line that it does not expect, or at
-// the end of the connection, and calls the answer a success. This client knows
-// better. One request at a time; stop() may be called by another thread.
+// the end of the connection, and calls the answer a success; it also takes
+// heads that HTTP does not have. This client knows better. One request at a
+// time; stop() may be called by another thread.
 class CheckedClient final : public httplib::ClientImpl {
  public:
   explicit CheckedClient(const Address& server);
@@ -23,7 +24,7 @@
   void set_limit(Duration limit);
 
   // Sends a request. Returns whether the answer is whole; `error` is kRead if
-  // it was cut.
+  // it was cut or its head is malformed.
   bool SendChecked(httplib::Request& request, httplib::Response& answer,
                    httplib::Error& error);
 
@@ -33,6 +34,8 @@
       std::function<bool(httplib::Stream& stream)> callback) override;
 
   Duration limit_{};
+  // Whether the library read the head of an answer.
+  bool is_head_complete_ = false;
   // Whether the last bytes that the library took end a chunked body.
   bool is_chunked_end_ = false;
 };
--- a/libraries/http/client_pool.cc
+++ b/libraries/http/client_pool.cc
@@ -125,12 +125,21 @@
   for (const auto& [name, value] : request.headers) {
     outgoing.headers.emplace(name, value);
   }
-  // The read timeout covers each read; this bounds the whole answer.
+  // The read timeout covers each read; this bounds the whole answer, which may
+  // tell no length.
   bool is_late = false;
-  outgoing.progress = [&](std::uint64_t current, std::uint64_t total) {
+  std::string body;
+  outgoing.content_receiver = [&](const char* data, std::size_t size,
+                                  std::uint64_t /*offset*/,
+                                  std::uint64_t total) {
     is_late = MonotonicClock::now() >= deadline;
-    return !is_late && !cancelled.stop_requested() &&
-           std::max(current, total) <= maximum_answer_bytes_;
+    if (is_late || cancelled.stop_requested() ||
+        std::max<std::uint64_t>(body.size() + size, total) >
+            maximum_answer_bytes_) {
+      return false;
+    }
+    body.append(data, size);
+    return true;
   };
 
   httplib::Response answer;
@@ -148,6 +157,7 @@
     }
     return ToFailure(error, cancelled.stop_requested());
   }
+  answer.body = std::move(body);
   connection->set_last_used(MonotonicClock::now());
   Return(std::move(connection));
   return ToResponse(std::move(answer));
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -184,6 +184,19 @@
     if (is_reset) socket.set_option(boost::asio::socket_base::linger(true, 0));
   }
 
+  // The same, but leaves it to the client to close the connection.
+  void AnswerAndWait(std::string_view bytes) {
+    boost::asio::ip::tcp::socket socket = acceptor_.accept();
+    std::string request;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                            "\r\n\r\n");
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes.data(), bytes.size()),
+                       ignored);
+    char byte = 0;
+    socket.read_some(boost::asio::buffer(&byte, 1), ignored);
+  }
+
  private:
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -215,5 +228,71 @@
   }
 }
 
+// Sends a request to a server that answers it with the given bytes.
+SendOutcome SendTo(std::string_view answer, bool is_reset,
+                   const Request& request) {
+  CuttingServer server;
+  std::thread answering([&] { server.Answer(answer, is_reset); });
+  ClientPool pool(server.address(), kMaximumAnswerBytes);
+  SendOutcome outcome = pool.Send(request, In(std::chrono::seconds(5)), {});
+  answering.join();
+  return outcome;
+}
+
+// Guards against bytes that are passed on as an answer.
+TEST_CASE("an answer outside the protocol is a lost connection") {
+  const std::string start = GENERATE(
+      "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 600 Odd\r\n",
+      "HTTP/1.1 999 Odd\r\n", "HTTP/1.1 abc Odd\r\n", "HTTP/1.1 20 Odd\r\n",
+      "HTTP/1.1 200 OK\r\nOdd Name: 1\r\n",
+      "HTTP/1.1 200 OK\r\nOdd\x01Name: 1\r\n", "HTTP/1.1 200 OK\r\nOdd : 1\r\n",
+      "HTTP/1.1 200 OK\r\n: 1\r\n", "HTTP/1.1 200 OK\r\nOdd\r\n",
+      "HTTP/1.1 103 Hints\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+      "HTTP/1.1 200 OK\r\nX: 1\n\r\n");
+  INFO(start);
+  Request request;
+  request.method = "GET";
+  request.target = "/";
+  const SendOutcome outcome =
+      SendTo(start + "Content-Length: 4\r\n\r\nbody", false, request);
+  REQUIRE(std::holds_alternative<Failure>(outcome));
+}
+
+// Guards against memory that is lost to a server which sends without end.
+TEST_CASE("an answer without end is cut off") {
+  const auto [start, endless] = GENERATE(table<std::string, std::string>(
+      {{"HTTP/1.1 200 OK\r\n\r\n", "body"},
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "4\r\nbody\r\n"},
+       {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+       {"", "HTTP/1.1 100 Continue\r\n\r\n"}}));
+  // Several times the limit of a body; then the server waits for the client.
+  std::string bytes = start;
+  while (bytes.size() < 8 * kMaximumAnswerBytes) bytes += endless;
+  CuttingServer server;
+  std::thread answering([&] { server.AnswerAndWait(bytes); });
+  ClientPool pool(server.address(), kMaximumAnswerBytes);
+  Request request;
+  request.method = "GET";
+  request.target = "/";
+  const MonotonicTime begin = MonotonicClock::now();
+  const SendOutcome outcome =
+      pool.Send(request, In(std::chrono::seconds(5)), {});
+  answering.join();
+  REQUIRE(std::get<Failure>(outcome) == Failure::kConnectionLost);
+  REQUIRE(MonotonicClock::now() - begin < std::chrono::seconds(4));
+}
+
+// Guards against a part of an answer that is taken for the whole: the server
+// answers an upload before it has been sent, and resets the connection.
+TEST_CASE("a reset does not end an answer without length") {
+  const SendOutcome outcome =
+      SendTo("HTTP/1.1 200 OK\r\n\r\npart", true,
+             Post("/", std::string(std::size_t{8} << 20U, 'u')));
+  REQUIRE(std::holds_alternative<Failure>(outcome));
+}
+
 }  // namespace
 }  // namespace oleandertide::http
