tests: Send broken heads and codings in the fault soak

They now also answer with statuses outside the protocol, with a malformed line in the head, and in a transfer coding of which nobody asked.

--- a/tests/soak/backend_server.py
+++ b/tests/soak/backend_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import gzip
 import json
 import random
 import time
@@ -289,15 +290,29 @@
             writer.write(answer)
 
     def garble(self, answer, writer):
-        choice = self.random.randrange(3)
+        choice = self.random.randrange(6)
+        start, rest = answer.split(b"\r\n", 1)
         if choice == 0:
             writer.write(answer[: self.random.randrange(1, len(answer))])
             writer.close()
         elif choice == 1:
             writer.write(self.random.randbytes(300))
             writer.close()
-        else:
+        elif choice == 2:
             writer.write(answer + b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+        elif choice == 3:
+            status = self.random.choice([b"000", b"099", b"600", b"999"])
+            writer.write(b"HTTP/1.1 " + status + b" X\r\n" + rest)
+        elif choice == 4:
+            name = self.random.choice([b"Odd Name", b"Odd\x01Name", b"Odd ", b""])
+            writer.write(start + b"\r\n" + name + b": 1\r\n" + rest)
+        else:
+            head, body = rest.split(b"\r\n\r\n", 1)
+            lines = [line for line in head.split(b"\r\n") if b"Length" not in line]
+            lines.append(b"Transfer-Encoding: gzip, chunked")
+            coded = gzip.compress(body)
+            lines += [b"", b"%x" % len(coded), coded, b"0", b"", b""]
+            writer.write(b"\r\n".join([start, *lines]))
 
     async def start_again(self, keeps_identifier=False):
         if self.state == "gone":
