sidecar: Take the system's limits where the settings tell none

Callers saw a process end by clients' bodies of legal size when its settings did not tell its memory.

Cause: node.memory-mb = 0 was no bound, also under a limit of the system.

Now the least of the limits of the process's control groups, of its data and address space and of the machine's memory holds, and likewise for descriptors. That there is no bound is said by node.unlimited.

Control groups are covered by core_test with files of its own only.

--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -1,5 +1,6 @@
 #include "sidecar/settings.h"
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <span>
@@ -43,11 +44,18 @@
         "whether the whole system starts for the first time", "false"},
        Assign<&Settings::node, &Settings::Node::is_first_start>::To},
       {{"node", "memory-mb", IntegerRule{0, 1'048'576},
-        "memory that the instance gives the process in MB; 0 is unknown", "0"},
+        "memory that the instance gives the process in MB; 0 is the least of "
+        "the limits of its control group, of its data and address space, and "
+        "of the machine's memory",
+        "0"},
        Assign<&Settings::node, &Settings::Node::memory_mb>::To},
       {{"node", "descriptors", IntegerRule{0, 10'000'000},
-        "descriptors that the process may open; 0 is unknown", "0"},
+        "descriptors that the process may open; 0 is the system's limit", "0"},
        Assign<&Settings::node, &Settings::Node::descriptors>::To},
+      {{"node", "unlimited", BooleanRule{},
+        "whether memory-mb and descriptors are no bound where they are 0",
+        "false"},
+       Assign<&Settings::node, &Settings::Node::is_unlimited>::To},
 
       {{"listen", "clients", AddressRule{}, "address for clients"},
        Assign<&Settings::listen, &Settings::Listen::clients>::To},
@@ -138,9 +146,9 @@
        Assign<&Settings::pace, &Settings::Pace::measures_speed>::To},
 
       {{"edge", "buffer-mb", IntegerRule{0, 1'048'576},
-        "memory for requests, answers and unparsed bytes of all clients in MB; "
-        "0 is node.memory-mb without an eighth, 12 MB at least, or no bound if "
-        "that is unknown",
+        "memory for requests, answers and unparsed bytes of all clients, and "
+        "for bodies of other nodes' calls, in MB; 0 is node.memory-mb without "
+        "an eighth, 12 MB at least, or no bound if that is unknown",
         "0"},
        Assign<&Settings::edge, &Settings::Edge::buffer_mb>::To},
       {{"edge", "max-connections", IntegerRule{0, 10'000'000},
@@ -210,6 +218,18 @@
   return settings;
 }
 
+void SidecarSettings::UseLimits(const ProcessLimits& limits) {
+  if (node.is_unlimited) return;
+  constexpr std::uint64_t kMegabyte = 1'000'000;
+  if (node.memory_mb == 0 && limits.memory_bytes) {
+    node.memory_mb = std::max<std::int64_t>(
+        1, static_cast<std::int64_t>(*limits.memory_bytes / kMegabyte));
+  }
+  if (node.descriptors == 0 && limits.descriptors) {
+    node.descriptors = static_cast<std::int64_t>(*limits.descriptors);
+  }
+}
+
 std::string SidecarSettings::Describe() {
   return config::DescribeFields(Fields());
 }
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -8,6 +8,7 @@
 
 #include "config/diagnostic.h"
 #include "core/address.h"
+#include "core/process_limits.h"
 #include "core/time.h"
 #include "mesh/deployment.h"
 
@@ -26,6 +27,8 @@
     std::int64_t memory_mb = 0;
     // Descriptors that the process may open; 0 if unknown.
     std::int64_t descriptors = 0;
+    // Whether what is unknown is no bound.
+    bool is_unlimited = false;
   };
   struct Listen {
     Address clients;
@@ -96,6 +99,10 @@
   static config::Checked<SidecarSettings> Parse(std::string_view text,
                                                 std::string_view file_name);
 
+  // Takes over `limits` where the settings do not tell the memory or the
+  // descriptors, unless these are unlimited. Not thread-safe.
+  void UseLimits(const ProcessLimits& limits);
+
   // Describes all settings, for the command line. Thread-safe.
   static std::string Describe();
 };
--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -164,7 +164,9 @@
                {{"node", settings.node.name},
                 {"data_centre", settings.node.data_centre},
                 {"service", settings.node.service},
-                {"first_start", settings.node.is_first_start}});
+                {"first_start", settings.node.is_first_start},
+                {"memory_mb", settings.node.memory_mb},
+                {"descriptors", settings.node.descriptors}});
   Supervisor supervisor(loop, *sidecar.value(), FLAGS_settings, text);
   const sigset_t signals = SupervisedSignals();
   sigprocmask(SIG_UNBLOCK, &signals, nullptr);
@@ -197,7 +199,7 @@
     std::cerr << FLAGS_settings << ": cannot be read\n";
     return kExitInvalidSettings;
   }
-  const auto settings = SidecarSettings::Parse(*text, FLAGS_settings);
+  auto settings = SidecarSettings::Parse(*text, FLAGS_settings);
   if (!settings) {
     for (const config::Diagnostic& diagnostic : settings.error()) {
       std::cerr << config::ToString(diagnostic) << '\n';
@@ -210,6 +212,10 @@
   const auto level = logging::ParseLevel(settings.value().log.level);
   logging::Initialize(level ? level.value() : logging::Level::kInfo,
                       "oleandertide-sidecar", logging::Stream::kStandardOutput);
+  const auto& node = settings.value().node;
+  if (node.memory_mb == 0 || node.descriptors == 0) {
+    settings.value().UseLimits(ReadProcessLimits());
+  }
   return Serve(settings.value(), *text);
 }
 
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -1,10 +1,15 @@
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <cstdint>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "core/hash.h"
 #include "core/json.h"
+#include "core/process_limits.h"
 #include "core/random.h"
 #include "core/result.h"
 
@@ -29,6 +34,36 @@
   REQUIRE(ContentDigest("a") != ContentDigest("b"));
 }
 
+// Guards against a process that takes the machine's memory for its own.
+TEST_CASE("the least limit of a process and its control groups holds") {
+  namespace fs = std::filesystem;
+  const fs::path root = fs::temp_directory_path() /
+                        ("oleandertide-limits-" + std::to_string(getpid()));
+  const auto write = [&root](const std::string& path, const std::string& text) {
+    fs::create_directories((root / path).parent_path());
+    std::ofstream(root / path) << text;
+  };
+  constexpr std::uint64_t kMachineBytes = 24'576'000;
+  const auto memory = [&root] {
+    return ReadProcessLimits(root).memory_bytes.value_or(0);
+  };
+  fs::remove_all(root);
+  REQUIRE_FALSE(ReadProcessLimits(root).memory_bytes);
+  write("proc/meminfo", "MemTotal:       24000 kB\nMemFree:  1 kB\n");
+  REQUIRE(memory() == kMachineBytes);
+  write("proc/self/cgroup", "0::/pods/one\n");
+  write("sys/fs/cgroup/pods/one/memory.max", "max\n");
+  REQUIRE(memory() == kMachineBytes);
+  write("sys/fs/cgroup/pods/memory.max", "16000000\n");
+  REQUIRE(memory() == 16'000'000);
+  write("sys/fs/cgroup/pods/one/memory.max", "9000000\n");
+  REQUIRE(memory() == 9'000'000);
+  write("proc/self/cgroup", "3:cpu:/pods/one\n2:memory:/old\n");
+  write("sys/fs/cgroup/memory/old/memory.limit_in_bytes", "7000000\n");
+  REQUIRE(memory() == 7'000'000);
+  fs::remove_all(root);
+}
+
 // Guards against jitter outside its bounds, which would break retry limits.
 TEST_CASE("random durations stay within their bounds") {
   RandomSource random(7);
--- a/tests/system/untrusted_clients.py
+++ b/tests/system/untrusted_clients.py
@@ -1,9 +1,11 @@
-"""Crowds of clients that send many large or unfinished requests to one node.
-
-The tests check only what does not depend on the machine's speed: the process
-lives, its peak resident memory and its open descriptors stay under a bound, and
-one ordinary request is answered while the crowd's connections are still open
-and after they are closed.
+"""Crowds of clients that send many large or unfinished requests to nodes.
+
+The tests check only what does not depend on the machine's speed: the processes
+live, their memory and their open descriptors stay under a bound, and one
+ordinary request to each is answered while the crowd's connections are still
+open and after they are closed. Memory is the peak of what is resident, and with
+several nodes also of what is resident and what the kernel keeps unread for the
+process.
 """
 
 import asyncio
@@ -11,6 +13,7 @@
 import json
 import os
 import socket
+import struct
 import unittest.mock
 
 import planned_stop_test as planned
@@ -31,11 +34,11 @@
 CROWD_LIMIT = 40.0
 
 
-def head(lines, method="POST", target="/once/crowd"):
+def head(lines, method="POST", target="/once/crowd", identifier="crowd"):
     lines = [
         f"{method} {target} HTTP/1.1",
         "Host: a.example",
-        f"{wire.REQUEST_ID}: crowd",
+        f"{wire.REQUEST_ID}: {identifier}",
         f"{wire.DEADLINE}: 8000",
         *lines,
     ]
@@ -61,6 +64,9 @@
         self.socket = socket.socket()
         self.socket.setblocking(False)
         self.address = address
+        # Whether the connection was opened, and all was sent.
+        self.is_open = False
+        self.is_sent = False
 
     async def send(self, pieces):
         """Sends what the node takes; it may close or stop reading."""
@@ -68,40 +74,44 @@
         with contextlib.suppress(OSError, asyncio.TimeoutError):
             async with asyncio.timeout(CROWD_LIMIT):
                 await loop.sock_connect(self.socket, self.address)
+                self.is_open = True
                 for piece in pieces:
                     await loop.sock_sendall(self.socket, piece)
                     await asyncio.sleep(0)
+                self.is_sent = True
 
     def close(self):
         self.socket.close()
 
 
-def whole(size=BODY, **parts):
+def whole(size=BODY, missing=1, **parts):
     """A body in one write, which stops one byte short of its end."""
-    yield with_length(size, **parts) + b"x" * (size - 1)
+    yield with_length(size, **parts) + b"x" * (size - missing)
 
 
-def pieces(size=BODY, **parts):
+def pieces(size=BODY, missing=1, **parts):
     """The same in many writes."""
     yield with_length(size, **parts)
     for _ in range(size // PIECE - 1):
         yield b"x" * PIECE
-    yield b"x" * (PIECE - 1)
+    yield b"x" * (PIECE - missing)
 
 
-def large_chunks(size=BODY, **parts):
-    """Without the last chunk."""
+def large_chunks(size=BODY, end=b"", **parts):
+    """Without the last chunk, unless that is the end."""
     yield chunked(**parts)
     for _ in range(size // PIECE):
         yield chunk(PIECE)
+    yield end
 
 
-def small_chunks(size=2 * MIB, **parts):
-    """Chunks of one byte, without the last chunk."""
+def small_chunks(size=2 * MIB, end=b"", **parts):
+    """Chunks of one byte, without the last chunk, unless that is the end."""
     yield chunked(**parts)
     many = chunk(1) * 8192
     for _ in range(size // 8192):
         yield many
+    yield end
 
 
 def announced(size, **parts):
@@ -109,11 +119,44 @@
     yield with_length(size, **parts) + b"x" * PIECE
 
 
+def socket_inodes(pid):
+    """The inodes of a process's open sockets; none if it has ended."""
+    inodes = set()
+    with contextlib.suppress(FileNotFoundError):
+        for name in os.listdir(f"/proc/{pid}/fd"):
+            with contextlib.suppress(FileNotFoundError):
+                target = os.readlink(f"/proc/{pid}/fd/{name}")
+                if target.startswith("socket:["):
+                    inodes.add(target[len("socket:[") : -1])
+    return inodes
+
+
+def unread_by_socket():
+    """Bytes that the kernel keeps unread, with local address and inode."""
+    listening = "0A"
+    with open("/proc/net/tcp") as sockets:
+        next(sockets)
+        for line in sockets:
+            fields = line.split()
+            unread = int(fields[4].split(":")[1], 16)
+            if unread > 0 and fields[3] != listening:
+                ip, port = fields[1].split(":")
+                ip = socket.inet_ntoa(struct.pack("=I", int(ip, 16)))
+                yield (ip, int(port, 16)), fields[9], unread
+
+
 class UntrustedClientsTest(planned.NodesTest):
     memory_mb = MEMORY_MB
     max_body = MAX_BODY
+    descriptors = DESCRIPTORS
+
+    def node_settings(self):
+        return (
+            f"memory-mb = {self.memory_mb}",
+            f"descriptors = {self.descriptors}",
+        )
 
-    async def start_bounded(self):
+    async def start_bounded(self, *services):
         document = json.loads(planned.configuration("orders"))
         document["limits"] = {
             "max_header_bytes": 16_384,
@@ -121,16 +164,16 @@
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15_000,
         }
-        settings = (f"memory-mb = {self.memory_mb}", f"descriptors = {DESCRIPTORS}")
+        settings = self.node_settings()
         with (
             unittest.mock.patch.object(
                 planned, "configuration", lambda _: json.dumps(document).encode()
             ),
             unittest.mock.patch.object(planned.Node, "node_settings", settings),
         ):
-            (node,) = await self.start("orders")
+            nodes = await self.start(*(services or ["orders"]))
         self.most_descriptors = 0
-        return node
+        return nodes if services else nodes[0]
 
     def peak_bytes(self, node):
         with open(f"/proc/{node.process.pid}/status") as status:
