http: Bound the connections of callers by memory

The product's own interface bounded each body and the number of connections, but not their product: 256 connections with bodies of 64 MiB, each in several copies, were allowed on any machine.

Now connections from callers are as many as half of the process's memory holds largest bodies for, in four copies each; further ones get 503, and the node logs that the number was lowered. At the defaults (256 connections, 1 MiB) that begins below 2 GiB.

The bound is shown by a test of the number; a crowd at oleandertide-node was not played. Calls between nodes are not covered.

--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -101,6 +101,16 @@
 
 }  // namespace
 
+bool ServerOptions::FitToMemory(std::uint64_t memory_bytes) {
+  // Of the library, the request, the call and its message to another node.
+  constexpr std::uint64_t kBodyCopies = 4;
+  const std::uint64_t fitting =
+      memory_bytes / 2 / (kBodyCopies * maximum_body_bytes);
+  if (fitting >= maximum_connections) return false;
+  maximum_connections = std::max<std::uint64_t>(1, fitting);
+  return true;
+}
+
 bool HasSameName(std::string_view first, std::string_view second) {
   return first.size() == second.size() &&
          strncasecmp(first.data(), second.data(), first.size()) == 0;
--- a/libraries/http/server.h
+++ b/libraries/http/server.h
@@ -53,6 +53,11 @@
   Duration keep_alive = std::chrono::seconds(30);
   // Time without progress after which reading a request is given up.
   Duration read_timeout = std::chrono::seconds(5);
+
+  // Lowers the number of connections so that the largest bodies of all of them
+  // fit into half of the process's memory, with the copies that are made of
+  // each. Returns whether it was lowered. Not thread-safe.
+  bool FitToMemory(std::uint64_t memory_bytes);
 };
 
 // Runs on a thread per connection. `cancelled` is requested when the caller
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -6,6 +6,7 @@
 
 #include "backend_servers/announcement_server.h"
 #include "callers/caller_server.h"
+#include "core/process_limits.h"
 #include "logging/log.h"
 #include "operators/operators_server.h"
 
@@ -172,6 +173,14 @@
       settings_.calls.maximum_connections_from_callers);
   caller_options.maximum_body_bytes =
       static_cast<std::size_t>(settings_.calls.maximum_body);
+  const auto memory_bytes = ReadProcessLimits().memory_bytes;
+  if (memory_bytes && caller_options.FitToMemory(*memory_bytes)) {
+    logging::Log(logging::Level::kWarning, "node",
+                 "connections from callers limited by memory",
+                 {{"connections", caller_options.maximum_connections},
+                  {"memory", *memory_bytes},
+                  {"maximum_body", caller_options.maximum_body_bytes}});
+  }
   OLEANDERTIDE_TRY(callers,
                    callers::StartCallerServer(settings_.listen.callers,
                                               caller_options, *ingress_));
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -137,6 +137,18 @@
 }
 
 // Guards against a caller that fills memory.
+// Guards against a process that ends by bodies which are each of legal size.
+TEST_CASE("connections are as many as the memory holds bodies for") {
+  ServerOptions options{.maximum_connections = 256,
+                        .maximum_body_bytes = kMebibyte};
+  REQUIRE_FALSE(options.FitToMemory(2048 * kMebibyte));
+  REQUIRE(options.maximum_connections == 256);
+  REQUIRE(options.FitToMemory(160 * kMebibyte));
+  REQUIRE(options.maximum_connections == 20);
+  REQUIRE(options.FitToMemory(kMebibyte));
+  REQUIRE(options.maximum_connections == 1);
+}
+
 TEST_CASE("bodies above the limit are refused") {
   ServerOptions options;
   options.maximum_body_bytes = 100;
