sidecar: Take no more memory for a body than was asked for

A body in chunks of one byte held up to 1.9 times the memory that it had asked for.

Cause: a string that is asked for less than twice its capacity doubles it. Its first capacity was that of its own small buffer, 15 bytes, so the memory that was taken went 30, 60, ... 491,520 while the account was asked for 32, 64, ... 262,144. That each body counted twice hid it: the account was right by chance.

Now a body grows into a string that has been asked for exactly that.

The new test of the parser failed before: 491,520 bytes taken, 262,144 granted.

--- a/libraries/sidecar/http_parser.h
+++ b/libraries/sidecar/http_parser.h
@@ -176,7 +176,12 @@
           boost::system::errc::not_enough_memory);
       return false;
     }
-    message_.body().reserve(bytes);
+    // A string that grows in place doubles its capacity if it is asked for
+    // less.
+    std::string larger;
+    larger.reserve(bytes);
+    larger.append(message_.body());
+    message_.body() = std::move(larger);
     return true;
   }
 
--- a/tests/sidecar/http_parser_test.cc
+++ b/tests/sidecar/http_parser_test.cc
@@ -290,5 +290,31 @@
   REQUIRE_FALSE(parse(1000, 1));
 }
 
+// Guards against bodies that hold almost twice the memory that they have asked
+// for.
+TEST_CASE("a body takes no more memory than it was granted") {
+  constexpr std::size_t kBytes = 300'000;
+  const std::size_t chunk_bytes = GENERATE(1, 1000, 70'000);
+  std::size_t granted = 0;
+  HttpRequestParser parser(
+      {.head_bytes = 8192, .body_bytes = std::size_t{8} << 20U},
+      [&granted](std::size_t bytes) {
+        granted = bytes;
+        return true;
+      });
+  std::string message = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk =
+      fmt::format("{:x}\r\n{}\r\n", chunk_bytes, std::string(chunk_bytes, 'b'));
+  for (std::size_t i = 0; i < kBytes / chunk_bytes; ++i) message += chunk;
+  message += "0\r\n\r\n";
+  boost::system::error_code error;
+  REQUIRE(parser.Put(boost::asio::buffer(message), error) == message.size());
+  REQUIRE_FALSE(error);
+  REQUIRE(parser.is_complete());
+  const std::string body = std::move(parser.Release().body());
+  REQUIRE(body.capacity() >= kBytes / chunk_bytes * chunk_bytes);
+  REQUIRE(body.capacity() <= granted);
+}
+
 }  // namespace
 }  // namespace oleandertide::sidecar
