tests: Send the status 000 as an answer of the store

One of the places that had no test of their own when answers with a status outside the protocol were mended. It held already: the store's answers go through the same parser.

--- a/tests/sidecar/store_client_test.cc
+++ b/tests/sidecar/store_client_test.cc
@@ -62,6 +62,7 @@
   const std::string bytes = GENERATE(
       "no answer in the protocol\r\n\r\n",
       "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\n{}",
+      "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
       "HTTP/1.1 200 OK\r\nA Name: 1\r\nContent-Length: 2\r\n\r\n{}",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n{}\r\n");
   Fixture fixture(bytes);
