--- a/tests/system/untrusted_clients_mesh.py
+++ b/tests/system/untrusted_clients_mesh.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import signal
 
 import untrusted_clients
 from untrusted_clients import ANSWER_LIMIT, CROWD_LIMIT, MIB
