sidecar: Derive the times of a stop from the deployment's grace

Cause: [drain] deadline was a constant of 5.5 s. The deployment names the grace among its bounds and the process gets it, but nothing read it. The same held for the fence of a leaving backend server, the share of repeats, and the age by which a missing route is denied.

An explicit setting goes before, and the defaults stay.

--- a/libraries/config/field.h
+++ b/libraries/config/field.h
@@ -37,14 +37,30 @@
   void (*assign)(Owner&, const Value&);
 };
 
+namespace detail {
+
+// Type of the value that a member takes: of an optional one, what it holds.
+template <typename Member>
+struct ValueType {
+  using Type = Member;
+};
+template <typename Held>
+struct ValueType<std::optional<Held>> {
+  using Type = Held;
+};
+
+}  // namespace detail
+
 // Assigns to a member of Owner, e.g. Assign<&Route::path>, or to a member of a
-// member, e.g. Assign<&NodeSettings::peers, &PeerSettings::fanout>.
+// member, e.g. Assign<&NodeSettings::peers, &PeerSettings::fanout>. An optional
+// member stays empty if the key is missing and has no default.
 template <auto... Members>
 struct Assign {
   template <typename Owner>
   static void To(Owner& owner, const Value& value) {
     auto& target = (owner.*....*Members);
-    target = std::get<std::decay_t<decltype(target)>>(value);
+    using Member = std::decay_t<decltype(target)>;
+    target = std::get<typename detail::ValueType<Member>::Type>(value);
   }
 };
 
--- a/libraries/mesh/deployment.h
+++ b/libraries/mesh/deployment.h
@@ -3,6 +3,8 @@
 #ifndef OLEANDERTIDE_MESH_DEPLOYMENT_H_
 #define OLEANDERTIDE_MESH_DEPLOYMENT_H_
 
+#include <optional>
+
 #include "core/time.h"
 
 namespace oleandertide::mesh {
@@ -35,6 +37,17 @@
   // Time within which a bad version gets no more requests.
   Duration rollback_limit = std::chrono::seconds(5);
 
+  // Bounds that settings of the node are derived from, where the deployment
+  // names them.
+  //
+  // Time from SIGTERM to SIGKILL.
+  std::optional<Duration> stop_grace{};
+  // Time from the acknowledgement that a backend server leaves until which
+  // requests may still reach it.
+  std::optional<Duration> drain_limit{};
+  // Repeats for each request of a service, over the whole fleet.
+  std::optional<double> retry_ratio{};
+
   bool operator==(const Deployment&) const = default;
 };
 
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -26,10 +26,6 @@
 // this fits into the allowance of the fleet.
 constexpr int kStopReserve = 3;
 
-// A route that is not in the configuration is denied only if the store has
-// confirmed the configuration within this time.
-constexpr Duration kFreshLimit = std::chrono::seconds(2);
-
 // When to come back if no room is to be expected by itself.
 constexpr Duration kAwayRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(5);
@@ -108,13 +104,14 @@
       bounds_links_(options.bounds_links),
       exposure_(options.max_trial_share),
       retries_(options.retries),
-      key_trust_(options.key_trust) {}
+      key_trust_(options.key_trust),
+      denial_age_(options.denial_age) {}
 
 Ingress::~Ingress() = default;
 
 bool Ingress::is_configuration_fresh() const {
   return parts_.configuration.confirmation_age(MonotonicClock::now()) <
-         kFreshLimit;
+         denial_age_;
 }
 
 void Ingress::BeginStop(const mesh::StopPolicy& policy) {
@@ -318,9 +315,10 @@
 }
 
 void Ingress::StartDeadlineTimer(const ExchangePointer& exchange) {
-  exchange->timer.Start(
-      exchange->deadline - MonotonicClock::now() + kOutcomeGrace,
-      [this, exchange] { OnDeadline(exchange); });
+  MonotonicTime answer_by = exchange->deadline + kOutcomeGrace;
+  if (stop_) answer_by = std::min(answer_by, stop_->last_answer());
+  exchange->timer.Start(answer_by - MonotonicClock::now(),
+                        [this, exchange] { OnDeadline(exchange); });
 }
 
 mesh::Placement::Decision Ingress::Place(
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -61,6 +61,9 @@
     std::optional<organisations::KeyTrust> key_trust{};
     // Greatest share of requests for a version on trial.
     double max_trial_share = 0;
+    // A route that is not in the configuration is denied only if the store has
+    // confirmed the configuration within this time.
+    Duration denial_age = std::chrono::seconds(2);
   };
 
   // What the ingress works with; all outlive it.
@@ -172,6 +175,7 @@
   mesh::OrganisationPolicy organisation_policy_;
   organisations::ShareTracker shares_;
   const std::optional<organisations::KeyTrust> key_trust_;
+  const Duration denial_age_;
   Limits* limits_ = nullptr;
   // References to entries stay valid.
   std::map<std::string, RouteStatistics, std::less<>> statistics_;
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -1,5 +1,7 @@
 #include "sidecar/settings.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <optional>
@@ -9,6 +11,7 @@
 #include "config/field.h"
 #include "config/settings_reader.h"
 #include "config/value.h"
+#include "mesh/stop_policy.h"
 #include "platform/deployment_codec.h"
 
 namespace oleandertide::sidecar {
@@ -28,6 +31,22 @@
 using std::chrono::seconds;
 using Settings = SidecarSettings;
 
+// In force where neither the file nor a bound of the deployment tells a value.
+constexpr Duration kDefaultGrace = seconds(6);
+constexpr Duration kDefaultDrainLimit = milliseconds(2000);
+constexpr double kDefaultRetryRatio = 0.2;
+
+// Of the time in which a leaving backend server may be reached; the rest is for
+// requests on their way.
+constexpr double kFencePart = 0.75;
+
+// Of the retry ratio: the allowances of nodes are refilled by the requests that
+// they count, which clients may count otherwise.
+constexpr double kRetryPart = 0.7;
+constexpr double kRunRetryPart = 0.2;
+
+constexpr double kPercent = 100;
+
 // One row for each setting: section, key, range, meaning, default.
 std::span<const Field<Settings>> Fields() {
   static const std::vector<Field<Settings>> fields = {
@@ -88,25 +107,31 @@
       {{"drain", "fence", DurationRule{milliseconds(0), seconds(60)},
         "time after the notice of a leaving backend server until which waiting "
         "requests are handed over",
-        "1500ms"},
-       Assign<&Settings::drain, &Settings::Drain::fence>::To},
+        std::nullopt,
+        "three quarters of the drain bound of [bounds], or 1500ms"},
+       Assign<&Settings::overrides, &Settings::Overrides::fence>::To},
       {{"drain", "announce-time", DurationRule{milliseconds(0), seconds(60)},
         "time after SIGTERM for which the node takes requests that may outlast "
         "it; later ones are taken if they end before the deadline",
-        "2500ms"},
-       Assign<&Settings::drain, &Settings::Drain::announce_time>::To},
+        std::nullopt,
+        "five twelfths of the stop grace of [bounds], 2500ms at most"},
+       Assign<&Settings::overrides, &Settings::Overrides::announce_time>::To},
       {{"drain", "deadline", DurationRule{seconds(1), seconds(3600)},
         "time after SIGTERM at which the node ends with requests in flight",
-        "5500ms"},
-       Assign<&Settings::drain, &Settings::Drain::deadline>::To},
+        std::nullopt,
+        "the stop grace of [bounds] without a twelfth, which is 500ms at "
+        "most, or 5500ms"},
+       Assign<&Settings::overrides, &Settings::Overrides::deadline>::To},
 
       {{"retries", "ratio", PercentRule{0, 100},
-        "repeats for each 100 requests of a service", "14"},
-       Assign<&Settings::retries, &Settings::Retries::ratio_percent>::To},
+        "repeats for each 100 requests of a service", std::nullopt,
+        "seven tenths of the retry ratio of [bounds], or 14"},
+       Assign<&Settings::overrides, &Settings::Overrides::ratio_percent>::To},
       {{"retries", "run-ratio", PercentRule{0, 100},
         "repeats of requests that ran, for each 100 requests of a service",
-        "4"},
-       Assign<&Settings::retries, &Settings::Retries::run_ratio_percent>::To},
+        std::nullopt, "a fifth of the retry ratio of [bounds], or 4"},
+       Assign<&Settings::overrides,
+              &Settings::Overrides::run_ratio_percent>::To},
       {{"retries", "saved", IntegerRule{0, 1000},
         "most repeats that are saved up for a burst", "3"},
        Assign<&Settings::retries, &Settings::Retries::saved>::To},
@@ -223,9 +248,63 @@
     return diagnostics.Take();
   }
   settings.value().deployment = deployment.value();
+  settings.value().Derive();
   return settings;
 }
 
+void SidecarSettings::Derive() {
+  const auto stop = mesh::StopPolicy::Options::ForGrace(
+      deployment.stop_grace.value_or(kDefaultGrace));
+  const Duration drain_limit =
+      deployment.drain_limit.value_or(kDefaultDrainLimit);
+  const Duration fence(static_cast<std::int64_t>(
+      kFencePart * static_cast<double>(drain_limit.count())));
+  drain = {
+      .fence = overrides.fence.value_or(fence),
+      .announce_time = overrides.announce_time.value_or(stop.announce_time),
+      .deadline = overrides.deadline.value_or(stop.deadline)};
+  const double retry_percent =
+      kPercent * deployment.retry_ratio.value_or(kDefaultRetryRatio);
+  retries.ratio_percent =
+      overrides.ratio_percent.value_or(kRetryPart * retry_percent);
+  retries.run_ratio_percent =
+      overrides.run_ratio_percent.value_or(kRunRetryPart * retry_percent);
+}
+
+std::vector<std::string> SidecarSettings::FindWarnings() const {
+  std::vector<std::string> warnings;
+  const auto& grace = deployment.stop_grace;
+  if (grace && *grace < mesh::StopPolicy::kMinGrace) {
+    warnings.push_back(fmt::format(
+        "bound {} is {} ms, a graceful stop needs {} ms: requests in progress "
+        "are cut",
+        platform::kStopGraceBound, ToMilliseconds(*grace),
+        ToMilliseconds(mesh::StopPolicy::kMinGrace)));
+  }
+  if (grace && drain.deadline >= *grace) {
+    warnings.push_back(fmt::format(
+        "[drain] deadline of {} ms is not within bound {} of {} ms: the "
+        "process is killed before it ends",
+        ToMilliseconds(drain.deadline), platform::kStopGraceBound,
+        ToMilliseconds(*grace)));
+  }
+  if (drain.announce_time >= drain.deadline) {
+    warnings.push_back(fmt::format(
+        "[drain] announce-time of {} ms is not within the deadline of {} ms: "
+        "requests are taken until the end",
+        ToMilliseconds(drain.announce_time), ToMilliseconds(drain.deadline)));
+  }
+  const auto& drain_limit = deployment.drain_limit;
+  if (drain_limit && drain.fence >= *drain_limit) {
+    warnings.push_back(fmt::format(
+        "[drain] fence of {} ms is not within bound {} of {} ms: a backend "
+        "server may be reached after it has left",
+        ToMilliseconds(drain.fence), platform::kDrainBound,
+        ToMilliseconds(*drain_limit)));
+  }
+  return warnings;
+}
+
 void SidecarSettings::UseLimits(const ProcessLimits& limits) {
   if (node.is_unlimited) return;
   constexpr std::uint64_t kMegabyte = 1'000'000;
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -3,8 +3,10 @@
 #ifndef OLEANDERTIDE_SIDECAR_SETTINGS_H_
 #define OLEANDERTIDE_SIDECAR_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "config/diagnostic.h"
 #include "core/address.h"
@@ -46,6 +48,8 @@
   struct Store {
     Address address;
   };
+  // In force: a value of the file, else one derived from a bound of the
+  // deployment, else the default.
   struct Drain {
     Duration fence{};
     Duration announce_time{};
@@ -56,6 +60,14 @@
     double run_ratio_percent = 0;
     std::int64_t saved = 0;
   };
+  // Values of the file that bounds of the deployment stand in for.
+  struct Overrides {
+    std::optional<Duration> fence;
+    std::optional<Duration> announce_time;
+    std::optional<Duration> deadline;
+    std::optional<double> ratio_percent;
+    std::optional<double> run_ratio_percent;
+  };
   struct Placement {
     // Cost of 1 kB between data centres, in percent of the value of an answer
     // in time.
@@ -89,6 +101,7 @@
   Store store;
   // From [rules] and [bounds].
   mesh::Deployment deployment;
+  Overrides overrides;
   Drain drain;
   Retries retries;
   Placement placement;
@@ -100,12 +113,20 @@
   static config::Checked<SidecarSettings> Parse(std::string_view text,
                                                 std::string_view file_name);
 
+  // Returns what cannot work as a graceful stop, one sentence each.
+  // Thread-safe.
+  std::vector<std::string> FindWarnings() const;
+
   // Takes over `limits` where the settings do not tell the memory or the
   // descriptors, unless these are unlimited. Not thread-safe.
   void UseLimits(const ProcessLimits& limits);
 
   // Describes all settings, for the command line. Thread-safe.
   static std::string Describe();
+
+ private:
+  // Fills `drain` and `retries` from `overrides` and `deployment`.
+  void Derive();
 };
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -46,13 +46,14 @@
 // How often a stopping node looks whether it may end.
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
-// How long a stopping node waits for others to close their connections.
-constexpr Duration kCloseLimit = std::chrono::milliseconds(200);
-
 // A node that has just started learns of others by the store, and so do those
 // that start with it.
 constexpr Duration kJoinTime = std::chrono::seconds(3);
 
+// See Ingress::Options::denial_age. Never more than the time in which nodes
+// have to act on a configuration.
+constexpr Duration kMaxDenialAge = std::chrono::seconds(2);
+
 constexpr double kBytesPerKb = 1000;
 
 constexpr int kStatusOk = 200;
@@ -128,6 +129,13 @@
   return static_cast<std::size_t>(settings.edge.unread_mb) * kMegabyte;
 }
 
+void LogWarnings(const SidecarSettings& settings) {
+  for (const std::string& warning : settings.FindWarnings()) {
+    logging::Log(Level::kWarning, "node", "settings cannot work",
+                 {{"why", warning}});
+  }
+}
+
 std::uint64_t MakeSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -193,7 +201,9 @@
                                settings.placement.sample_from)},
              .bounds_links = settings.placement.bounds_links,
              .key_trust = MakeKeyTrust(settings.deployment),
-             .max_trial_share = settings.deployment.exposure_share}),
+             .max_trial_share = settings.deployment.exposure_share,
+             .denial_age = std::min(kMaxDenialAge,
+                                    settings.deployment.configuration_limit)}),
         store_(loop, std::move(store), settings.store.address.ToString(),
                metrics_, store_clock_),
         source_(
@@ -241,6 +251,7 @@
   }
 
   Result<void> Start() {
+    LogWarnings(settings_);
     const auto& listen = settings_.listen;
     OLEANDERTIDE_TRY(
         link_server,
@@ -331,17 +342,20 @@
                   {"service_before", settings_.node.service}});
     ingress_.set_service(settings.node.service);
     settings_.node.service = settings.node.service;
+    LogWarnings(settings);
+    if (!stopping_since_) settings_.drain = settings.drain;
   }
 
   void Stop() {
     if (stopping_since_) return;
     stopping_since_ = MonotonicClock::now();
     clients_->set_closing(true);
-    const mesh::StopPolicy policy(
-        *stopping_since_, {.announce_time = settings_.drain.announce_time,
-                           .deadline = settings_.drain.deadline});
-    ingress_.BeginStop(policy);
-    receiver_.BeginStop(policy);
+    stop_.emplace(*stopping_since_,
+                  mesh::StopPolicy::Options{
+                      .announce_time = settings_.drain.announce_time,
+                      .deadline = settings_.drain.deadline});
+    ingress_.BeginStop(*stop_);
+    receiver_.BeginStop(*stop_);
     coordination_.Stop();
     logging::Log(Level::kInfo, "node", "stopping",
                  {{"standing", mesh::ToString(receiver_.standing())}});
@@ -635,7 +649,7 @@
   // the time for it.
   bool may_end(MonotonicTime now) const {
     return (link_server_->is_shut_down() && clients_->is_shut_down()) ||
-           now - *closing_since_ >= kCloseLimit;
+           now - *closing_since_ >= stop_->close_limit();
   }
 
   EventLoop& loop_;
@@ -671,6 +685,7 @@
   std::unique_ptr<HttpServer> announcements_;
   std::unique_ptr<HttpServer> metrics_server_;
   std::optional<MonotonicTime> stopping_since_;
+  std::optional<mesh::StopPolicy> stop_;
   // Since when only the other sides of connections are waited for.
   std::optional<MonotonicTime> closing_since_;
   bool is_receiver_stopped_ = false;
--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -206,7 +206,12 @@
     }
     return kExitInvalidSettings;
   }
-  if (FLAGS_check) return kExitSuccess;
+  if (FLAGS_check) {
+    for (const std::string& warning : settings.value().FindWarnings()) {
+      std::cerr << FLAGS_settings << ": warning: " << warning << '\n';
+    }
+    return kExitSuccess;
+  }
   signal(SIGPIPE, SIG_IGN);
   MakeOutputNonBlocking();
   const auto level = logging::ParseLevel(settings.value().log.level);
--- a/tests/sidecar/settings_test.cc
+++ b/tests/sidecar/settings_test.cc
@@ -1,10 +1,35 @@
-// Limits that the settings do not tell.
+// Limits and bounds that the settings do not tell.
 
 #include "sidecar/settings.h"
 
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
+#include <string>
+
+#include "mesh/stop_policy.h"
 
 namespace oleandertide::sidecar {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Returns the settings of a node with further sections.
+SidecarSettings ParseWith(std::string_view sections) {
+  const std::string text = fmt::format(
+      "[node]\nname = a\ndata-centre = dc\nservice = booking\n"
+      "[listen]\nclients = 127.0.0.1:1\npeers = 127.0.0.1:2\n"
+      "readiness = 127.0.0.1:3\nannouncements = 127.0.0.1:4\n"
+      "metrics = 127.0.0.1:5\n"
+      "[backend]\naddress = 127.0.0.1:6\n[store]\naddress = 127.0.0.1:7\n{}",
+      sections);
+  auto settings = SidecarSettings::Parse(text, "node.ini");
+  REQUIRE(settings.has_value());
+  return std::move(settings).value();
+}
+
+}  // namespace
 
 // Guards against a process without any bound because nobody told it one.
 TEST_CASE("limits of the system hold where the settings tell none") {
@@ -19,6 +44,90 @@
   REQUIRE(settings.node.descriptors == 1024);
 }
 
+// Guards against a stopped node that gives up requests which its grace has time
+// for, or that is killed with requests in progress.
+TEST_CASE("the time for a stop follows the grace of the deployment") {
+  // Of the grace: a request that runs until then is answered.
+  constexpr double kKeptPart = 5.0 / 6;
+  for (const double grace_s : {0.5, 1.0, 2.0, 4.5, 6.0, 10.0, 30.0, 120.0}) {
+    CAPTURE(grace_s);
+    const auto settings =
+        ParseWith(fmt::format("[bounds]\ngrace_s = {}\n", grace_s));
+    const Duration grace(static_cast<std::int64_t>(grace_s * 1e6));
+    const MonotonicTime begin{seconds(1000)};
+    const mesh::StopPolicy policy(
+        begin, {.announce_time = settings.drain.announce_time,
+                .deadline = settings.drain.deadline});
+    REQUIRE(policy.last_deadline() >=
+            begin + Duration(static_cast<std::int64_t>(
+                        kKeptPart * static_cast<double>(grace.count()))));
+    REQUIRE(policy.MayRun(policy.last_deadline()));
+    REQUIRE(settings.drain.deadline < grace);
+    REQUIRE(settings.drain.announce_time < settings.drain.deadline / 2);
+  }
+}
+
+TEST_CASE("the end of a stop fits into the grace") {
+  for (int grace_ms = 500; grace_ms < 60'000; grace_ms += 100) {
+    const auto options =
+        mesh::StopPolicy::Options::ForGrace(milliseconds(grace_ms));
+    const mesh::StopPolicy policy({}, options);
+    const MonotonicTime end = MonotonicTime{} + options.deadline;
+    REQUIRE(policy.last_deadline() < policy.last_answer());
+    REQUIRE(policy.last_answer() < end);
+    REQUIRE(end + policy.close_limit() <
+            MonotonicTime{} + milliseconds(grace_ms));
+  }
+}
+
+TEST_CASE("what the file says goes before what the deployment bounds") {
+  const auto settings = ParseWith(
+      "[drain]\ndeadline = 4s\nannounce-time = 1s\nfence = 700ms\n"
+      "[retries]\nratio = 9\nrun-ratio = 2\n"
+      "[bounds]\ngrace_s = 10\ndrain_ms = 3000\nretry_budget_ratio = 0.1\n");
+  REQUIRE(settings.drain.deadline == seconds(4));
+  REQUIRE(settings.drain.announce_time == seconds(1));
+  REQUIRE(settings.drain.fence == milliseconds(700));
+  REQUIRE(settings.retries.ratio_percent == 9);
+  REQUIRE(settings.retries.run_ratio_percent == 2);
+}
+
+TEST_CASE("defaults stay where the deployment names no bound") {
+  const auto settings = ParseWith("");
+  REQUIRE(settings.drain.deadline == milliseconds(5500));
+  REQUIRE(settings.drain.announce_time == milliseconds(2500));
+  REQUIRE(settings.drain.fence == milliseconds(1500));
+  REQUIRE(settings.retries.ratio_percent == Approx(14));
+  REQUIRE(settings.retries.run_ratio_percent == Approx(4));
+  REQUIRE(settings.FindWarnings().empty());
+}
+
+// Guards against requests at a backend server that has left, and against more
+// repeats than the fleet may make, where the bounds are tight.
+TEST_CASE("fence and repeats follow the bounds of the deployment") {
+  const auto settings =
+      ParseWith("[bounds]\ndrain_ms = 1000\nretry_budget_ratio = 0.1\n");
+  REQUIRE(settings.drain.fence == milliseconds(750));
+  REQUIRE(settings.retries.ratio_percent == Approx(7));
+  REQUIRE(settings.retries.run_ratio_percent == Approx(2));
+}
+
+// Guards against a stop that silently cuts all requests.
+TEST_CASE("a grace that cannot work is named") {
+  const auto names = [](std::string_view sections, std::string_view word) {
+    for (const std::string& warning : ParseWith(sections).FindWarnings()) {
+      if (warning.find(word) != std::string::npos) return true;
+    }
+    return false;
+  };
+  REQUIRE(names("[bounds]\ngrace_s = 0\n", "grace_s"));
+  REQUIRE(names("[bounds]\ngrace_s = 0.2\n", "grace_s"));
+  REQUIRE_FALSE(names("[bounds]\ngrace_s = 0.5\n", "grace_s"));
+  REQUIRE(names("[drain]\ndeadline = 7s\n[bounds]\ngrace_s = 6\n", "deadline"));
+  REQUIRE(names("[drain]\nannounce-time = 6s\n", "announce-time"));
+  REQUIRE(names("[drain]\nfence = 3s\n[bounds]\ndrain_ms = 2000\n", "fence"));
+}
+
 TEST_CASE("unlimited is said explicitly") {
   SidecarSettings settings;
   settings.node.is_unlimited = true;
