coordination: Count the rights of all known terms in a new one

Cause: the coordinator read the row of an earlier holder from the copy, forgot its own term, and claimed a new one that counted only the rights that this row named. The rates of its own term were in use until the end of its lease.

Change: an election counts the rights of each term that it knows from its own leases, from rows and from messages, and those that a row of an earlier era may hide. A holder that another node told of is waited for. A write that was answered in another era than its row was read in is no claim.

--- a/libraries/coordination/election.cc
+++ b/libraries/coordination/election.cc
@@ -27,11 +27,12 @@
                         {"term", row.holder.term},
                         {"lease-end-ms", row.holder.lease_end_ms},
                         {"incarnation", row.incarnation},
-                        {"earlier-rights-end-ms", row.earlier_rights_end_ms}}
+                        {"earlier-rights-end-ms", row.earlier_rights_end_ms},
+                        {"store-era", row.written_era}}
       .dump();
 }
 
-Result<LeaseRow> DecodeLease(std::string_view value, std::uint64_t version) {
+Result<LeaseRow> DecodeLease(std::string_view value, StorePosition position) {
   const auto json = ParseJson(value);
   if (!json) return Error::kDataDamaged;
   OLEANDERTIDE_TRY(node, ReadText(*json, "node"));
@@ -40,12 +41,15 @@
   OLEANDERTIDE_TRY(incarnation, ReadText(*json, "incarnation"));
   OLEANDERTIDE_TRY(earlier_rights_end,
                    ReadUnsigned(*json, "earlier-rights-end-ms"));
+  // Rows of an earlier version of this project tell no era.
+  const auto era = ReadUnsigned(*json, "store-era");
   return LeaseRow{.holder = {.node = std::string(node),
                              .term = term,
                              .lease_end_ms = lease_end},
                   .incarnation = std::string(incarnation),
                   .earlier_rights_end_ms = earlier_rights_end,
-                  .version = version};
+                  .written_era = era ? era.value() : 0,
+                  .position = position};
 }
 
 bool Election::is_holder(const StoreClock& clock, BootTime now) const {
@@ -56,24 +60,40 @@
              own_->holder.lease_end_ms;
 }
 
+void Election::CountRights(std::uint64_t end_ms) {
+  known_rights_end_ms_ = std::max(known_rights_end_ms_, end_ms);
+}
+
+void Election::CountRightsOf(const std::optional<LeaseRow>& row,
+                             const StoreMoment& moment) {
+  if (!row) return;
+  CountRights(row->earlier_rights_end_ms);
+  CountRights(row->holder.lease_end_ms);
+  if (row->written_era == moment.position.era) return;
+  // These terms began before the store's return, so their leases have ended a
+  // lease from now.
+  CountRights(moment.time_ms +
+              static_cast<std::uint64_t>(ToMilliseconds(options_.lease)));
+}
+
 Election::Effect Election::Claim(std::uint64_t term, const LeaseRow& before,
                                  const StoreClock& clock, BootTime now) {
   const auto store_now = clock.EarliestNow(now);
   if (!store_now) return {};
-  pending_ = LeaseRow{
-      .holder = {.node = options_.node,
-                 .term = term,
-                 .lease_end_ms =
-                     *store_now + static_cast<std::uint64_t>(
-                                      ToMilliseconds(options_.lease))},
-      .incarnation = options_.incarnation,
-      .earlier_rights_end_ms = term == before.holder.term
-                                   ? before.earlier_rights_end_ms
-                                   : std::max(before.earlier_rights_end_ms,
-                                              before.holder.lease_end_ms)};
+  pending_ =
+      LeaseRow{.holder = {.node = options_.node,
+                          .term = term,
+                          .lease_end_ms =
+                              *store_now + static_cast<std::uint64_t>(
+                                               ToMilliseconds(options_.lease))},
+               .incarnation = options_.incarnation,
+               .earlier_rights_end_ms = term == before.holder.term
+                                            ? before.earlier_rights_end_ms
+                                            : known_rights_end_ms_,
+               .written_era = era_};
   is_busy_ = true;
   next_at_ = now + options_.renewal;
-  return WriteRow{EncodeLease(*pending_), before.version};
+  return WriteRow{EncodeLease(*pending_), before.position.version};
 }
 
 Election::Effect Election::Tick(const StoreClock& clock, BootTime now,
@@ -105,7 +125,7 @@
 }
 
 Election::Effect Election::OnRow(const std::optional<LeaseRow>& row,
-                                 std::uint64_t store_time_ms,
+                                 const StoreMoment& moment,
                                  const StoreClock& clock, BootTime now) {
   is_busy_ = false;
   is_row_uncertain_ = false;
@@ -116,18 +136,28 @@
     Learn(row->holder);
     return {};
   }
-  if (!row) return Claim(holder_.term + 1, {}, clock, now);
-  const Holder& holder = row->holder;
-  if (holder.node == options_.node &&
-      row->incarnation == options_.incarnation) {
+  era_ = moment.position.era;
+  CountRightsOf(row, moment);
+  const LeaseRow known = row.value_or(LeaseRow{});
+  const Holder& holder = known.holder;
+  const bool is_own_write = row && holder.node == options_.node &&
+                            known.incarnation == options_.incarnation;
+  if (is_own_write && known.written_era == era_ &&
+      holder.term >= holder_.term) {
     // A write whose answer was lost.
-    own_ = *row;
+    own_ = known;
     holder_ = holder;
-    return Claim(holder.term, *row, clock, now);
+    return Claim(holder.term, known, clock, now);
   }
   own_.reset();
-  if (holder.node == options_.node || store_time_ms >= holder.lease_end_ms) {
-    return Claim(std::max(holder.term, holder_.term) + 1, *row, clock, now);
+  next_at_ = now + kShortestPause;
+  // The row is older than what another node told.
+  if (holder_.node != options_.node && holder_.term > holder.term &&
+      moment.time_ms < holder_.lease_end_ms) {
+    return {};
+  }
+  if (holder.node == options_.node || moment.time_ms >= holder.lease_end_ms) {
+    return Claim(std::max(holder.term, holder_.term) + 1, known, clock, now);
   }
   Learn(holder);
   return {};
@@ -138,15 +168,17 @@
   next_at_ = now + ChoosePause(random_fraction);
 }
 
-void Election::OnWritten(const Result<std::uint64_t>& version, BootTime now,
+void Election::OnWritten(const Result<StorePosition>& position, BootTime now,
                          double random_fraction) {
   is_busy_ = false;
   auto written = std::exchange(pending_, std::nullopt);
   if (!written) return;
-  if (version) {
-    written->version = version.value();
+  // A version that was given out again may have met the condition.
+  if (position && position.value().era == era_) {
+    written->position = position.value();
     own_ = std::move(written);
     holder_ = own_->holder;
+    CountRights(holder_.lease_end_ms);
     ended_since_.reset();
     return;
   }
@@ -157,6 +189,7 @@
 }
 
 void Election::Learn(const Holder& holder) {
+  CountRights(holder.lease_end_ms);
   if (holder.term < holder_.term) return;
   if (holder.term == holder_.term &&
       holder.lease_end_ms <= holder_.lease_end_ms) {
@@ -175,7 +208,7 @@
       std::max(row.earlier_rights_end_ms, row.holder.lease_end_ms);
   row.holder = {.term = row.holder.term + 1};
   holder_ = row.holder;
-  return WriteRow{EncodeLease(row), row.version};
+  return WriteRow{EncodeLease(row), row.position.version};
 }
 
 }  // namespace oleandertide::coordination
--- a/libraries/coordination/election.h
+++ b/libraries/coordination/election.h
@@ -11,6 +11,7 @@
 
 #include "coordination/store_clock.h"
 #include "core/result.h"
+#include "core/store_position.h"
 #include "core/time.h"
 
 namespace oleandertide::coordination {
@@ -37,14 +38,16 @@
   // latest, but a lease may be released or taken over by a restarted process
   // before.
   std::uint64_t earlier_rights_end_ms = 0;
-  // Version of the row at the store; 0 if it does not exist.
-  std::uint64_t version = 0;
+  // Era of the store in which the value was written, as far as its writer knew.
+  std::uint64_t written_era = 0;
+  // Where the store has the row; no version if it does not exist.
+  StorePosition position{};
 };
 
 // Writes and reads the value of the row. Thread-safe.
 std::string EncodeLease(const LeaseRow& row);
 // Error: kDataDamaged.
-Result<LeaseRow> DecodeLease(std::string_view value, std::uint64_t version);
+Result<LeaseRow> DecodeLease(std::string_view value, StorePosition position);
 
 // Decides when this node reads and writes the lease, and whether it holds it.
 // The lease is a row that is only written under the version that was read, so
@@ -56,9 +59,15 @@
 // A process that starts again takes over the lease of its own earlier life at
 // once: that life has ended.
 //
+// When the store returns from an older copy, the row may name an earlier holder
+// while the last one still acts, and rights of terms that the row does not name
+// are in use. So a holder that another node told of is waited for, and a new
+// term counts the rights of each term that this node knows, and those that a
+// row of an earlier era may hide.
+//
 // Load pattern: the holder is killed, cut off or stopped; the store is away or
-// slow, loses answers, or performs a write seconds later; all processes start
-// together.
+// slow, loses answers, performs a write seconds later, or returns from an older
+// copy; all processes start together.
 //
 // Not thread-safe.
 class Election {
@@ -93,15 +102,15 @@
   // lease that this node leaves to better suited ones.
   Effect Tick(const StoreClock& clock, BootTime now, Duration delay);
 
-  // The store answered a read; nothing if the row does not exist.
-  Effect OnRow(const std::optional<LeaseRow>& row, std::uint64_t store_time_ms,
+  // The store answered a read at `moment`; nothing if the row does not exist.
+  Effect OnRow(const std::optional<LeaseRow>& row, const StoreMoment& moment,
                const StoreClock& clock, BootTime now);
   // The row could not be read.
   void OnReadFailed(BootTime now, double random_fraction);
 
-  // The store answered a write with the new version of the row, or with an
+  // The store answered a write with where it has the row now, or with an
   // error: kConflict if the row has another version.
-  void OnWritten(const Result<std::uint64_t>& version, BootTime now,
+  void OnWritten(const Result<StorePosition>& position, BootTime now,
                  double random_fraction);
 
   // Takes in what another node knows.
@@ -121,6 +130,11 @@
   const std::optional<LeaseRow>& own_row() const { return own_; }
 
  private:
+  // Counts the rights of terms that this node knows.
+  void CountRights(std::uint64_t end_ms);
+  // Counts the rights of the terms that a row names or may hide.
+  void CountRightsOf(const std::optional<LeaseRow>& row,
+                     const StoreMoment& moment);
   // Claims or renews the lease; `before` is the row as it was read.
   Effect Claim(std::uint64_t term, const LeaseRow& before,
                const StoreClock& clock, BootTime now);
@@ -136,6 +150,10 @@
   bool is_busy_ = false;
   bool is_released_ = false;
   bool has_read_ = false;
+  // Era in which the row was last read.
+  std::uint64_t era_ = 0;
+  // Greatest end of the rights of all terms that this node knows.
+  std::uint64_t known_rights_end_ms_ = 0;
   // The next read or write at the earliest.
   BootTime next_at_{};
   // When the end of the known lease was first noticed.
--- a/libraries/sidecar/coordination.cc
+++ b/libraries/sidecar/coordination.cc
@@ -96,10 +96,11 @@
             return;
           }
           std::optional<coordination::LeaseRow> lease;
-          for (const platform::Row& row : rows.value().rows) {
+          const platform::RowList& list = rows.value();
+          for (const platform::Row& row : list.rows) {
             if (row.key != kKey || row.is_deleted) continue;
-            const auto decoded =
-                coordination::DecodeLease(row.value, row.version);
+            const StorePosition position{list.era, row.version};
+            const auto decoded = coordination::DecodeLease(row.value, position);
             if (decoded) {
               lease = decoded.value();
             } else {
@@ -107,29 +108,32 @@
               logging::Log(Level::kWarning, "coordination",
                            "lease is not readable", {{"version", row.version}});
               lease = coordination::LeaseRow{};
-              lease->version = row.version;
+              lease->position = position;
             }
           }
-          Perform(election_.OnRow(lease, rows.value().store_time_ms,
+          Perform(election_.OnRow(lease,
+                                  {.position = {list.era, list.store_version},
+                                   .time_ms = list.store_time_ms},
                                   parts_.clock, now));
           CheckChange();
         });
   } else if (const auto* write = std::get_if<Election::WriteRow>(&effect)) {
-    parts_.store.Write({.table = kTable,
-                        .key = kKey,
-                        .expected_version = write->expected_version,
-                        .value = &write->value},
-                       [this](const Result<platform::WriteReceipt>& receipt) {
-                         const BootTime now = BootClock::now();
-                         if (receipt) {
-                           election_.OnWritten(receipt.value().version, now,
-                                               parts_.random.Unit());
-                         } else {
-                           election_.OnWritten(receipt.error(), now,
-                                               parts_.random.Unit());
-                         }
-                         CheckChange();
-                       });
+    parts_.store.Write(
+        {.table = kTable,
+         .key = kKey,
+         .expected_version = write->expected_version,
+         .value = &write->value},
+        [this](const Result<platform::WriteReceipt>& receipt) {
+          const BootTime now = BootClock::now();
+          if (receipt) {
+            const StorePosition position{receipt.value().era,
+                                         receipt.value().version};
+            election_.OnWritten(position, now, parts_.random.Unit());
+          } else {
+            election_.OnWritten(receipt.error(), now, parts_.random.Unit());
+          }
+          CheckChange();
+        });
   }
 }
 
