--- a/libraries/rollout/decider.cc
+++ b/libraries/rollout/decider.cc
@@ -8,9 +8,6 @@
 namespace oleandertide::rollout {
 namespace {
 
-// Outcomes of both versions within a window are compared.
-constexpr std::uint64_t kWindowMs = 250;
-
 // Two servers must take part, since a single one may be at fault itself.
 constexpr std::size_t kMinTrialServers = 2;
 
@@ -18,7 +15,10 @@
 
 Decider::Decider(const Options& options, OrderState state,
                  std::uint64_t known_at_ms)
-    : options_(options), state_(std::move(state)), known_at_ms_(known_at_ms) {}
+    : options_(options),
+      state_(std::move(state)),
+      known_at_ms_(known_at_ms),
+      has_begun_order_(state_.step == Step::kOrdered) {}
 
 std::uint64_t Decider::TimeAt(double share) const {
   return known_at_ms_ +
@@ -29,9 +29,10 @@
 void Decider::OnReport(const std::string& node, const NodeReport& report,
                        std::uint64_t now_ms) {
   if (report.order != state_.order.position) return;
-  for (const RouteOutcome& outcome : report.outcomes) {
-    analysis_.Add(outcome.route, outcome.server, outcome.is_new,
-                  outcome.counts);
+  if (report.has_totals) {
+    history_.Replace(node, report.first_window, report.outcomes);
+  } else {
+    history_.Add(node, OutcomeWindowAt(now_ms), report.outcomes);
   }
   Node& known = nodes_[node];
   known.report = report;
@@ -42,9 +43,12 @@
 Decider::Decision Decider::Enter(Step step, std::uint32_t share_permille,
                                  std::string_view reason,
                                  std::uint64_t now_ms) {
+  if (step == Step::kTrial && state_.step != Step::kTrial) {
+    state_.trial_at_ms = now_ms;
+  }
   state_.step = step;
   state_.share_permille = share_permille;
-  entered_at_ms_ = now_ms;
+  state_.entered_at_ms = entered_at_ms_ = now_ms;
   return {.state = state_, .reason = reason};
 }
 
@@ -122,9 +126,7 @@
 std::optional<Decider::Decision> Decider::TickTrial(std::uint64_t now_ms) {
   const bool is_last = now_ms >= TimeAt(options_.last_decision_share);
   const Verdict verdict = analysis_.verdict(is_last);
-  if (verdict == Verdict::kBad) {
-    return Enter(Step::kRollingBack, 0, "worse than the old version", now_ms);
-  }
+  if (!has_evidence(now_ms)) return std::nullopt;
   const bool is_over =
       now_ms >=
       entered_at_ms_ + (is_raised() ? step_length_ms_ : options_.min_trial_ms);
@@ -162,23 +164,31 @@
     return;
   }
   state_ = state;
-  entered_at_ms_ = now_ms;
+  entered_at_ms_ = state.entered_at_ms == 0 ? now_ms : state.entered_at_ms;
   step_length_ms_ = options_.step_ms;
 }
 
+std::uint64_t Decider::WarmUntil() const {
+  if (state_.trial_at_ms != 0) return state_.trial_at_ms + options_.warming_ms;
+  return is_raised() ? 0 : entered_at_ms_ + options_.warming_ms;
+}
+
 std::optional<Decider::Decision> Decider::Tick(std::optional<Status> status,
                                                std::uint64_t now_ms) {
   if (created_at_ms_ == 0) created_at_ms_ = now_ms;
+  if (entered_at_ms_ == 0) {
+    entered_at_ms_ = state_.entered_at_ms;
+    step_length_ms_ = options_.step_ms;
+  }
   if (entered_at_ms_ == 0) {
     entered_at_ms_ = now_ms;
-    // A decider that begins in a step gathers the evidence again.
+    // Where nodes do not keep what they counted, it is gathered again.
     step_length_ms_ = options_.gathering_ms;
   }
-  if (window_end_ms_ == 0) window_end_ms_ = now_ms + kWindowMs;
-  if (now_ms >= window_end_ms_) {
-    analysis_.EndWindow(state_.step == Step::kTrial && !is_raised() &&
-                        now_ms < entered_at_ms_ + options_.warming_ms);
-    window_end_ms_ = now_ms + kWindowMs;
+  analysis_ = history_.Analyse(OutcomeWindowAt(WarmUntil()));
+  // Told before the store has answered: a trial has no final status yet.
+  if (state_.step == Step::kTrial && analysis_.verdict() == Verdict::kBad) {
+    return Enter(Step::kRollingBack, 0, "worse than the old version", now_ms);
   }
   if (!status) return std::nullopt;
   // What the store says is final, whoever wrote it.
--- a/libraries/rollout/decider.h
+++ b/libraries/rollout/decider.h
@@ -14,18 +14,11 @@
 #include "core/time.h"
 #include "rollout/canary_analysis.h"
 #include "rollout/order.h"
+#include "rollout/outcome_history.h"
 #include "rollout/status_writer.h"
 
 namespace oleandertide::rollout {
 
-struct RouteOutcome {
-  std::string route{};
-  // Node beside the backend server.
-  std::string server{};
-  bool is_new = false;
-  OutcomeCounts counts{};
-};
-
 // What a node tells the decider of one order.
 struct NodeReport {
   std::string service{};
@@ -41,18 +34,23 @@
   // Whether nothing runs at it and nothing waits for it.
   bool is_empty = false;
   std::uint32_t slots = 0;
-  // Since the last report.
+  // Whether `outcomes` are the totals of all windows from `first_window` on.
+  // Nodes of an earlier version of this project tell what they counted since
+  // the last report, without windows.
+  bool has_totals = false;
+  std::uint64_t first_window = 0;
   std::vector<RouteOutcome> outcomes{};
 };
 
 // Decides on one order at the coordinator. Begins from what the states that
-// other nodes told and the status row say, so another coordinator goes on where
-// one ended; the evidence is gathered again. All times are of the store's
-// clock, in milliseconds, so that the deadline is the same for each decider.
+// other nodes told and the status row say, and from the totals that the nodes
+// keep, so another coordinator goes on where one ended. All times are of the
+// store's clock, in milliseconds, so that they are the same for each decider.
 //
 // Load pattern: orders of 12 to 16 s; backend servers of the new version start
 // within the first seconds and turn bad at once, late, on one route or under
-// load; a good version on a bad day. Nodes are lost, partitioned and restarted.
+// load; a good version on a bad day. Nodes are lost, partitioned and restarted;
+// coordinators are lost one after the other.
 //
 // Not thread-safe.
 class Decider {
@@ -72,6 +70,10 @@
     // Time for which a decider waits for reports before it takes the nodes that
     // it knows for all: after an election, nodes open links to the coordinator.
     std::uint64_t gathering_ms = 2500;
+    // The same before it takes what was counted for all that there is, and lets
+    // the trial go on. A version that is bad by what is known by then is rolled
+    // back at once.
+    std::uint64_t evidence_gathering_ms = 800;
     // Time since the begin of the trial in which slowness does not count: new
     // backend servers run at half their speed at first.
     std::uint64_t warming_ms = 2500;
@@ -118,6 +120,12 @@
   std::optional<Decision> Tick(std::optional<Status> status,
                                std::uint64_t now_ms);
 
+  // Whether the lease of the trial may be renewed: the version is on trial, and
+  // what the nodes counted before this decider began is known.
+  bool may_renew_trial(std::uint64_t now_ms) const {
+    return state_.needs_lease() && has_evidence(now_ms);
+  }
+
   // The status that the store should have now.
   Status wanted_status() const { return wanted_; }
 
@@ -137,6 +145,8 @@
   // Enters the next share that there is time and capacity for, or kReplacing.
   // Nothing if the new version lacks the capacity for all traffic.
   std::optional<Decision> Raise(std::uint64_t now_ms);
+  // Until when new backend servers may be slow without being at fault.
+  std::uint64_t WarmUntil() const;
   // Whether the share was raised above the trial's.
   bool is_raised() const;
   // Time until the old version has to get nothing more.
@@ -144,6 +154,11 @@
   std::optional<Decision> TickTrial(std::uint64_t now_ms);
   std::optional<Decision> TickReplacing(std::uint64_t now_ms);
   bool has_ended(std::uint64_t now_ms) const;
+  // Whether there was time for reports that tell what was counted earlier.
+  bool has_evidence(std::uint64_t now_ms) const {
+    return has_begun_order_ ||
+           now_ms >= created_at_ms_ + options_.evidence_gathering_ms;
+  }
   // Whether the new version's slots are at least this share of the old one's.
   bool has_new_capacity(double share, std::uint64_t now_ms) const;
   std::size_t CountNewServers(std::uint64_t now_ms) const;
@@ -156,12 +171,16 @@
   const Options options_;
   OrderState state_;
   const std::uint64_t known_at_ms_;
+  // Whether nothing was sent to the new version before this decider began.
+  const bool has_begun_order_;
   std::uint64_t created_at_ms_ = 0;
+  // When the present step began; see OrderState.
   std::uint64_t entered_at_ms_ = 0;
   // Least time in the present share.
   std::uint64_t step_length_ms_ = 0;
-  std::uint64_t window_end_ms_ = 0;
   Status wanted_ = Status::kRunning;
+  OutcomeHistory history_;
+  // Of the history at the last tick.
   CanaryAnalysis analysis_;
   std::map<std::string, Node, std::less<>> nodes_;
 };
--- a/libraries/rollout/exposure.cc
+++ b/libraries/rollout/exposure.cc
@@ -42,7 +42,8 @@
                       std::ceil(share * static_cast<double>(new_servers))));
 }
 
-VersionRule Exposure::Choose(const OrderState* state, bool has_old) {
+VersionRule Exposure::Choose(const OrderState* state, bool has_old,
+                             bool may_try) {
   if (state == nullptr) return VersionRule::kAny;
   Counts& counts = Find(*state);
   counts.has_seen_old |= has_old;
@@ -51,7 +52,7 @@
       return counts.has_seen_old ? VersionRule::kOldOnly : VersionRule::kAny;
     case Step::kTrial: {
       if (!counts.has_seen_old) return VersionRule::kAny;
-      const bool is_within = counts.credit + ShareOf(*state) >= 1 &&
+      const bool is_within = may_try && counts.credit + ShareOf(*state) >= 1 &&
                              IsWithinBudget(*state, counts);
       return is_within ? VersionRule::kNewFirst : VersionRule::kOldOnly;
     }
--- a/libraries/rollout/exposure.h
+++ b/libraries/rollout/exposure.h
@@ -55,10 +55,12 @@
 
   // Returns which backend servers the next request may be sent to. `state` is
   // the order of the service, nullptr if there is none. `has_old` tells whether
-  // a backend server of another version is known. An order whose version is the
-  // only one that this ingress has seen since does not hold it back: after a
-  // restart of all nodes the state of a completed order may not be known yet.
-  VersionRule Choose(const OrderState* state, bool has_old);
+  // a backend server of another version is known, `may_try` whether a version
+  // on trial may get requests now; see TrialLeases. An order whose version is
+  // the only one that this ingress has seen since does not hold it back: after
+  // a restart of all nodes the state of a completed order may not be known yet.
+  VersionRule Choose(const OrderState* state, bool has_old,
+                     bool may_try = true);
 
   // Returns to how many of `new_servers` backend servers of the new version
   // requests may go: as many as run at the load that all of them will have when
--- a/libraries/rollout/order.h
+++ b/libraries/rollout/order.h
@@ -53,9 +53,19 @@
   // By the store's clock, when a node first knew the order; 0 if unknown. The
   // earliest that any node tells holds.
   std::uint64_t known_at_ms = 0;
+  // By the same clock, when the present step and share began, and when the
+  // trial did; 0 if unknown. The earliest that any node tells hold, so that
+  // each decider measures from the same moments.
+  std::uint64_t entered_at_ms = 0;
+  std::uint64_t trial_at_ms = 0;
   // Version that an earlier, unfinished order was about: it gets nothing.
   std::string withheld{};
 
+  // Whether the version on trial gets requests only while a decider renews the
+  // lease of the trial; see TrialLeases. Deciders of an earlier version of this
+  // project tell no begin of the trial and renew nothing.
+  bool needs_lease() const { return step == Step::kTrial && trial_at_ms != 0; }
+
   bool operator==(const OrderState&) const = default;
 };
 
--- a/libraries/rollout/order_book.cc
+++ b/libraries/rollout/order_book.cc
@@ -12,6 +12,28 @@
                   state.over_at_ms, state.withheld);
 }
 
+// Earlier of two times of which 0 is unknown.
+std::uint64_t Earliest(std::uint64_t left, std::uint64_t right) {
+  if (left == 0 || right == 0) return std::max(left, right);
+  return std::min(left, right);
+}
+
+// Gives both states of one order the earliest times that either tells. Returns
+// whether `known` changed.
+bool ShareTimes(OrderState& known, OrderState& state) {
+  const OrderState before = known;
+  known.known_at_ms = Earliest(known.known_at_ms, state.known_at_ms);
+  known.trial_at_ms = Earliest(known.trial_at_ms, state.trial_at_ms);
+  if (known.step == state.step &&
+      known.share_permille == state.share_permille) {
+    known.entered_at_ms = Earliest(known.entered_at_ms, state.entered_at_ms);
+    state.entered_at_ms = known.entered_at_ms;
+  }
+  state.known_at_ms = known.known_at_ms;
+  state.trial_at_ms = known.trial_at_ms;
+  return known != before;
+}
+
 // Whether the operator wrote `known` again after a return of the store.
 bool IsSameAgain(const Order& known, const Order& order) {
   return order.position.era > known.position.era && order.to == known.to &&
@@ -106,15 +128,7 @@
   }
   // Nodes that knew the earlier order tell the others.
   if (is_same && state.withheld.empty()) state.withheld = known.withheld;
-  bool is_known_earlier = false;
-  if (is_same) {
-    const std::uint64_t earliest =
-        state.known_at_ms == 0 || known.known_at_ms == 0
-            ? std::max(state.known_at_ms, known.known_at_ms)
-            : std::min(state.known_at_ms, known.known_at_ms);
-    is_known_earlier = earliest != known.known_at_ms;
-    state.known_at_ms = known.known_at_ms = earliest;
-  }
+  const bool is_known_earlier = is_same && ShareTimes(known, state);
   if (Rank(state) <= Rank(known)) return is_known_earlier;
   known = std::move(state);
   return true;
@@ -123,11 +137,13 @@
 void OrderBook::CarryOver(const OrderState& known, OrderState& state) const {
   if (IsSameAgain(known.order, state.order)) {
     if (known.known_at_ms != 0) state.known_at_ms = known.known_at_ms;
+    state.trial_at_ms = Earliest(known.trial_at_ms, state.trial_at_ms);
     if (state.withheld.empty()) state.withheld = known.withheld;
     const Step step = StepAgain(known.step);
     if (step > state.step) {
       state.step = step;
       state.share_permille = known.share_permille;
+      state.entered_at_ms = known.entered_at_ms;
     } else if (step == state.step) {
       state.share_permille =
           std::max(state.share_permille, known.share_permille);
--- a/libraries/rollout/outcome_collector.cc
+++ b/libraries/rollout/outcome_collector.cc
@@ -1,6 +1,7 @@
 #include "rollout/outcome_collector.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace oleandertide::rollout {
@@ -10,6 +11,19 @@
 constexpr int kMinAnswers = 10;
 constexpr int kMaxAnswers = 200;
 
+// Reports to a new coordinator that tell all windows: the first ones may be
+// lost with a link that is replaced.
+constexpr int kWholeReports = 3;
+
+// Windows that each report repeats.
+constexpr std::uint64_t kRepeatedWindows = 8;
+
+void AddCounts(OutcomeCounts& sum, const OutcomeCounts& counts) {
+  sum.total += counts.total;
+  sum.failed += counts.failed;
+  sum.slow += counts.slow;
+}
+
 }  // namespace
 
 OutcomeCollector::Service& OutcomeCollector::Find(const SentRequest& sent) {
@@ -21,18 +35,47 @@
   return service;
 }
 
-OutcomeCounts* OutcomeCollector::Count(Service& service,
-                                       const SentRequest& sent) {
-  std::tuple key(std::string(sent.route), std::string(sent.server),
-                 sent.is_new);
-  const auto found = service.counts.find(key);
-  if (found != service.counts.end()) return &found->second;
-  if (service.counts.size() >= kMaxCounters) return nullptr;
-  return &service.counts[std::move(key)];
+bool OutcomeCollector::MakeRoom(Service& service) {
+  // The oldest window stays, so that it still tells where this process began.
+  while (service.counters >= kMaxCounters && service.windows.size() > 1) {
+    const auto oldest = service.windows.begin();
+    const auto folded = std::next(oldest);
+    for (const auto& [key, counts] : folded->second) {
+      const auto [found, is_added] = oldest->second.try_emplace(key, counts);
+      if (is_added) continue;
+      AddCounts(found->second, counts);
+      --service.counters;
+    }
+    service.windows.erase(folded);
+  }
+  return service.counters < kMaxCounters;
+}
+
+void OutcomeCollector::Count(Service& service, const SentRequest& sent,
+                             const OutcomeCounts& counts,
+                             std::uint64_t now_ms) {
+  const Key key(sent.route, sent.is_new ? sent.server : std::string_view(),
+                sent.is_new);
+  if (service.untold.contains(key) || service.untold.size() < kMaxCounters) {
+    AddCounts(service.untold[key], counts);
+  }
+  std::uint64_t window = OutcomeWindowAt(now_ms);
+  // The estimate of the store's clock does not go back; a late call might.
+  if (!service.windows.empty()) {
+    window = std::max(window, service.windows.begin()->first);
+  }
+  const auto known = service.windows.find(window);
+  if (known != service.windows.end() && known->second.contains(key)) {
+    AddCounts(known->second[key], counts);
+    return;
+  }
+  if (!MakeRoom(service)) return;
+  service.windows[window][key] = counts;
+  ++service.counters;
 }
 
 void OutcomeCollector::RecordAnswer(const SentRequest& sent, bool is_failure,
-                                    Duration run_time) {
+                                    Duration run_time, std::uint64_t now_ms) {
   Service& service = Find(sent);
   const auto run_us = static_cast<double>(run_time.count());
   Mean& mean = service.old_means[std::string(sent.route)];
@@ -42,18 +85,40 @@
     mean.count = std::min(mean.count + 1, kMaxAnswers);
     mean.us += (run_us - mean.us) / mean.count;
   }
-  OutcomeCounts* counts = Count(service, sent);
-  if (counts == nullptr) return;
-  ++counts->total;
-  if (is_failure) ++counts->failed;
-  if (is_slow) ++counts->slow;
+  Count(service, sent,
+        {.total = 1, .failed = is_failure ? 1U : 0U, .slow = is_slow ? 1U : 0U},
+        now_ms);
 }
 
-void OutcomeCollector::RecordFailure(const SentRequest& sent) {
-  OutcomeCounts* counts = Count(Find(sent), sent);
-  if (counts == nullptr) return;
-  ++counts->total;
-  ++counts->failed;
+void OutcomeCollector::RecordFailure(const SentRequest& sent,
+                                     std::uint64_t now_ms) {
+  Count(Find(sent), sent, {.total = 1, .failed = 1}, now_ms);
+}
+
+OutcomeCollector::Totals OutcomeCollector::TotalsFrom(
+    std::string_view name, StorePosition order, std::uint64_t window) const {
+  Totals totals{.first_window = window};
+  const auto found = services_.find(name);
+  if (found == services_.end() || found->second.order != order ||
+      found->second.windows.empty()) {
+    // An earlier life of this process may have told some.
+    totals.first_window = UINT64_MAX;
+    return totals;
+  }
+  const auto& windows = found->second.windows;
+  totals.first_window = std::max(window, windows.begin()->first);
+  for (auto it = windows.lower_bound(totals.first_window); it != windows.end();
+       ++it) {
+    for (const auto& [key, counts] : it->second) {
+      const auto& [route, server, is_new] = key;
+      totals.outcomes.push_back({.route = route,
+                                 .server = server,
+                                 .is_new = is_new,
+                                 .counts = counts,
+                                 .window = it->first});
+    }
+  }
+  return totals;
 }
 
 std::vector<RouteOutcome> OutcomeCollector::Take(std::string_view name,
@@ -63,13 +128,28 @@
   if (found == services_.end() || found->second.order != order) {
     return outcomes;
   }
-  for (const auto& [key, counts] : found->second.counts) {
+  for (const auto& [key, counts] : std::exchange(found->second.untold, {})) {
     const auto& [route, server, is_new] = key;
     outcomes.push_back(
         {.route = route, .server = server, .is_new = is_new, .counts = counts});
   }
-  found->second.counts.clear();
   return outcomes;
 }
 
+std::uint64_t ReportSchedule::ChooseFirstWindow(std::uint64_t term,
+                                                std::uint64_t now_ms) {
+  if (std::exchange(term_, term) != term) whole_reports_ = kWholeReports;
+  if (whole_reports_ > 0) return 0;
+  const std::uint64_t window = OutcomeWindowAt(now_ms);
+  return window > kRepeatedWindows ? window - kRepeatedWindows : 0;
+}
+
+void ReportSchedule::OnSent(bool is_sent) {
+  if (!is_sent) {
+    whole_reports_ = kWholeReports;
+  } else if (whole_reports_ > 0) {
+    --whole_reports_;
+  }
+}
+
 }  // namespace oleandertide::rollout
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -321,6 +321,12 @@
                         [this, exchange] { OnDeadline(exchange); });
 }
 
+std::uint64_t Ingress::LatestStoreTime() const {
+  const BootTime now = BootClock::now();
+  const auto latest = parts_.store_clock.LatestNow(now);
+  return latest ? *latest : parts_.store_clock.EarliestNow(now).value_or(0);
+}
+
 mesh::Placement::Decision Ingress::Place(
     mesh::Placement::Request request, const std::vector<std::string>& tried) {
   const rollout::OrderState* state =
@@ -329,7 +335,8 @@
   const std::string& to = state->order.to;
   const bool has_old =
       placement_.has_other_version(request.service, to, state->withheld);
-  const auto rule = exposure_.Choose(state, has_old);
+  const bool may_try = parts_.trial_leases->MayTry(*state, LatestStoreTime());
+  const auto rule = exposure_.Choose(state, has_old, may_try);
   request.withheld_version = state->withheld;
   if (rule != rollout::VersionRule::kAny) request.version = to;
   request.is_version_excluded = rule == rollout::VersionRule::kOldOnly;
@@ -501,15 +508,17 @@
                                   .route = exchange->route->name,
                                   .server = exchange->node,
                                   .is_new = exchange->is_new_version};
+  const std::uint64_t now_ms =
+      parts_.store_clock.EarliestNow(BootClock::now()).value_or(0);
   if (const auto* completed = std::get_if<mesh::Completed>(&outcome)) {
     parts_.outcomes->RecordAnswer(sent, completed->status >= kFirstServerError,
-                                  completed->run_time);
+                                  completed->run_time, now_ms);
   } else if (const auto* unknown = std::get_if<mesh::Unknown>(&outcome)) {
     // A lost link or a client that left is no fault of the backend server.
     if (unknown->reason == mesh::Reason::kConnectionLost ||
         unknown->reason == mesh::Reason::kAnswerUnusable ||
         unknown->reason == mesh::Reason::kDeadlinePassed) {
-      parts_.outcomes->RecordFailure(sent);
+      parts_.outcomes->RecordFailure(sent, now_ms);
     }
   }
 }
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -31,6 +31,7 @@
 #include "rollout/exposure.h"
 #include "rollout/order_book.h"
 #include "rollout/outcome_collector.h"
+#include "rollout/trial_leases.h"
 #include "routing/quarantine.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/http_server.h"
@@ -82,6 +83,8 @@
     const rollout::OrderBook* orders = nullptr;
     // Where outcomes of requests under an order are counted; set with `orders`.
     rollout::OutcomeCollector* outcomes = nullptr;
+    // Until when versions on trial may get requests; set with `orders`.
+    const rollout::TrialLeases* trial_leases = nullptr;
   };
 
   Ingress(const Parts& parts, const Options& options);
@@ -141,6 +144,8 @@
   void EndLimit(const ExchangePointer& exchange);
   void StartDeadlineTimer(const ExchangePointer& exchange);
   // Chooses a node with regard to an order to roll out a version.
+  // The latest that the store's clock may show; 0 before it is known.
+  std::uint64_t LatestStoreTime() const;
   mesh::Placement::Decision Place(mesh::Placement::Request request,
                                   const std::vector<std::string>& tried);
   void Attempt(const ExchangePointer& exchange);
--- a/libraries/sidecar/link.capnp
+++ b/libraries/sidecar/link.capnp
@@ -94,6 +94,9 @@
   knownAtMs @8 :UInt64;
   # 0 if the sender does not know eras, or the store tells none.
   storeEra @9 :UInt64;
+  # By the store's clock, when the step and the trial began.
+  enteredAtMs @10 :UInt64;
+  trialAtMs @11 :UInt64;
 }
 
 struct Coordinator {
--- a/libraries/sidecar/link.capnp.h
+++ b/libraries/sidecar/link.capnp.h
@@ -134,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba1e9e9ed5bb80d6, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ba1e9e9ed5bb80d6, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -990,6 +990,10 @@
 
   inline  ::uint64_t getStoreEra() const;
 
+  inline  ::uint64_t getEnteredAtMs() const;
+
+  inline  ::uint64_t getTrialAtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1060,6 +1064,12 @@
   inline  ::uint64_t getStoreEra();
   inline void setStoreEra( ::uint64_t value);
 
+  inline  ::uint64_t getEnteredAtMs();
+  inline void setEnteredAtMs( ::uint64_t value);
+
+  inline  ::uint64_t getTrialAtMs();
+  inline void setTrialAtMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3607,6 +3617,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Rollout::Reader::getEnteredAtMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getEnteredAtMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setEnteredAtMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Rollout::Reader::getTrialAtMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getTrialAtMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setTrialAtMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Coordinator::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libraries/sidecar/link_codec.cc
+++ b/libraries/sidecar/link_codec.cc
@@ -118,6 +118,8 @@
     builders[i].setDurationMs(ToMs(state.order.duration));
     builders[i].setVersion(state.order.position.version);
     builders[i].setStoreEra(state.order.position.era);
+    builders[i].setEnteredAtMs(state.entered_at_ms);
+    builders[i].setTrialAtMs(state.trial_at_ms);
     builders[i].setStep(static_cast<std::uint8_t>(state.step));
     builders[i].setSharePermille(Saturate<std::uint16_t>(state.share_permille));
     builders[i].setOverAtMs(state.over_at_ms);
@@ -148,6 +150,8 @@
           .share_permille = reader.getSharePermille(),
           .over_at_ms = reader.getOverAtMs(),
           .known_at_ms = reader.getKnownAtMs(),
+          .entered_at_ms = reader.getEnteredAtMs(),
+          .trial_at_ms = reader.getTrialAtMs(),
           .withheld = ToString(reader.getWithheld())};
   }
   return std::nullopt;
--- a/libraries/sidecar/rollouts.capnp.h
+++ b/libraries/sidecar/rollouts.capnp.h
@@ -17,7 +17,10 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(a69f61b92abc8439);
+CAPNP_DECLARE_SCHEMA(b7c598066ebd2c9e);
 CAPNP_DECLARE_SCHEMA(ef155c823f638622);
+CAPNP_DECLARE_SCHEMA(ec6da57877a43bc1);
+CAPNP_DECLARE_SCHEMA(ba1f6d9d1ea1e57a);
 CAPNP_DECLARE_SCHEMA(e4608a93d71da7df);
 
 }  // namespace schemas
@@ -42,6 +45,21 @@
   };
 };
 
+struct Counter {
+  Counter() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7c598066ebd2c9e, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct OrderReport {
   OrderReport() = delete;
 
@@ -50,7 +68,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ef155c823f638622, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ef155c823f638622, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TrialRenewal {
+  TrialRenewal() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec6da57877a43bc1, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TrialRenewals {
+  TrialRenewals() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba1f6d9d1ea1e57a, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -185,6 +233,112 @@
 };
 #endif  // !CAPNP_LITE
 
+class Counter::Reader {
+public:
+  typedef Counter Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getRoute() const;
+
+  inline  ::uint16_t getServer() const;
+
+  inline bool getIsNew() const;
+
+  inline  ::uint64_t getWindow() const;
+
+  inline  ::uint32_t getTotal() const;
+
+  inline  ::uint32_t getFailed() const;
+
+  inline  ::uint32_t getSlow() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Counter::Builder {
+public:
+  typedef Counter Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getRoute();
+  inline void setRoute( ::uint16_t value);
+
+  inline  ::uint16_t getServer();
+  inline void setServer( ::uint16_t value);
+
+  inline bool getIsNew();
+  inline void setIsNew(bool value);
+
+  inline  ::uint64_t getWindow();
+  inline void setWindow( ::uint64_t value);
+
+  inline  ::uint32_t getTotal();
+  inline void setTotal( ::uint32_t value);
+
+  inline  ::uint32_t getFailed();
+  inline void setFailed( ::uint32_t value);
+
+  inline  ::uint32_t getSlow();
+  inline void setSlow( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Counter::Pipeline {
+public:
+  typedef Counter Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class OrderReport::Reader {
 public:
   typedef OrderReport Reads;
@@ -225,6 +379,16 @@
 
   inline  ::uint64_t getOrderEra() const;
 
+  inline bool getHasTotals() const;
+
+  inline  ::uint64_t getFirstWindow() const;
+
+  inline bool hasNames() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
+
+  inline bool hasCounters() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Reader getCounters() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -295,6 +459,27 @@
   inline  ::uint64_t getOrderEra();
   inline void setOrderEra( ::uint64_t value);
 
+  inline bool getHasTotals();
+  inline void setHasTotals(bool value);
+
+  inline  ::uint64_t getFirstWindow();
+  inline void setFirstWindow( ::uint64_t value);
+
+  inline bool hasNames();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
+  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
+
+  inline bool hasCounters();
+  inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Builder getCounters();
+  inline void setCounters( ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Builder initCounters(unsigned int size);
+  inline void adoptCounters(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>> disownCounters();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -321,6 +506,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class TrialRenewal::Reader {
+public:
+  typedef TrialRenewal Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getOrderVersion() const;
+
+  inline  ::uint64_t getOrderEra() const;
+
+  inline  ::uint64_t getUntilMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TrialRenewal::Builder {
+public:
+  typedef TrialRenewal Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getOrderVersion();
+  inline void setOrderVersion( ::uint64_t value);
+
+  inline  ::uint64_t getOrderEra();
+  inline void setOrderEra( ::uint64_t value);
+
+  inline  ::uint64_t getUntilMs();
+  inline void setUntilMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TrialRenewal::Pipeline {
+public:
+  typedef TrialRenewal Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TrialRenewals::Reader {
+public:
+  typedef TrialRenewals Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRenewals() const;
+  inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Reader getRenewals() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TrialRenewals::Builder {
+public:
+  typedef TrialRenewals Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRenewals();
+  inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Builder getRenewals();
+  inline void setRenewals( ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Builder initRenewals(unsigned int size);
+  inline void adoptRenewals(::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>> disownRenewals();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TrialRenewals::Pipeline {
+public:
+  typedef TrialRenewals Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -528,6 +890,104 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Counter::Reader::getRoute() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Counter::Builder::getRoute() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Counter::Builder::setRoute( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Counter::Reader::getServer() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Counter::Builder::getServer() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Counter::Builder::setServer( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Counter::Reader::getIsNew() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Counter::Builder::getIsNew() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Counter::Builder::setIsNew(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Counter::Reader::getWindow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Counter::Builder::getWindow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Counter::Builder::setWindow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Counter::Reader::getTotal() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Counter::Builder::getTotal() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Counter::Builder::setTotal( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Counter::Reader::getFailed() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Counter::Builder::getFailed() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Counter::Builder::setFailed( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Counter::Reader::getSlow() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Counter::Builder::getSlow() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Counter::Builder::setSlow( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool OrderReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -728,6 +1188,216 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool OrderReport::Reader::getHasTotals() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<75>() * ::capnp::ELEMENTS);
+}
+
+inline bool OrderReport::Builder::getHasTotals() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<75>() * ::capnp::ELEMENTS);
+}
+inline void OrderReport::Builder::setHasTotals(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<75>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t OrderReport::Reader::getFirstWindow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OrderReport::Builder::getFirstWindow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void OrderReport::Builder::setFirstWindow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrderReport::Reader::hasNames() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrderReport::Builder::hasNames() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader OrderReport::Reader::getNames() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OrderReport::Builder::getNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void OrderReport::Builder::setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void OrderReport::Builder::setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OrderReport::Builder::initNames(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void OrderReport::Builder::adoptNames(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> OrderReport::Builder::disownNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool OrderReport::Reader::hasCounters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrderReport::Builder::hasCounters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Reader OrderReport::Reader::getCounters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Builder OrderReport::Builder::getCounters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void OrderReport::Builder::setCounters( ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>::Builder OrderReport::Builder::initCounters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void OrderReport::Builder::adoptCounters(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>> OrderReport::Builder::disownCounters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::Counter,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool TrialRenewal::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TrialRenewal::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TrialRenewal::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TrialRenewal::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrialRenewal::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TrialRenewal::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TrialRenewal::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TrialRenewal::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TrialRenewal::Reader::getOrderVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TrialRenewal::Builder::getOrderVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TrialRenewal::Builder::setOrderVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TrialRenewal::Reader::getOrderEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TrialRenewal::Builder::getOrderEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TrialRenewal::Builder::setOrderEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TrialRenewal::Reader::getUntilMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TrialRenewal::Builder::getUntilMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TrialRenewal::Builder::setUntilMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TrialRenewals::Reader::hasRenewals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TrialRenewals::Builder::hasRenewals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Reader TrialRenewals::Reader::getRenewals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Builder TrialRenewals::Builder::getRenewals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrialRenewals::Builder::setRenewals( ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>::Builder TrialRenewals::Builder::initRenewals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TrialRenewals::Builder::adoptRenewals(
+    ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>> TrialRenewals::Builder::disownRenewals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::oleandertide::sidecar::rollout_wire::TrialRenewal,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasOrders() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libraries/sidecar/rollouts.cc
+++ b/libraries/sidecar/rollouts.cc
@@ -3,7 +3,9 @@
 #include <capnp/message.h>
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -81,6 +83,70 @@
   }
 }
 
+// Position of each name in the list that is sent.
+class NameTable {
+ public:
+  std::uint16_t IndexOf(std::string_view name) {
+    const auto index = static_cast<std::uint16_t>(names_.size());
+    const auto [entry, is_added] =
+        indexes_.try_emplace(std::string(name), index);
+    if (is_added) names_.push_back(name);
+    return entry->second;
+  }
+
+  std::span<const std::string_view> names() const { return names_; }
+
+ private:
+  std::map<std::string, std::uint16_t> indexes_;
+  // Views of the names that were given.
+  std::vector<std::string_view> names_;
+};
+
+void Encode(const rollout::OutcomeCollector::Totals& totals,
+            rollout_wire::OrderReport::Builder builder) {
+  builder.setHasTotals(true);
+  builder.setFirstWindow(totals.first_window);
+  NameTable table;
+  auto counters =
+      builder.initCounters(static_cast<unsigned>(totals.outcomes.size()));
+  for (unsigned i = 0; i < counters.size(); ++i) {
+    const rollout::RouteOutcome& outcome = totals.outcomes[i];
+    counters[i].setRoute(table.IndexOf(outcome.route));
+    counters[i].setServer(table.IndexOf(outcome.server));
+    counters[i].setIsNew(outcome.is_new);
+    counters[i].setWindow(outcome.window);
+    counters[i].setTotal(outcome.counts.total);
+    counters[i].setFailed(outcome.counts.failed);
+    counters[i].setSlow(outcome.counts.slow);
+  }
+  const auto names = table.names();
+  auto texts = builder.initNames(static_cast<unsigned>(names.size()));
+  for (unsigned i = 0; i < texts.size(); ++i) {
+    texts.set(i, {names[i].data(), names[i].size()});
+  }
+}
+
+// Counters whose names are missing are left out.
+std::vector<rollout::RouteOutcome> DecodeCounters(
+    rollout_wire::OrderReport::Reader reader) {
+  std::vector<rollout::RouteOutcome> outcomes;
+  const auto names = reader.getNames();
+  for (const auto counter : reader.getCounters()) {
+    if (counter.getRoute() >= names.size() ||
+        counter.getServer() >= names.size()) {
+      continue;
+    }
+    outcomes.push_back({.route = ToText(names[counter.getRoute()]),
+                        .server = ToText(names[counter.getServer()]),
+                        .is_new = counter.getIsNew(),
+                        .counts = {.total = counter.getTotal(),
+                                   .failed = counter.getFailed(),
+                                   .slow = counter.getSlow()},
+                        .window = counter.getWindow()});
+  }
+  return outcomes;
+}
+
 rollout::NodeReport Decode(rollout_wire::OrderReport::Reader reader) {
   rollout::NodeReport report{
       .service = ToText(reader.getService()),
@@ -91,7 +157,13 @@
       .backend_version = ToText(reader.getBackendVersion()),
       .accepts = reader.getAccepts(),
       .is_empty = reader.getIsEmpty(),
-      .slots = reader.getSlots()};
+      .slots = reader.getSlots(),
+      .has_totals = reader.getHasTotals(),
+      .first_window = reader.getFirstWindow()};
+  if (report.has_totals) {
+    report.outcomes = DecodeCounters(reader);
+    return report;
+  }
   for (const auto outcome : reader.getOutcomes()) {
     report.outcomes.push_back({.route = ToText(outcome.getRoute()),
                                .server = ToText(outcome.getServer()),
@@ -107,7 +179,10 @@
 
 Rollouts::Rollouts(const Parts& parts, const mesh::Deployment& deployment,
                    std::function<void()> on_changed)
-    : parts_(parts), on_changed_(std::move(on_changed)), timer_(parts.loop) {
+    : parts_(parts),
+      on_changed_(std::move(on_changed)),
+      timer_(parts.loop),
+      renewal_timer_(parts.loop) {
   options_.trial_permille = static_cast<std::uint32_t>(
       deployment.exposure_share * kTrialPart * kPermille);
 }
@@ -118,9 +193,10 @@
       {.on_report = [this](
                         const std::string& node,
                         std::string_view payload) { OnReport(node, payload); },
-       .on_message = {},
+       .on_message = [this](std::string_view payload) { OnRenewals(payload); },
        .on_changed = {}});
   Tick();
+  RenewTrials();
 }
 
 void Rollouts::Tick() {
@@ -146,13 +222,71 @@
          .slots = static_cast<std::uint32_t>(std::max(0, load.slots)),
          .outcomes = parts_.outcomes.Take(order.service, order.position)});
   }
-  if (reports.empty()) return;
+  const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
+  if (reports.empty() || !now_ms) return;
+  const std::uint64_t first_window = report_schedule_.ChooseFirstWindow(
+      parts_.coordination.holder().term, *now_ms);
   capnp::MallocMessageBuilder message;
   auto orders = message.initRoot<rollout_wire::Report>().initOrders(
       static_cast<unsigned>(reports.size()));
-  for (unsigned i = 0; i < orders.size(); ++i) Encode(reports[i], orders[i]);
-  parts_.coordination.Report(CoordinationSubject::kRollouts,
-                             WritePacked(message));
+  for (unsigned i = 0; i < orders.size(); ++i) {
+    Encode(reports[i], orders[i]);
+    Encode(parts_.outcomes.TotalsFrom(reports[i].service, reports[i].order,
+                                      first_window),
+           orders[i]);
+  }
+  report_schedule_.OnSent(parts_.coordination.Report(
+      CoordinationSubject::kRollouts, WritePacked(message)));
+}
+
+void Rollouts::RenewTrials() {
+  renewal_timer_.Start(rollout::TrialLeases::kRenewalInterval,
+                       [this] { RenewTrials(); });
+  const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
+  if (!now_ms || !parts_.coordination.is_coordinator()) return;
+  std::vector<const rollout::Decider*> deciders;
+  for (const auto& [service, active] : active_) {
+    if (active.decider.may_renew_trial(*now_ms)) {
+      deciders.push_back(&active.decider);
+    }
+  }
+  if (deciders.empty()) return;
+  capnp::MallocMessageBuilder message;
+  auto renewals = message.initRoot<rollout_wire::TrialRenewals>().initRenewals(
+      static_cast<unsigned>(deciders.size()));
+  for (unsigned i = 0; i < renewals.size(); ++i) {
+    const rollout::Order& order = deciders[i]->state().order;
+    renewals[i].setService(order.service);
+    renewals[i].setOrderVersion(order.position.version);
+    renewals[i].setOrderEra(order.position.era);
+    renewals[i].setUntilMs(*now_ms + static_cast<std::uint64_t>(ToMilliseconds(
+                                         rollout::TrialLeases::kLength)));
+  }
+  const std::string payload = WritePacked(message);
+  for (const std::string& node : parts_.coordination.reachable_nodes()) {
+    parts_.coordination.Send(node, CoordinationSubject::kRollouts, payload);
+  }
+}
+
+void Rollouts::OnRenewals(std::string_view payload) {
+  const auto renewals = ReadPacked<rollout_wire::TrialRenewals>(
+      payload, kMaxReportWords, [](rollout_wire::TrialRenewals::Reader root) {
+        std::vector<rollout::TrialRenewal> list;
+        for (const auto renewal : root.getRenewals()) {
+          list.push_back({.service = ToText(renewal.getService()),
+                          .order = {.era = renewal.getOrderEra(),
+                                    .version = renewal.getOrderVersion()},
+                          .until_ms = renewal.getUntilMs()});
+        }
+        return list;
+      });
+  if (!renewals) {
+    logging::Log(Level::kWarning, "rollout", "renewals are not readable", {});
+    return;
+  }
+  for (const rollout::TrialRenewal& renewal : *renewals) {
+    parts_.trial_leases.Renew(renewal);
+  }
 }
 
 void Rollouts::OnReport(const std::string& node, std::string_view payload) {
--- a/libraries/sidecar/rollouts.h
+++ b/libraries/sidecar/rollouts.h
@@ -15,6 +15,7 @@
 #include "rollout/order_book.h"
 #include "rollout/outcome_collector.h"
 #include "rollout/status_writer.h"
+#include "rollout/trial_leases.h"
 #include "sidecar/coordination.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/node_metrics.h"
@@ -25,8 +26,8 @@
 namespace oleandertide::sidecar {
 
 // While there is an order in progress, reports to the coordinator what this
-// node sees; on the coordinator, runs a decider for each order and writes the
-// status rows. Not thread-safe.
+// node sees; on the coordinator, runs a decider for each order, renews the
+// leases of trials and writes the status rows. Not thread-safe.
 class Rollouts {
  public:
   struct Parts {
@@ -36,6 +37,7 @@
     Receiver& receiver;
     rollout::OrderBook& orders;
     rollout::OutcomeCollector& outcomes;
+    rollout::TrialLeases& trial_leases;
     coordination::StoreClock& clock;
     NodeMetrics& metrics;
   };
@@ -59,6 +61,9 @@
   void Tick();
   void Report();
   void OnReport(const std::string& node, std::string_view payload);
+  // Tells all nodes that the trials that are looked after may go on.
+  void RenewTrials();
+  void OnRenewals(std::string_view payload);
   void Decide();
   void DecideOn(const rollout::OrderState& state, std::uint64_t now_ms);
   void Perform(const std::string& service, Active& active);
@@ -69,7 +74,9 @@
   const std::function<void()> on_changed_;
   std::map<std::string, Active, std::less<>> active_;
   std::uint64_t next_generation_ = 1;
+  rollout::ReportSchedule report_schedule_;
   Timer timer_;
+  Timer renewal_timer_;
 };
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -17,6 +17,7 @@
 #include "platform/names.h"
 #include "rollout/order_book.h"
 #include "rollout/outcome_collector.h"
+#include "rollout/trial_leases.h"
 #include "rollout/version_gate.h"
 #include "routing/quarantine.h"
 #include "sidecar/byte_budget.h"
@@ -184,7 +185,8 @@
              .store_clock = store_clock_,
              .backlog = backlog_,
              .orders = settings.deployment.has_rollouts ? &orders_ : nullptr,
-             .outcomes = &outcomes_},
+             .outcomes = &outcomes_,
+             .trial_leases = &trial_leases_},
             {.node = identity_.name,
              .data_centre = identity_.data_centre,
              .service = settings.node.service,
@@ -231,6 +233,7 @@
                    .receiver = receiver_,
                    .orders = orders_,
                    .outcomes = outcomes_,
+                   .trial_leases = trial_leases_,
                    .clock = store_clock_,
                    .metrics = metrics_},
                   settings.deployment, [this] { OnOrdersChanged(); }),
@@ -665,6 +668,7 @@
   rollout::OrderBook orders_;
   rollout::VersionGate version_gate_;
   rollout::OutcomeCollector outcomes_;
+  rollout::TrialLeases trial_leases_;
   // What was last told to other nodes of the orders and of the backend server.
   std::vector<rollout::OrderState> told_orders_;
   bool told_accepts_ = false;
