tests: Let the soak's store return from copies

New faults, chosen only by name so that the plans of seeds stay as they are: a store that is away and comes back from a copy of some seconds ago, where what the operator wrote is written again, and coordinators that are killed in series.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -302,6 +302,29 @@
         self.close(notes)
 
 
+class DrillFaults(OrganisationFaults):
+    """Kinds of fault that a seed does not choose: plans of seeds stay as they are."""
+
+    async def store_returns(self, seconds):
+        """The store is away and comes back from a copy that is some seconds old."""
+        copy = self.world.store.copy()
+        await asyncio.sleep(self.random.uniform(0.5, 7.0))
+        for node in self.world.nodes:
+            self.world.store.refusals[node.name] = self.random.choice((503, 0))
+        notes = await self.last([STORE], "store returns", self.random.uniform(0.2, 1))
+        self.world.store.return_from(copy)
+        self.world.store.refusals.clear()
+        self.close(notes)
+
+    async def coordinators_killed(self, seconds):
+        """Whoever coordinates is killed, every second or less often."""
+        pause = self.random.uniform(1.0, 3.0)
+        for _ in range(self.random.randint(3, 5)):
+            node = self.world.coordinator() or self.pick()
+            await self.kill_some([node], self.random.uniform(*RESTART_DELAY))
+            await asyncio.sleep(pause)
+
+
 def kinds_of(faults):
     return [
         name
@@ -312,6 +335,7 @@
 
 KINDS_OF_FAULT = kinds_of(Faults)
 KINDS_WITH_ORGANISATIONS = kinds_of(OrganisationFaults)
+KINDS_OF_DRILL = kinds_of(DrillFaults)
 
 
 def make_plan(seed, seconds, kinds=None, further_kinds=()):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,7 +56,11 @@
     if not arguments.seeds:
         parser.error("no seeds given")
     if arguments.faults:
-        kinds = faults.KINDS_OF_FAULT + faults.KINDS_WITH_ORGANISATIONS
+        kinds = (
+            faults.KINDS_OF_FAULT
+            + faults.KINDS_WITH_ORGANISATIONS
+            + faults.KINDS_OF_DRILL
+        )
         unknown = set(arguments.faults.split(",")) - set(kinds)
         if unknown:
             known = ", ".join(kinds)
@@ -89,7 +93,8 @@
 
 def has_organisations(seed, kinds):
     """Even seeds have organisations, and those whose faults need them."""
-    needing = set(kinds or ()) & set(faults.KINDS_WITH_ORGANISATIONS)
+    further = set(faults.KINDS_WITH_ORGANISATIONS + faults.KINDS_OF_DRILL)
+    needing = set(kinds or ()) & further
     return seed % 2 == 0 or bool(needing)
 
 
@@ -103,7 +108,7 @@
     work = world.World(
         program, folder, seed, arguments.instances, arguments.rate, with_keys
     )
-    injector = faults.OrganisationFaults(work, seed)
+    injector = faults.DrillFaults(work, seed)
     try:
         with open(folder / "events.txt", "w") as work.events:
             await work.start()
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -31,6 +31,8 @@
         self.rows = {}
         self.version = 1
         self.forgotten = 0
+        # Rises when the store returns from an older copy.
+        self.era = 1
         self.faults = Faults()
         # Answers to a node's calls by its name: a status, or 0 for none at all.
         self.refusals = {}
@@ -65,6 +67,23 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def return_from(self, copy):
+        """Returns from a copy. What others than the nodes wrote is written again."""
+        written = [
+            (name, value)
+            for name, (_, value) in self.rows.items()
+            if name[0] in FOREIGN_TABLES
+        ]
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.forgotten = self.version
+        self.era += 1
+        for name, value in written:
+            self.put(*name, value)
+        self.wake()
+
     def forget_history(self):
         self.forgotten = self.version
         self.wake()
@@ -81,7 +100,8 @@
                     await asyncio.Event().wait()
                 status, value = answer
                 body = json.dumps(value).encode()
-                writer.write(wire.encode(f"HTTP/1.1 {status} X", {}, body))
+                fields = {"Store-Era": str(self.era)}
+                writer.write(wire.encode(f"HTTP/1.1 {status} X", fields, body))
                 await writer.drain()
         except (
             OSError,
@@ -138,7 +158,7 @@
         after = int(query["after"])
         end = time.monotonic() + min(int(query["wait_ms"]), 30000) / 1000
         while True:
-            if after < self.forgotten:
+            if after < self.forgotten or after > self.version:
                 return 410, {}
             rows = sorted(
                 (
