platform: Refuse heartbeats without a zone

Cause: a heartbeat of another writer whose zone is a number was taken for the backend server's own. Its sequence number of the future made the sound ones, and the notice, look late.

Change: the zone has to be there and a text, like the other fields.

--- a/tests/deployments/rollout_test.cc
+++ b/tests/deployments/rollout_test.cc
@@ -43,10 +43,11 @@
   int Announce(Instance& instance, std::string_view version) {
     return mesh.AnnounceText(
         instance,
-        fmt::format(R"({{"service":"booking","address":"{}","version":"{}",)"
-                    R"("slots":2,"state":"ready","seq":{},"born":1000}})",
-                    instance.settings.backend.address.ToString(), version,
-                    ++instance.sequence));
+        fmt::format(
+            R"({{"service":"booking","address":"{}","zone":"z",)"
+            R"("version":"{}","slots":2,"state":"ready","seq":{},"born":1000}})",
+            instance.settings.backend.address.ToString(), version,
+            ++instance.sequence));
   }
 
   // Sends requests one after the other; returns how many were answered 200.
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -91,6 +91,9 @@
            {"\"slots\":12", "\"slots\":0"},
            {"\"service\":\"rooms\",", ""},
            {"\"seq\":4,", ""},
+           // A sequence number of such an entry made sound ones look late.
+           {"\"zone\":\"z\",", ""},
+           {"\"zone\":\"z\"", "\"zone\":3"},
            {"1700000000123", "\"today\""},
            // Numbers that are no integers, or too large for one.
            {"\"seq\":4", "\"seq\":-1"},
