rollout: Fold old windows at the decider too

A decider kept all windows that it was told and dropped what came beyond its bound, so in an order of many minutes it would have judged by the beginning only. It adds the oldest windows up now, as the nodes do, within 1,000 counters of a node.

--- a/libraries/core/store_position.h
+++ b/libraries/core/store_position.h
@@ -3,8 +3,8 @@
 #ifndef OLEANDERTIDE_CORE_STORE_POSITION_H_
 #define OLEANDERTIDE_CORE_STORE_POSITION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace oleandertide {
 
@@ -20,7 +20,22 @@
   // 0 stands for none.
   std::uint64_t version = 0;
 
-  auto operator<=>(const StorePosition&) const = default;
+  friend bool operator==(const StorePosition&, const StorePosition&) = default;
+  friend bool operator<(const StorePosition& left, const StorePosition& right) {
+    return std::tie(left.era, left.version) <
+           std::tie(right.era, right.version);
+  }
+  friend bool operator>(const StorePosition& left, const StorePosition& right) {
+    return right < left;
+  }
+  friend bool operator<=(const StorePosition& left,
+                         const StorePosition& right) {
+    return !(right < left);
+  }
+  friend bool operator>=(const StorePosition& left,
+                         const StorePosition& right) {
+    return !(left < right);
+  }
 };
 
 // A position, and the store's clock in milliseconds there.
--- a/libraries/rollout/order_book.cc
+++ b/libraries/rollout/order_book.cc
@@ -134,7 +134,7 @@
   return true;
 }
 
-void OrderBook::CarryOver(const OrderState& known, OrderState& state) const {
+void OrderBook::CarryOver(const OrderState& known, OrderState& state) {
   if (IsSameAgain(known.order, state.order)) {
     if (known.known_at_ms != 0) state.known_at_ms = known.known_at_ms;
     state.trial_at_ms = Earliest(known.trial_at_ms, state.trial_at_ms);
--- a/libraries/rollout/order_book.h
+++ b/libraries/rollout/order_book.h
@@ -77,7 +77,7 @@
  private:
   static bool Cancel(OrderState& state, StoreMoment moment);
   // Carries over from `known` what still holds for `state`, which replaces it.
-  void CarryOver(const OrderState& known, OrderState& state) const;
+  static void CarryOver(const OrderState& known, OrderState& state);
   bool Apply(OrderState state);
   bool is_over(const OrderState& state) const {
     return state.over_at_ms != 0 && state.over_at_ms <= store_time_ms_;
--- a/libraries/rollout/outcome_collector.cc
+++ b/libraries/rollout/outcome_collector.cc
@@ -1,7 +1,6 @@
 #include "rollout/outcome_collector.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace oleandertide::rollout {
@@ -18,12 +17,6 @@
 // Windows that each report repeats.
 constexpr std::uint64_t kRepeatedWindows = 8;
 
-void AddCounts(OutcomeCounts& sum, const OutcomeCounts& counts) {
-  sum.total += counts.total;
-  sum.failed += counts.failed;
-  sum.slow += counts.slow;
-}
-
 }  // namespace
 
 OutcomeCollector::Service& OutcomeCollector::Find(const SentRequest& sent) {
@@ -36,28 +29,21 @@
 }
 
 bool OutcomeCollector::MakeRoom(Service& service) {
-  // The oldest window stays, so that it still tells where this process began.
-  while (service.counters >= kMaxCounters && service.windows.size() > 1) {
-    const auto oldest = service.windows.begin();
-    const auto folded = std::next(oldest);
-    for (const auto& [key, counts] : folded->second) {
-      const auto [found, is_added] = oldest->second.try_emplace(key, counts);
-      if (is_added) continue;
-      AddCounts(found->second, counts);
-      --service.counters;
-    }
-    service.windows.erase(folded);
+  while (service.counters >= kMaxOutcomeCounters &&
+         service.windows.size() > 1) {
+    service.counters -= detail::FoldOldest(service.windows);
   }
-  return service.counters < kMaxCounters;
+  return service.counters < kMaxOutcomeCounters;
 }
 
 void OutcomeCollector::Count(Service& service, const SentRequest& sent,
                              const OutcomeCounts& counts,
                              std::uint64_t now_ms) {
-  const Key key(sent.route, sent.is_new ? sent.server : std::string_view(),
-                sent.is_new);
-  if (service.untold.contains(key) || service.untold.size() < kMaxCounters) {
-    AddCounts(service.untold[key], counts);
+  const detail::OutcomeKey key(
+      sent.route, sent.is_new ? sent.server : std::string_view(), sent.is_new);
+  if (service.untold.contains(key) ||
+      service.untold.size() < kMaxOutcomeCounters) {
+    detail::AddCounts(service.untold[key], counts);
   }
   std::uint64_t window = OutcomeWindowAt(now_ms);
   // The estimate of the store's clock does not go back; a late call might.
@@ -66,7 +52,7 @@
   }
   const auto known = service.windows.find(window);
   if (known != service.windows.end() && known->second.contains(key)) {
-    AddCounts(known->second[key], counts);
+    detail::AddCounts(known->second[key], counts);
     return;
   }
   if (!MakeRoom(service)) return;
--- a/libraries/rollout/outcome_collector.h
+++ b/libraries/rollout/outcome_collector.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "core/store_position.h"
@@ -34,9 +33,6 @@
 // Not thread-safe.
 class OutcomeCollector {
  public:
-  // Counters of an order; further ones are dropped.
-  static constexpr std::size_t kMaxCounters = 2000;
-
   // What a node tells of an order: the totals of all windows from the first one
   // on.
   struct Totals {
@@ -60,20 +56,15 @@
   std::vector<RouteOutcome> Take(std::string_view service, StorePosition order);
 
  private:
-  // Route, server, and whether the version is new. The servers of the old
-  // version are not told apart.
-  using Key = std::tuple<std::string, std::string, bool>;
-  using Counters = std::map<Key, OutcomeCounts>;
-
   struct Mean {
     double us = 0;
     int count = 0;
   };
   struct Service {
     StorePosition order{};
-    std::map<std::uint64_t, Counters> windows;
+    detail::OutcomeWindows windows;
     std::size_t counters = 0;
-    Counters untold;
+    detail::OutcomeCounters untold;
     std::map<std::string, Mean, std::less<>> old_means;
   };
 
--- a/libraries/rollout/outcome_history.cc
+++ b/libraries/rollout/outcome_history.cc
@@ -1,7 +1,10 @@
 #include "rollout/outcome_history.h"
 
+#include <iterator>
+#include <utility>
+
 namespace oleandertide::rollout {
-namespace {
+namespace detail {
 
 void AddCounts(OutcomeCounts& sum, const OutcomeCounts& counts) {
   sum.total += counts.total;
@@ -9,35 +12,68 @@
   sum.slow += counts.slow;
 }
 
-}  // namespace
+std::size_t FoldOldest(OutcomeWindows& windows) {
+  const auto oldest = windows.begin();
+  const auto folded = std::next(oldest);
+  std::size_t saved = 0;
+  for (const auto& [key, counts] : folded->second) {
+    const auto [found, is_added] = oldest->second.try_emplace(key, counts);
+    if (is_added) continue;
+    AddCounts(found->second, counts);
+    ++saved;
+  }
+  windows.erase(folded);
+  return saved;
+}
+
+}  // namespace detail
 
 std::uint64_t OutcomeWindowAt(std::uint64_t store_time_ms) {
   return store_time_ms /
          static_cast<std::uint64_t>(ToMilliseconds(kOutcomeWindow));
 }
 
+bool OutcomeHistory::MakeRoom(Node& node) {
+  while (node.counters >= kMaxOutcomeCounters && node.windows.size() > 1) {
+    const auto oldest = node.windows.begin();
+    const auto folded = std::next(oldest);
+    for (const auto& [key, counts] : folded->second) {
+      detail::AddCounts(sums_[oldest->first][key], counts);
+    }
+    Subtract(folded->first, folded->second);
+    node.counters -= detail::FoldOldest(node.windows);
+  }
+  return node.counters < kMaxOutcomeCounters;
+}
+
 void OutcomeHistory::Count(Node& node, std::uint64_t window,
                            const RouteOutcome& outcome) {
-  Key key(outcome.route, outcome.is_new ? outcome.server : std::string(),
-          outcome.is_new);
-  Counters& counters = node.windows[window];
-  const auto found = counters.find(key);
-  if (found == counters.end() && node.counters >= kMaxCounters) return;
-  AddCounts(sums_[window][key], outcome.counts);
-  if (found != counters.end()) {
-    AddCounts(found->second, outcome.counts);
-    return;
-  }
-  counters.emplace(std::move(key), outcome.counts);
-  ++node.counters;
+  detail::OutcomeKey key(outcome.route,
+                         outcome.is_new ? outcome.server : std::string(),
+                         outcome.is_new);
+  const auto known = node.windows.find(window);
+  const bool is_known =
+      known != node.windows.end() && known->second.contains(key);
+  if (!is_known && !MakeRoom(node)) return;
+  if (!is_known) ++node.counters;
+  detail::AddCounts(node.windows[window][key], outcome.counts);
+  detail::AddCounts(sums_[window][std::move(key)], outcome.counts);
 }
 
-void OutcomeHistory::Subtract(std::uint64_t window, const Key& key,
-                              const OutcomeCounts& counts) {
-  OutcomeCounts& sum = sums_[window][key];
-  sum.total -= counts.total;
-  sum.failed -= counts.failed;
-  sum.slow -= counts.slow;
+void OutcomeHistory::Subtract(std::uint64_t window,
+                              const detail::OutcomeCounters& counters) {
+  const auto sum = sums_.find(window);
+  if (sum == sums_.end()) return;
+  for (const auto& [key, counts] : counters) {
+    const auto found = sum->second.find(key);
+    if (found == sum->second.end()) continue;
+    OutcomeCounts& total = found->second;
+    total.total -= counts.total;
+    total.failed -= counts.failed;
+    total.slow -= counts.slow;
+    if (total.total == 0) sum->second.erase(found);
+  }
+  if (sum->second.empty()) sums_.erase(sum);
 }
 
 void OutcomeHistory::Replace(const std::string& name,
@@ -46,9 +82,7 @@
   Node& node = nodes_[name];
   const auto first = node.windows.lower_bound(first_window);
   for (auto window = first; window != node.windows.end(); ++window) {
-    for (const auto& [key, counts] : window->second) {
-      Subtract(window->first, key, counts);
-    }
+    Subtract(window->first, window->second);
     node.counters -= window->second.size();
   }
   node.windows.erase(first, node.windows.end());
--- a/libraries/rollout/outcome_history.h
+++ b/libraries/rollout/outcome_history.h
@@ -19,6 +19,25 @@
 // Outcomes of both versions within a window are compared.
 inline constexpr Duration kOutcomeWindow = std::chrono::milliseconds(250);
 
+namespace detail {
+
+// Route, server, and whether the version is new.
+using OutcomeKey = std::tuple<std::string, std::string, bool>;
+using OutcomeCounters = std::map<OutcomeKey, OutcomeCounts>;
+using OutcomeWindows = std::map<std::uint64_t, OutcomeCounters>;
+
+void AddCounts(OutcomeCounts& sum, const OutcomeCounts& counts);
+
+// Adds the second window to the first, which still tells where counting began.
+// Returns how many counters that saves. Precondition: there are two windows.
+std::size_t FoldOldest(OutcomeWindows& windows);
+
+}  // namespace detail
+
+// Counters that are kept of one node and order. Where there are more, the
+// oldest windows are added up.
+inline constexpr std::size_t kMaxOutcomeCounters = 1000;
+
 // Number of the window at a time of the store's clock, in milliseconds; the
 // same at all nodes. Thread-safe.
 std::uint64_t OutcomeWindowAt(std::uint64_t store_time_ms);
@@ -39,14 +58,11 @@
 // every other decider knows.
 //
 // Load pattern: deciders that begin in the middle of an order; nodes whose
-// process is replaced, whose earlier windows stay.
+// process is replaced, whose earlier windows stay; orders that last for hours.
 //
 // Not thread-safe.
 class OutcomeHistory {
  public:
-  // Counters of one node; further ones are dropped.
-  static constexpr std::size_t kMaxCounters = 4000;
-
   // Replaces what `node` told of the windows from `first_window` on.
   void Replace(const std::string& node, std::uint64_t first_window,
                std::span<const RouteOutcome> outcomes);
@@ -60,23 +76,19 @@
   CanaryAnalysis Analyse(std::uint64_t warm_window) const;
 
  private:
-  // Route, server, and whether the version is new.
-  using Key = std::tuple<std::string, std::string, bool>;
-  using Counters = std::map<Key, OutcomeCounts>;
-  using Windows = std::map<std::uint64_t, Counters>;
-
   struct Node {
-    Windows windows;
+    detail::OutcomeWindows windows;
     std::size_t counters = 0;
   };
 
   void Count(Node& node, std::uint64_t window, const RouteOutcome& outcome);
-  // Takes a counter out of the sums.
-  void Subtract(std::uint64_t window, const Key& key,
-                const OutcomeCounts& counts);
+  // Makes room for a counter. Returns whether there is any.
+  bool MakeRoom(Node& node);
+  // Takes a window of a node out of the sums.
+  void Subtract(std::uint64_t window, const detail::OutcomeCounters& counters);
 
   std::map<std::string, Node, std::less<>> nodes_;
-  Windows sums_;
+  detail::OutcomeWindows sums_;
 };
 
 }  // namespace oleandertide::rollout
