sidecar: Move the codec of roll-outs to its own file

Like that of limits. Also counts requests that are kept from a trial while no coordinator renews its lease (trial_pauses_total).

--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -336,6 +336,7 @@
   const bool has_old =
       placement_.has_other_version(request.service, to, state->withheld);
   const bool may_try = parts_.trial_leases->MayTry(*state, LatestStoreTime());
+  if (!may_try) parts_.metrics.trial_pauses.Add();
   const auto rule = exposure_.Choose(state, has_old, may_try);
   request.withheld_version = state->withheld;
   if (rule != rollout::VersionRule::kAny) request.version = to;
--- a/libraries/sidecar/node_metrics.cc
+++ b/libraries/sidecar/node_metrics.cc
@@ -145,6 +145,10 @@
       trial_requests(registry.RegisterCounter(
           "trial_requests_total",
           "Requests sent to a version under an order to roll it out")),
+      trial_pauses(registry.RegisterCounter(
+          "trial_pauses_total",
+          "requests kept from a version on trial while no coordinator renewed "
+          "its lease")),
       rollout_steps(registry.RegisterCounter(
           "rollout_steps_total",
           "Steps of roll-outs that this node decided as coordinator")),
--- a/libraries/sidecar/node_metrics.h
+++ b/libraries/sidecar/node_metrics.h
@@ -65,6 +65,7 @@
   metrics::Counter& malformed_orders;
   metrics::Gauge& backend_held;
   metrics::Counter& trial_requests;
+  metrics::Counter& trial_pauses;
   metrics::Counter& rollout_steps;
   metrics::Counter& store_calls;
   metrics::Counter& store_failures;
--- a/libraries/sidecar/rollouts.cc
+++ b/libraries/sidecar/rollouts.cc
@@ -1,19 +1,14 @@
 #include "sidecar/rollouts.h"
 
-#include <capnp/message.h>
-
 #include <algorithm>
-#include <map>
 #include <optional>
-#include <span>
 #include <utility>
 #include <vector>
 
 #include "logging/log.h"
 #include "platform/names.h"
 #include "platform/rollout_codec.h"
-#include "sidecar/packed_message.h"
-#include "sidecar/rollouts.capnp.h"
+#include "sidecar/rollouts_codec.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -28,9 +23,6 @@
 constexpr double kTrialPart = 0.8;
 constexpr double kPermille = 1000;
 
-// A report has at most this many words; it has some hundred at most.
-constexpr std::uint64_t kMaxReportWords = 1U << 18U;
-
 bool is_in_progress(const rollout::OrderState& state) {
   return state.step < rollout::Step::kCancelled && state.over_at_ms == 0;
 }
@@ -55,126 +47,6 @@
   return "unknown";
 }
 
-std::string ToText(capnp::Text::Reader text) {
-  return {text.begin(), text.size()};
-}
-
-void Encode(const rollout::NodeReport& report,
-            rollout_wire::OrderReport::Builder builder) {
-  builder.setService(report.service);
-  builder.setOrderVersion(report.order.version);
-  builder.setOrderEra(report.order.era);
-  builder.setStep(static_cast<std::uint8_t>(report.step));
-  builder.setHasBackend(report.has_backend);
-  builder.setBackendVersion(report.backend_version);
-  builder.setAccepts(report.accepts);
-  builder.setIsEmpty(report.is_empty);
-  builder.setSlots(report.slots);
-  auto outcomes =
-      builder.initOutcomes(static_cast<unsigned>(report.outcomes.size()));
-  for (unsigned i = 0; i < outcomes.size(); ++i) {
-    const rollout::RouteOutcome& outcome = report.outcomes[i];
-    outcomes[i].setRoute(outcome.route);
-    outcomes[i].setServer(outcome.server);
-    outcomes[i].setIsNew(outcome.is_new);
-    outcomes[i].setTotal(outcome.counts.total);
-    outcomes[i].setFailed(outcome.counts.failed);
-    outcomes[i].setSlow(outcome.counts.slow);
-  }
-}
-
-// Position of each name in the list that is sent.
-class NameTable {
- public:
-  std::uint16_t IndexOf(std::string_view name) {
-    const auto index = static_cast<std::uint16_t>(names_.size());
-    const auto [entry, is_added] =
-        indexes_.try_emplace(std::string(name), index);
-    if (is_added) names_.push_back(name);
-    return entry->second;
-  }
-
-  std::span<const std::string_view> names() const { return names_; }
-
- private:
-  std::map<std::string, std::uint16_t> indexes_;
-  // Views of the names that were given.
-  std::vector<std::string_view> names_;
-};
-
-void Encode(const rollout::OutcomeCollector::Totals& totals,
-            rollout_wire::OrderReport::Builder builder) {
-  builder.setHasTotals(true);
-  builder.setFirstWindow(totals.first_window);
-  NameTable table;
-  auto counters =
-      builder.initCounters(static_cast<unsigned>(totals.outcomes.size()));
-  for (unsigned i = 0; i < counters.size(); ++i) {
-    const rollout::RouteOutcome& outcome = totals.outcomes[i];
-    counters[i].setRoute(table.IndexOf(outcome.route));
-    counters[i].setServer(table.IndexOf(outcome.server));
-    counters[i].setIsNew(outcome.is_new);
-    counters[i].setWindow(outcome.window);
-    counters[i].setTotal(outcome.counts.total);
-    counters[i].setFailed(outcome.counts.failed);
-    counters[i].setSlow(outcome.counts.slow);
-  }
-  const auto names = table.names();
-  auto texts = builder.initNames(static_cast<unsigned>(names.size()));
-  for (unsigned i = 0; i < texts.size(); ++i) {
-    texts.set(i, {names[i].data(), names[i].size()});
-  }
-}
-
-// Counters whose names are missing are left out.
-std::vector<rollout::RouteOutcome> DecodeCounters(
-    rollout_wire::OrderReport::Reader reader) {
-  std::vector<rollout::RouteOutcome> outcomes;
-  const auto names = reader.getNames();
-  for (const auto counter : reader.getCounters()) {
-    if (counter.getRoute() >= names.size() ||
-        counter.getServer() >= names.size()) {
-      continue;
-    }
-    outcomes.push_back({.route = ToText(names[counter.getRoute()]),
-                        .server = ToText(names[counter.getServer()]),
-                        .is_new = counter.getIsNew(),
-                        .counts = {.total = counter.getTotal(),
-                                   .failed = counter.getFailed(),
-                                   .slow = counter.getSlow()},
-                        .window = counter.getWindow()});
-  }
-  return outcomes;
-}
-
-rollout::NodeReport Decode(rollout_wire::OrderReport::Reader reader) {
-  rollout::NodeReport report{
-      .service = ToText(reader.getService()),
-      .order = {.era = reader.getOrderEra(),
-                .version = reader.getOrderVersion()},
-      .step = static_cast<rollout::Step>(reader.getStep()),
-      .has_backend = reader.getHasBackend(),
-      .backend_version = ToText(reader.getBackendVersion()),
-      .accepts = reader.getAccepts(),
-      .is_empty = reader.getIsEmpty(),
-      .slots = reader.getSlots(),
-      .has_totals = reader.getHasTotals(),
-      .first_window = reader.getFirstWindow()};
-  if (report.has_totals) {
-    report.outcomes = DecodeCounters(reader);
-    return report;
-  }
-  for (const auto outcome : reader.getOutcomes()) {
-    report.outcomes.push_back({.route = ToText(outcome.getRoute()),
-                               .server = ToText(outcome.getServer()),
-                               .is_new = outcome.getIsNew(),
-                               .counts = {.total = outcome.getTotal(),
-                                          .failed = outcome.getFailed(),
-                                          .slow = outcome.getSlow()}});
-  }
-  return report;
-}
-
 }  // namespace
 
 Rollouts::Rollouts(const Parts& parts, const mesh::Deployment& deployment,
@@ -206,37 +78,31 @@
 }
 
 void Rollouts::Report() {
-  std::vector<rollout::NodeReport> reports;
+  const std::uint64_t first_window = report_schedule_.ChooseFirstWindow(
+      parts_.coordination.holder().term,
+      parts_.clock.EarliestNow(BootClock::now()).value_or(0));
   const mesh::BackendLoad load = parts_.receiver.load();
+  std::vector<OrderReport> reports;
   for (const rollout::OrderState& state : parts_.orders.states()) {
     if (!is_in_progress(state)) continue;
     const rollout::Order& order = state.order;
     reports.push_back(
-        {.service = order.service,
-         .order = order.position,
-         .step = state.step,
-         .has_backend = parts_.receiver.service() == order.service,
-         .backend_version = std::string(parts_.receiver.backend_version()),
-         .accepts = load.accepts_requests,
-         .is_empty = parts_.receiver.is_idle(),
-         .slots = static_cast<std::uint32_t>(std::max(0, load.slots)),
-         .outcomes = parts_.outcomes.Take(order.service, order.position)});
-  }
-  const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
-  if (reports.empty() || !now_ms) return;
-  const std::uint64_t first_window = report_schedule_.ChooseFirstWindow(
-      parts_.coordination.holder().term, *now_ms);
-  capnp::MallocMessageBuilder message;
-  auto orders = message.initRoot<rollout_wire::Report>().initOrders(
-      static_cast<unsigned>(reports.size()));
-  for (unsigned i = 0; i < orders.size(); ++i) {
-    Encode(reports[i], orders[i]);
-    Encode(parts_.outcomes.TotalsFrom(reports[i].service, reports[i].order,
-                                      first_window),
-           orders[i]);
+        {.report =
+             {.service = order.service,
+              .order = order.position,
+              .step = state.step,
+              .has_backend = parts_.receiver.service() == order.service,
+              .backend_version = std::string(parts_.receiver.backend_version()),
+              .accepts = load.accepts_requests,
+              .is_empty = parts_.receiver.is_idle(),
+              .slots = static_cast<std::uint32_t>(std::max(0, load.slots)),
+              .outcomes = parts_.outcomes.Take(order.service, order.position)},
+         .totals = parts_.outcomes.TotalsFrom(order.service, order.position,
+                                              first_window)});
   }
+  if (reports.empty()) return;
   report_schedule_.OnSent(parts_.coordination.Report(
-      CoordinationSubject::kRollouts, WritePacked(message)));
+      CoordinationSubject::kRollouts, EncodeOrderReports(reports)));
 }
 
 void Rollouts::RenewTrials() {
@@ -244,42 +110,24 @@
                        [this] { RenewTrials(); });
   const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
   if (!now_ms || !parts_.coordination.is_coordinator()) return;
-  std::vector<const rollout::Decider*> deciders;
+  std::vector<rollout::TrialRenewal> renewals;
   for (const auto& [service, active] : active_) {
-    if (active.decider.may_renew_trial(*now_ms)) {
-      deciders.push_back(&active.decider);
-    }
-  }
-  if (deciders.empty()) return;
-  capnp::MallocMessageBuilder message;
-  auto renewals = message.initRoot<rollout_wire::TrialRenewals>().initRenewals(
-      static_cast<unsigned>(deciders.size()));
-  for (unsigned i = 0; i < renewals.size(); ++i) {
-    const rollout::Order& order = deciders[i]->state().order;
-    renewals[i].setService(order.service);
-    renewals[i].setOrderVersion(order.position.version);
-    renewals[i].setOrderEra(order.position.era);
-    renewals[i].setUntilMs(*now_ms + static_cast<std::uint64_t>(ToMilliseconds(
-                                         rollout::TrialLeases::kLength)));
+    if (!active.decider.may_renew_trial(*now_ms)) continue;
+    renewals.push_back(
+        {.service = service,
+         .order = active.decider.state().order.position,
+         .until_ms = *now_ms + static_cast<std::uint64_t>(ToMilliseconds(
+                                   rollout::TrialLeases::kLength))});
   }
-  const std::string payload = WritePacked(message);
+  if (renewals.empty()) return;
+  const std::string payload = EncodeTrialRenewals(renewals);
   for (const std::string& node : parts_.coordination.reachable_nodes()) {
     parts_.coordination.Send(node, CoordinationSubject::kRollouts, payload);
   }
 }
 
 void Rollouts::OnRenewals(std::string_view payload) {
-  const auto renewals = ReadPacked<rollout_wire::TrialRenewals>(
-      payload, kMaxReportWords, [](rollout_wire::TrialRenewals::Reader root) {
-        std::vector<rollout::TrialRenewal> list;
-        for (const auto renewal : root.getRenewals()) {
-          list.push_back({.service = ToText(renewal.getService()),
-                          .order = {.era = renewal.getOrderEra(),
-                                    .version = renewal.getOrderVersion()},
-                          .until_ms = renewal.getUntilMs()});
-        }
-        return list;
-      });
+  const auto renewals = DecodeTrialRenewals(payload);
   if (!renewals) {
     logging::Log(Level::kWarning, "rollout", "renewals are not readable", {});
     return;
@@ -292,14 +140,7 @@
 void Rollouts::OnReport(const std::string& node, std::string_view payload) {
   const auto now_ms = parts_.clock.EarliestNow(BootClock::now());
   if (!now_ms) return;
-  auto reports = ReadPacked<rollout_wire::Report>(
-      payload, kMaxReportWords, [](rollout_wire::Report::Reader root) {
-        std::vector<rollout::NodeReport> orders;
-        for (const auto order : root.getOrders()) {
-          orders.push_back(Decode(order));
-        }
-        return orders;
-      });
+  auto reports = DecodeOrderReports(payload);
   if (!reports) {
     logging::Log(Level::kWarning, "rollout", "report is not readable",
                  {{"node", node}});
