rollout: Renew a trial's lease when a step begins

A trial waited up to 400 ms for its first lease. The lease is measured by the same estimate of the store's clock as everything else at the ingress: the upper one is late by a whole answer at a node whose store is slow, which would have ended leases early.

--- a/libraries/rollout/trial_leases.h
+++ b/libraries/rollout/trial_leases.h
@@ -44,8 +44,8 @@
   // lease, changes nothing.
   void Renew(const TrialRenewal& renewal);
 
-  // Whether the version on trial may get a request. `now_ms` is the latest that
-  // the store's clock may show.
+  // Whether the version on trial may get a request at a time of the store's
+  // clock.
   bool MayTry(const OrderState& state, std::uint64_t now_ms) const;
 
  private:
--- a/libraries/sidecar/ingress.cc
+++ b/libraries/sidecar/ingress.cc
@@ -321,10 +321,8 @@
                         [this, exchange] { OnDeadline(exchange); });
 }
 
-std::uint64_t Ingress::LatestStoreTime() const {
-  const BootTime now = BootClock::now();
-  const auto latest = parts_.store_clock.LatestNow(now);
-  return latest ? *latest : parts_.store_clock.EarliestNow(now).value_or(0);
+std::uint64_t Ingress::StoreTime() const {
+  return parts_.store_clock.EarliestNow(BootClock::now()).value_or(0);
 }
 
 mesh::Placement::Decision Ingress::Place(
@@ -335,7 +333,7 @@
   const std::string& to = state->order.to;
   const bool has_old =
       placement_.has_other_version(request.service, to, state->withheld);
-  const bool may_try = parts_.trial_leases->MayTry(*state, LatestStoreTime());
+  const bool may_try = parts_.trial_leases->MayTry(*state, StoreTime());
   if (!may_try) parts_.metrics.trial_pauses.Add();
   const auto rule = exposure_.Choose(state, has_old, may_try);
   request.withheld_version = state->withheld;
@@ -509,8 +507,7 @@
                                   .route = exchange->route->name,
                                   .server = exchange->node,
                                   .is_new = exchange->is_new_version};
-  const std::uint64_t now_ms =
-      parts_.store_clock.EarliestNow(BootClock::now()).value_or(0);
+  const std::uint64_t now_ms = StoreTime();
   if (const auto* completed = std::get_if<mesh::Completed>(&outcome)) {
     parts_.outcomes->RecordAnswer(sent, completed->status >= kFirstServerError,
                                   completed->run_time, now_ms);
--- a/libraries/sidecar/ingress.h
+++ b/libraries/sidecar/ingress.h
@@ -144,8 +144,9 @@
   void EndLimit(const ExchangePointer& exchange);
   void StartDeadlineTimer(const ExchangePointer& exchange);
   // Chooses a node with regard to an order to roll out a version.
-  // The latest that the store's clock may show; 0 before it is known.
-  std::uint64_t LatestStoreTime() const;
+  // The earliest that the store's clock may show, in milliseconds; 0 before it
+  // is known.
+  std::uint64_t StoreTime() const;
   mesh::Placement::Decision Place(mesh::Placement::Request request,
                                   const std::vector<std::string>& tried);
   void Attempt(const ExchangePointer& exchange);
--- a/libraries/sidecar/rollouts.cc
+++ b/libraries/sidecar/rollouts.cc
@@ -226,6 +226,7 @@
                   {"old_share", evidence.old_share}});
     parts_.orders.Merge(decision->state);
     on_changed_();
+    RenewTrials();
   }
   Perform(service, active);
 }
