sidecar: Take a small part of the memory where no limit is told

Cause: without memory-mb, the bound was the least of the control groups' limits and the machine's memory, 25 GB there. Other processes share both.

Change: only limits that no other process shares count as the process's own: those of its data and address space, and of a control group that it is alone in. Without one it takes 128 MB, and never more than the shared limits.

The test "limits of the system hold where the settings tell none" now gives the limit as the process's own: a limit of the machine alone no longer sets the memory, and the new test checks that case.

--- a/libraries/core/process_limits.cc
+++ b/libraries/core/process_limits.cc
@@ -46,19 +46,29 @@
   return std::nullopt;
 }
 
+// Whether the control group has exactly one process.
+bool HasOneProcess(const fs::path& group) {
+  std::ifstream file(group / "cgroup.procs");
+  std::uint64_t id = 0;
+  return file >> id && !(file >> id);
+}
+
 // Takes the least limit of a control group and of those above it, up to
 // `mount`.
-void LowerToGroup(Limit& limit, const fs::path& mount, std::string_view group,
-                  const char* file) {
+void LowerToGroup(ProcessLimits& limits, const fs::path& mount,
+                  std::string_view group, const char* file) {
   fs::path path = mount;
-  Lower(limit, ReadNumber(path / file));
+  Lower(limits.memory_bytes, ReadNumber(path / file));
   for (const fs::path& part : fs::path(group).relative_path()) {
     path /= part;
-    Lower(limit, ReadNumber(path / file));
+    Lower(limits.memory_bytes, ReadNumber(path / file));
+  }
+  if (HasOneProcess(path)) {
+    Lower(limits.own_memory_bytes, ReadNumber(path / file));
   }
 }
 
-void LowerToGroups(Limit& limit, const fs::path& root) {
+void LowerToGroups(ProcessLimits& limits, const fs::path& root) {
   std::ifstream file(root / "proc/self/cgroup");
   std::string line;
   // HIERARCHY:CONTROLLERS:GROUP; version 2 names no controllers.
@@ -71,9 +81,9 @@
         text.substr(first + 1, second - first - 1);
     const std::string_view group = text.substr(second + 1);
     if (controllers.empty()) {
-      LowerToGroup(limit, root / "sys/fs/cgroup", group, "memory.max");
+      LowerToGroup(limits, root / "sys/fs/cgroup", group, "memory.max");
     } else if (controllers == "memory") {
-      LowerToGroup(limit, root / "sys/fs/cgroup/memory", group,
+      LowerToGroup(limits, root / "sys/fs/cgroup/memory", group,
                    "memory.limit_in_bytes");
     }
   }
@@ -103,10 +113,16 @@
 
 ProcessLimits ReadProcessLimits(const fs::path& root) {
   ProcessLimits limits;
-  Lower(limits.memory_bytes, ReadKilobytes(root / "proc/meminfo", "MemTotal:"));
-  LowerToGroups(limits.memory_bytes, root);
-  Lower(limits.memory_bytes, ReadResourceLimit(RLIMIT_DATA));
-  Lower(limits.memory_bytes, ReadAddressSpaceLimit(root));
+  const Limit machine = ReadKilobytes(root / "proc/meminfo", "MemTotal:");
+  Lower(limits.memory_bytes, machine);
+  LowerToGroups(limits, root);
+  Lower(limits.own_memory_bytes, ReadResourceLimit(RLIMIT_DATA));
+  Lower(limits.own_memory_bytes, ReadAddressSpaceLimit(root));
+  // Version 1 of control groups has a number for "no limit".
+  if (machine && limits.own_memory_bytes.value_or(0) >= *machine) {
+    limits.own_memory_bytes.reset();
+  }
+  Lower(limits.memory_bytes, limits.own_memory_bytes);
   Lower(limits.descriptors, ReadResourceLimit(RLIMIT_NOFILE));
   return limits;
 }
--- a/libraries/core/process_limits.h
+++ b/libraries/core/process_limits.h
@@ -14,8 +14,12 @@
 struct ProcessLimits {
   // Memory in bytes: the least of the limits of the process's control group and
   // those above it, of its data and address space, and of the machine's memory.
-  std::optional<std::uint64_t> memory_bytes;
-  std::optional<std::uint64_t> descriptors;
+  std::optional<std::uint64_t> memory_bytes{};
+  // The least of those that no other process shares: of the control group if
+  // the process is alone in it, and of its data and address space. Nothing if
+  // that is no less than the machine's memory.
+  std::optional<std::uint64_t> own_memory_bytes{};
+  std::optional<std::uint64_t> descriptors{};
 };
 
 // Reads the limits of this process. `root` is the folder that holds proc/ and
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -47,6 +47,9 @@
 
 constexpr double kPercent = 100;
 
+// Memory of a process without a limit of its own: it runs beside others.
+constexpr std::int64_t kDefaultMemoryMb = 128;
+
 // One row for each setting: section, key, range, meaning, default.
 std::span<const Field<Settings>> Fields() {
   static const std::vector<Field<Settings>> fields = {
@@ -64,8 +67,8 @@
        Assign<&Settings::node, &Settings::Node::is_first_start>::To},
       {{"node", "memory-mb", IntegerRule{0, 1'048'576},
         "memory that the instance gives the process in MB; 0 is the least of "
-        "the limits of its control group, of its data and address space, and "
-        "of the machine's memory",
+        "the limits of its data and address space and of a control group that "
+        "it is alone in, or else 128, and never more than the system has",
         "0"},
        Assign<&Settings::node, &Settings::Node::memory_mb>::To},
       {{"node", "descriptors", IntegerRule{0, 10'000'000},
@@ -308,9 +311,12 @@
 void SidecarSettings::UseLimits(const ProcessLimits& limits) {
   if (node.is_unlimited) return;
   constexpr std::uint64_t kMegabyte = 1'000'000;
-  if (node.memory_mb == 0 && limits.memory_bytes) {
-    node.memory_mb = std::max<std::int64_t>(
-        1, static_cast<std::int64_t>(*limits.memory_bytes / kMegabyte));
+  if (node.memory_mb == 0) {
+    std::uint64_t bytes =
+        limits.own_memory_bytes.value_or(kDefaultMemoryMb * kMegabyte);
+    if (limits.memory_bytes) bytes = std::min(bytes, *limits.memory_bytes);
+    node.memory_mb =
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(bytes / kMegabyte));
   }
   if (node.descriptors == 0 && limits.descriptors) {
     node.descriptors = static_cast<std::int64_t>(*limits.descriptors);
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -118,7 +118,9 @@
   std::vector<std::string> FindWarnings() const;
 
   // Takes over `limits` where the settings do not tell the memory or the
-  // descriptors, unless these are unlimited. Not thread-safe.
+  // descriptors, unless these are unlimited. Without a limit of its own, the
+  // process takes a default for its memory, and no more than it shares with
+  // others. Not thread-safe.
   void UseLimits(const ProcessLimits& limits);
 
   // Describes all settings, for the command line. Thread-safe.
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -64,6 +64,36 @@
   fs::remove_all(root);
 }
 
+// Guards against a process that takes for its own what a limit leaves to all
+// processes of a group.
+TEST_CASE("a limit is the process's own if no other process shares it") {
+  namespace fs = std::filesystem;
+  const fs::path root = fs::temp_directory_path() /
+                        ("oleandertide-own-limits-" + std::to_string(getpid()));
+  const auto write = [&root](const std::string& path, const std::string& text) {
+    fs::create_directories((root / path).parent_path());
+    std::ofstream(root / path) << text;
+  };
+  fs::remove_all(root);
+  write("proc/meminfo", "MemTotal:       24000 kB\n");
+  write("proc/self/cgroup", "0::/pods/one\n");
+  write("sys/fs/cgroup/pods/memory.max", "16000000\n");
+  write("sys/fs/cgroup/pods/one/memory.max", "9000000\n");
+  write("sys/fs/cgroup/pods/one/cgroup.procs", "7\n8\n");
+  REQUIRE_FALSE(ReadProcessLimits(root).own_memory_bytes);
+  write("sys/fs/cgroup/pods/one/cgroup.procs", "7\n");
+  REQUIRE(ReadProcessLimits(root).own_memory_bytes == 9'000'000);
+  // The limit above it is shared.
+  write("sys/fs/cgroup/pods/one/memory.max", "max\n");
+  REQUIRE_FALSE(ReadProcessLimits(root).own_memory_bytes);
+  write("proc/self/cgroup", "4:memory:/old\n");
+  write("sys/fs/cgroup/memory/old/cgroup.procs", "7\n");
+  write("sys/fs/cgroup/memory/old/memory.limit_in_bytes",
+        "9223372036854771712\n");
+  REQUIRE_FALSE(ReadProcessLimits(root).own_memory_bytes);
+  fs::remove_all(root);
+}
+
 // Guards against jitter outside its bounds, which would break retry limits.
 TEST_CASE("random durations stay within their bounds") {
   RandomSource random(7);
--- a/tests/sidecar/settings_test.cc
+++ b/tests/sidecar/settings_test.cc
@@ -33,17 +33,41 @@
 
 // Guards against a process without any bound because nobody told it one.
 TEST_CASE("limits of the system hold where the settings tell none") {
-  const ProcessLimits limits{.memory_bytes = 160'000'000, .descriptors = 1024};
+  const ProcessLimits limits{.memory_bytes = 200'000'000,
+                             .own_memory_bytes = 160'000'000,
+                             .descriptors = 1024};
   SidecarSettings settings;
   settings.UseLimits(limits);
   REQUIRE(settings.node.memory_mb == 160);
   REQUIRE(settings.node.descriptors == 1024);
 
-  settings.UseLimits({.memory_bytes = 1, .descriptors = 1});
+  settings.UseLimits(
+      {.memory_bytes = 1, .own_memory_bytes = 1, .descriptors = 1});
   REQUIRE(settings.node.memory_mb == 160);
   REQUIRE(settings.node.descriptors == 1024);
 }
 
+// Guards against a process that takes the memory of the whole machine, which it
+// shares with the backend server, because nobody told it a limit (case review/5
+// without the limit in the settings).
+TEST_CASE("a process without a limit of its own takes a small one") {
+  constexpr std::int64_t kDefaultMb = 128;
+  const auto memory_mb = [](const ProcessLimits& limits) {
+    SidecarSettings settings;
+    settings.UseLimits(limits);
+    return settings.node.memory_mb;
+  };
+  REQUIRE(memory_mb({.memory_bytes = 25'000'000'000}) == kDefaultMb);
+  REQUIRE(memory_mb({}) == kDefaultMb);
+  // It has no more than it shares with others, of its own or not.
+  REQUIRE(memory_mb({.memory_bytes = 90'000'000}) == 90);
+  REQUIRE(memory_mb({.memory_bytes = 90'000'000,
+                     .own_memory_bytes = 100'000'000}) == 90);
+  // A limit of its own may be larger.
+  REQUIRE(memory_mb({.memory_bytes = 25'000'000'000,
+                     .own_memory_bytes = 512'000'000}) == 512);
+}
+
 // Guards against a stopped node that gives up requests which its grace has time
 // for, or that is killed with requests in progress.
 TEST_CASE("the time for a stop follows the grace of the deployment") {
