sidecar: Give a stop of unknown grace the usual time

Cause: 6 s were assumed where no grace is known.

Change: 30 s are assumed. Requests keep their own time within that, and the process still ends as soon as nothing is left.

Two expectations change with the default: the deadline without a bound, and the announce time that does not fit into it.

--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -32,7 +32,7 @@
 using Settings = SidecarSettings;
 
 // In force where neither the file nor a bound of the deployment tells a value.
-constexpr Duration kDefaultGrace = seconds(6);
+constexpr Duration kDefaultGrace = seconds(30);
 constexpr Duration kDefaultDrainLimit = milliseconds(2000);
 constexpr double kDefaultRetryRatio = 0.2;
 
@@ -123,7 +123,7 @@
         "time after SIGTERM at which the node ends with requests in flight",
         std::nullopt,
         "the stop grace of [bounds] without a twelfth, which is 500ms at "
-        "most, or 5500ms"},
+        "most, or 29500ms"},
        Assign<&Settings::overrides, &Settings::Overrides::deadline>::To},
 
       {{"retries", "ratio", PercentRule{0, 100},
--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -25,7 +25,7 @@
 from store import Store  # noqa: E402
 
 PROGRAM = pathlib.Path(os.environ["OLEANDERTIDE_BINARIES"]) / "oleandertide-sidecar"
-# Defaults of [drain] in the settings.
+# What [drain] makes of the grace.
 ANNOUNCE_TIME = 2.5
 # Time after SIGTERM at which the platform kills the process.
 GRACE = 6.0
@@ -174,6 +174,7 @@
         lines += ["%s = %s:%d" % (key, *to) for key, to in self.listen.items()]
         lines += ["[backend]", "address = %s:%d" % self.backend.address]
         lines += ["[store]", "address = %s:%d" % self.store_address]
+        lines += ["[bounds]", f"grace_s = {GRACE}"]
         path = pathlib.Path(self.folder) / f"{self.name}.ini"
         path.write_text("\n".join(lines) + "\n")
         with open(self.log, "ab") as log:
