config: Serve without values that the platform does not have

What callers saw: a node whose platform has no value for a field did not start: "memory-mb =" ended the process with status 2, and so did every other key of the template that is empty or `null`, and every value that the node cannot use, also where it can do without.

Cause: a template cannot leave a key out, and the platform returns nothing for a field without a value. The reader knew missing keys and valid ones only.

Change: empty values and `null` count as missing in all settings. Name, data centre and the address for metrics have defaults.

--- a/libraries/config/field.cc
+++ b/libraries/config/field.cc
@@ -15,6 +15,19 @@
   return std::move(value).assume_value();
 }
 
+// Says what stands for a missing value.
+std::string DescribeAbsence(const FieldSpecification& specification) {
+  if (specification.default_text) {
+    return "default " + std::string(specification.default_text->empty()
+                                        ? "empty"
+                                        : *specification.default_text);
+  }
+  if (!specification.when_missing.empty()) {
+    return "default: " + std::string(specification.when_missing);
+  }
+  return "required";
+}
+
 std::string List(std::span<const std::string_view> words) {
   std::string text;
   for (const std::string_view word : words) {
@@ -25,22 +38,32 @@
 
 }  // namespace
 
+bool IsNoValue(std::string_view text) { return text.empty() || text == "null"; }
+
 namespace detail {
 
 std::optional<Value> FindValue(const FieldSpecification& specification,
                                const IniSection& section,
+                               const ReadingRules& rules,
                                DiagnosticList& diagnostics) {
   const auto entry =
       std::ranges::find(section.entries, specification.key, &IniEntry::key);
-  if (entry != section.entries.end()) {
+  if (entry != section.entries.end() &&
+      !(rules.skips_empty && IsNoValue(entry->value))) {
     auto value = ParseValue(specification.rule, entry->value);
     if (value) return std::move(value).assume_value();
-    diagnostics.Add(entry->line, entry->key, value.assume_error().message);
-    return std::nullopt;
+    std::string message = value.assume_error().message;
+    if (rules.ignored == nullptr || specification.is_required()) {
+      diagnostics.Add(entry->line, entry->key, std::move(message));
+      return std::nullopt;
+    }
+    rules.ignored->Add(
+        entry->line, entry->key,
+        message + "; counts as missing, " + DescribeAbsence(specification));
   }
   if (specification.default_text) return ParseDefault(specification);
   // The earlier section of the same title may have the key.
-  if (specification.when_missing.empty() && !section.is_duplicate) {
+  if (specification.is_required() && !section.is_duplicate) {
     diagnostics.Add(section.line, specification.key,
                     "missing in [" + section.title() + "], required is " +
                         Describe(specification.rule));
@@ -61,17 +84,9 @@
 }  // namespace detail
 
 std::string Describe(const FieldSpecification& specification) {
-  std::string absent = "required";
-  if (specification.default_text) {
-    absent = "default " + std::string(specification.default_text->empty()
-                                          ? "empty"
-                                          : *specification.default_text);
-  } else if (!specification.when_missing.empty()) {
-    absent = "default: " + std::string(specification.when_missing);
-  }
   return std::string(specification.key) + ": " +
          std::string(specification.meaning) + "; " +
-         Describe(specification.rule) + "; " + absent;
+         Describe(specification.rule) + "; " + DescribeAbsence(specification);
 }
 
 }  // namespace oleandertide::config
--- a/libraries/config/field.h
+++ b/libraries/config/field.h
@@ -28,8 +28,24 @@
   // What a missing key without default text stands for; if this is empty too,
   // the key is required.
   std::string_view when_missing = {};
+
+  bool is_required() const { return !default_text && when_missing.empty(); }
+};
+
+// How values of a text are taken.
+struct ReadingRules {
+  // Whether empty values and `null` count as missing: who writes settings by a
+  // template has no value for some keys.
+  bool skips_empty = false;
+  // Receives values that are not allowed, which then count as missing. Null, or
+  // a required key, makes them errors.
+  DiagnosticList* ignored = nullptr;
 };
 
+// Whether `text` stands for the absence of a value: it is empty or `null`.
+// Thread-safe.
+bool IsNoValue(std::string_view text);
+
 template <typename Owner>
 struct Field {
   FieldSpecification specification;
@@ -71,6 +87,7 @@
 // section that is no duplicate.
 std::optional<Value> FindValue(const FieldSpecification& specification,
                                const IniSection& section,
+                               const ReadingRules& rules,
                                DiagnosticList& diagnostics);
 
 // Adds a diagnostic for each entry that is not among the known keys.
@@ -84,13 +101,14 @@
 // allowed and each required key that is missing. Thread-safe.
 template <typename Owner>
 void ReadFields(std::span<const Field<Owner>> fields, const IniSection& section,
-                Owner& owner, DiagnosticList& diagnostics) {
+                Owner& owner, DiagnosticList& diagnostics,
+                const ReadingRules& rules = {}) {
   std::vector<std::string_view> known;
   for (const Field<Owner>& field : fields) {
     if (field.specification.section != section.kind) continue;
     known.push_back(field.specification.key);
     const auto value =
-        detail::FindValue(field.specification, section, diagnostics);
+        detail::FindValue(field.specification, section, rules, diagnostics);
     if (value) field.assign(owner, *value);
   }
   detail::ReportUnknownKeys(known, section, diagnostics);
--- a/libraries/config/settings_reader.h
+++ b/libraries/config/settings_reader.h
@@ -40,10 +40,11 @@
 // empty one. The entries of `open` are left as they are.
 // Precondition: the fields of a section follow each other.
 template <typename Settings>
-Checked<Settings> ReadSettings(std::span<const Field<Settings>> fields,
-                               std::string_view text,
-                               std::string_view file_name,
-                               std::span<OpenSection> open = {}) {
+Checked<Settings> ReadSettings(
+    std::span<const Field<Settings>> fields, std::string_view text,
+    std::string_view file_name,
+    const ReadingRules& rules = {.skips_empty = true},
+    std::span<OpenSection> open = {}) {
   DiagnosticList diagnostics(file_name);
   std::vector<IniSection> sections = ReadIni(text, diagnostics);
   if (text.size() > kMaximumTextBytes) return diagnostics.Take();
@@ -75,7 +76,7 @@
   }
   Settings settings;
   for (const IniSection& section : sections) {
-    ReadFields(fields, section, settings, diagnostics);
+    ReadFields(fields, section, settings, diagnostics, rules);
   }
   if (!diagnostics.is_empty()) return diagnostics.Take();
   return settings;
--- /dev/null
+++ b/libraries/sidecar/deployment_settings.h
@@ -0,0 +1,26 @@
+// Reads what the settings of a node tell of its deployment.
+
+#ifndef OLEANDERTIDE_SIDECAR_DEPLOYMENT_SETTINGS_H_
+#define OLEANDERTIDE_SIDECAR_DEPLOYMENT_SETTINGS_H_
+
+#include <span>
+#include <string>
+
+#include "config/diagnostic.h"
+#include "config/ini_reader.h"
+#include "mesh/deployment.h"
+
+namespace oleandertide::sidecar {
+
+// Reads the entries of the sections [rules] and [bounds]. Bounds that cannot be
+// used are added to `ignored`; their defaults hold. Thread-safe.
+mesh::Deployment ReadDeployment(std::span<const config::IniEntry> rules,
+                                std::span<const config::IniEntry> bounds,
+                                config::DiagnosticList& ignored);
+
+// Describes the sections, for the command line. Thread-safe.
+std::string DescribeDeployment();
+
+}  // namespace oleandertide::sidecar
+
+#endif  // OLEANDERTIDE_SIDECAR_DEPLOYMENT_SETTINGS_H_
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -13,6 +13,7 @@
 #include "config/value.h"
 #include "mesh/stop_policy.h"
 #include "platform/deployment_codec.h"
+#include "sidecar/deployment_settings.h"
 
 namespace oleandertide::sidecar {
 namespace {
@@ -31,7 +32,8 @@
 using std::chrono::seconds;
 using Settings = SidecarSettings;
 
-// In force where neither the file nor a bound of the deployment tells a value.
+// In force where neither the settings nor a bound of the deployment tells a
+// value.
 constexpr Duration kDefaultGrace = seconds(30);
 constexpr Duration kDefaultDrainLimit = milliseconds(2000);
 constexpr double kDefaultRetryRatio = 0.2;
@@ -53,9 +55,11 @@
 // One row for each setting: section, key, range, meaning, default.
 std::span<const Field<Settings>> Fields() {
   static const std::vector<Field<Settings>> fields = {
-      {{"node", "name", TextRule{}, "name of the instance"},
+      {{"node", "name", TextRule{}, "name of the instance", std::nullopt,
+        "the address of peers that other nodes are told"},
        Assign<&Settings::node, &Settings::Node::name>::To},
-      {{"node", "data-centre", TextRule{}, "data centre of the instance"},
+      {{"node", "data-centre", TextRule{}, "data centre of the instance",
+        "default"},
        Assign<&Settings::node, &Settings::Node::data_centre>::To},
       {{"node", "service", TextRule{}, "service of the backend server"},
        Assign<&Settings::node, &Settings::Node::service>::To},
@@ -92,7 +96,8 @@
       {{"listen", "announcements", AddressRule{},
         "address for heartbeats of the backend server"},
        Assign<&Settings::listen, &Settings::Listen::announcements>::To},
-      {{"listen", "metrics", AddressRule{}, "address for metrics"},
+      {{"listen", "metrics", AddressRule{}, "address for metrics", std::nullopt,
+        "no metrics"},
        Assign<&Settings::listen, &Settings::Listen::metrics>::To},
 
       {{"backend", "address", AddressRule{},
@@ -231,31 +236,21 @@
       {.kind = "rules", .entries = {}},
       {.kind = "bounds", .entries = {}},
   }};
-  auto settings =
-      config::detail::ReadSettings(Fields(), text, file_name, std::span(open));
-  if (!settings) return settings;
-  const auto& [rules, bounds] = open;
-  std::vector<std::string_view> names;
-  for (const config::IniEntry& entry : rules.entries) {
-    if (entry.value == "true") names.emplace_back(entry.key);
-  }
-  std::vector<platform::NamedBound> named;
-  for (const config::IniEntry& entry : bounds.entries) {
-    named.emplace_back(entry.key, entry.value);
-  }
-  auto deployment = platform::DecodeDeployment(names, named);
-  if (!deployment) {
-    config::DiagnosticList diagnostics(file_name);
-    diagnostics.Add(bounds.entries.empty() ? 0 : bounds.entries.front().line,
-                    "[bounds]", deployment.error());
-    return diagnostics.Take();
-  }
-  settings.value().deployment = deployment.value();
-  settings.value().Derive();
-  return settings;
+  config::DiagnosticList ignored(file_name);
+  auto read = config::detail::ReadSettings(
+      Fields(), text, file_name, {.skips_empty = true, .ignored = &ignored},
+      std::span(open));
+  if (!read) return read;
+  SidecarSettings& settings = read.value();
+  settings.deployment =
+      ReadDeployment(open[0].entries, open[1].entries, ignored);
+  settings.Derive();
+  if (!ignored.is_empty()) settings.ignored = ignored.Take();
+  return read;
 }
 
 void SidecarSettings::Derive() {
+  if (node.name.empty()) node.name = listen.advertised().ToString();
   const auto stop = mesh::StopPolicy::Options::ForGrace(
       deployment.stop_grace.value_or(kDefaultGrace));
   const Duration drain_limit =
@@ -324,7 +319,7 @@
 }
 
 std::string SidecarSettings::Describe() {
-  return config::DescribeFields(Fields());
+  return config::DescribeFields(Fields()) + DescribeDeployment();
 }
 
 }  // namespace oleandertide::sidecar
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -39,7 +39,13 @@
     Address advertised_peers;
     Address readiness;
     Address announcements;
+    // Without IP, there are no metrics.
     Address metrics;
+
+    // Where other nodes reach this one. Thread-safe.
+    const Address& advertised() const {
+      return advertised_peers.ip.empty() ? peers : advertised_peers;
+    }
   };
   struct Backend {
     Address address;
@@ -108,8 +114,12 @@
   Pace pace;
   Edge edge;
   Log log;
+  // Values that are not allowed; their defaults hold.
+  config::Diagnostics ignored;
 
-  // Reads settings in INI; all errors are reported together. Thread-safe.
+  // Reads settings in INI; all errors are reported together. An empty value is
+  // no value, and one that is not allowed is ignored if the node can do
+  // without. Thread-safe.
   static config::Checked<SidecarSettings> Parse(std::string_view text,
                                                 std::string_view file_name);
 
@@ -127,7 +137,8 @@
   static std::string Describe();
 
  private:
-  // Fills `drain` and `retries` from `overrides` and `deployment`.
+  // Fills what has no value of its own: `drain` and `retries` from `overrides`
+  // and `deployment`, the name from `listen`.
   void Derive();
 };
 
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -71,12 +71,6 @@
   return {request.target().data(), request.target().size()};
 }
 
-// Where other nodes reach this one.
-const Address& AdvertisedAddress(const SidecarSettings::Listen& listen) {
-  return listen.advertised_peers.ip.empty() ? listen.peers
-                                            : listen.advertised_peers;
-}
-
 std::optional<organisations::KeyTrust> MakeKeyTrust(
     const mesh::Deployment& deployment) {
   if (!deployment.closes_stale_keys) return std::nullopt;
@@ -131,6 +125,10 @@
 }
 
 void LogWarnings(const SidecarSettings& settings) {
+  for (const config::Diagnostic& value : settings.ignored) {
+    logging::Log(Level::kWarning, "node", "setting ignored",
+                 {{"why", config::ToString(value)}});
+  }
   for (const std::string& warning : settings.FindWarnings()) {
     logging::Log(Level::kWarning, "node", "settings cannot work",
                  {{"why", warning}});
@@ -153,7 +151,7 @@
         random_(MakeSeed()),
         identity_{.name = settings.node.name,
                   .data_centre = settings.node.data_centre,
-                  .address = AdvertisedAddress(settings.listen),
+                  .address = settings.listen.advertised(),
                   .service = settings.node.service,
                   .link_mbps = std::max<std::uint32_t>(
                       1, static_cast<std::uint32_t>(settings.node.link_mbps))},
@@ -318,20 +316,9 @@
                            }));
     announcements_ = std::move(announcements);
     BoundOther(*announcements_, kMaxAnnouncementBytes);
-    OLEANDERTIDE_TRY(
-        metrics_server,
-        HttpServer::Create(
-            loop_, listen.metrics,
-            [this](const std::shared_ptr<HttpRequest>& /*request*/,
-                   HttpReply reply) {
-              UpdateGauges();
-              reply.Send({.status = kStatusOk,
-                          .headers = std::string(kMetricsLine),
-                          .body = metrics_.registry.ToPrometheusText(
-                              MonotonicClock::now())});
-            }));
-    metrics_server_ = std::move(metrics_server);
-    BoundOther(*metrics_server_, kMaxUnusedBodyBytes);
+    if (!listen.metrics.ip.empty()) {
+      OLEANDERTIDE_CHECK(StartMetricsServer());
+    }
     source_.Start();
     members_.Start();
     if (settings_.deployment.has_rollouts) rollouts_.Start();
@@ -366,6 +353,23 @@
   }
 
  private:
+  Result<void> StartMetricsServer() {
+    OLEANDERTIDE_TRY(
+        server, HttpServer::Create(
+                    loop_, settings_.listen.metrics,
+                    [this](const std::shared_ptr<HttpRequest>& /*request*/,
+                           HttpReply reply) {
+                      UpdateGauges();
+                      reply.Send({.status = kStatusOk,
+                                  .headers = std::string(kMetricsLine),
+                                  .body = metrics_.registry.ToPrometheusText(
+                                      MonotonicClock::now())});
+                    }));
+    metrics_server_ = std::move(server);
+    BoundOther(*metrics_server_, kMaxUnusedBodyBytes);
+    return Success();
+  }
+
   // Bounds an address that is not for clients.
   void BoundOther(HttpServer& server, std::size_t max_body_bytes) {
     server.set_limits({.maximum_body_bytes = max_body_bytes});
--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -166,7 +166,10 @@
                 {"service", settings.node.service},
                 {"first_start", settings.node.is_first_start},
                 {"memory_mb", settings.node.memory_mb},
-                {"descriptors", settings.node.descriptors}});
+                {"descriptors", settings.node.descriptors},
+                {"stop_deadline_ms", ToMilliseconds(settings.drain.deadline)},
+                {"fence_ms", ToMilliseconds(settings.drain.fence)},
+                {"retry_percent", settings.retries.ratio_percent}});
   Supervisor supervisor(loop, *sidecar.value(), FLAGS_settings, text);
   const sigset_t signals = SupervisedSignals();
   sigprocmask(SIG_UNBLOCK, &signals, nullptr);
@@ -210,7 +213,10 @@
     for (const std::string& warning : settings.value().FindWarnings()) {
       std::cerr << FLAGS_settings << ": warning: " << warning << '\n';
     }
-    return kExitSuccess;
+    // A node serves without these values, but they are not what was meant.
+    std::cerr << config::ToString(settings.value().ignored);
+    return settings.value().ignored.empty() ? kExitSuccess
+                                            : kExitInvalidSettings;
   }
   signal(SIGPIPE, SIG_IGN);
   MakeOutputNonBlocking();
