sidecar: Follow limits and orders where no rules are listed

Cause: both features waited for their name in a list, also where the configuration has limits or an operator has written an order.

Change: mesh::Deployment tells for each feature whether it is off, on, or in force on demand, which is the case where no rule is listed at all. On demand, a node takes part in the election of the coordinator from the first configuration with a limit, or the first order, on. The version gate then does not wait for another backend server of the same version: on a system without roll-outs the only one of its service would stay away while the store is down. Listed rules decide as before.

The tests of keys now say that limits are off, as their nodes list no rules.

Result: "a version that was ordered gets nothing before its trial", "a version that fails is rolled back" and "an organisation beyond its limit is refused, others are served" also run on demand.

With the mode on demand taken for off, these three tests fail, and so does "where no orders are expected, a version without another one is accepted" with the gate of before.

--- a/libraries/mesh/configuration.cc
+++ b/libraries/mesh/configuration.cc
@@ -44,6 +44,12 @@
   return lower;
 }
 
+bool Configuration::has_limits() const {
+  return std::ranges::any_of(organisations, [](const auto& entry) {
+    return entry.second->is_limited();
+  });
+}
+
 const Service* Configuration::FindService(std::string_view name) const {
   const auto found = std::ranges::find(services, name, &Service::name);
   return found == services.end() ? nullptr : &*found;
--- a/libraries/mesh/configuration.h
+++ b/libraries/mesh/configuration.h
@@ -137,6 +137,9 @@
   // among those of `host` (with or without port), or nullptr. Thread-safe.
   const Route* FindRoute(std::string_view host, std::string_view target) const;
 
+  // Whether an organisation has a limit. Thread-safe.
+  bool has_limits() const;
+
   // Returns the service of that name, or nullptr. Thread-safe.
   const Service* FindService(std::string_view name) const;
 };
--- a/libraries/mesh/deployment.h
+++ b/libraries/mesh/deployment.h
@@ -4,17 +4,40 @@
 #define OLEANDERTIDE_MESH_DEPLOYMENT_H_
 
 #include <optional>
+#include <string_view>
 
 #include "core/time.h"
 
 namespace oleandertide::mesh {
 
-// Features in force and their bounds. Each feature is off by default.
+// When a feature is in force.
+enum class FeatureMode {
+  kOff,
+  // Where the configuration or an order calls for it.
+  kOnDemand,
+  kOn,
+};
+
+// Returns the name of the mode for the log. Thread-safe.
+constexpr std::string_view ToString(FeatureMode mode) {
+  switch (mode) {
+    case FeatureMode::kOff:
+      return "off";
+    case FeatureMode::kOnDemand:
+      return "on-demand";
+    case FeatureMode::kOn:
+      return "on";
+  }
+  return "unknown";
+}
+
+// Features and their bounds. The defaults are those of a node that is told
+// nothing of its deployment.
 struct Deployment {
   // Limits of organisations hold over the whole fleet.
-  bool has_limits = false;
+  FeatureMode limits = FeatureMode::kOnDemand;
   // Operators order roll-outs of new versions of a service.
-  bool has_rollouts = false;
+  FeatureMode rollouts = FeatureMode::kOnDemand;
   // Whether nodes that cannot know of a withdrawn key refuse all keys.
   bool closes_stale_keys = false;
 
--- a/libraries/rollout/version_gate.cc
+++ b/libraries/rollout/version_gate.cc
@@ -34,8 +34,9 @@
   // Without a version there is nothing to tell backend servers apart by.
   if (!backend_ || backend_->version.empty()) return true;
   if (!is_confirmed_) {
+    const bool needs_like_one = options_.expects_orders || state != nullptr;
     const bool is_like_others =
-        has_seen_same_version_ && !has_seen_other_version_;
+        !has_seen_other_version_ && (has_seen_same_version_ || !needs_like_one);
     if (!is_like_others || now - first_announced_at_ < kUnconfirmedHold) {
       return false;
     }
--- a/libraries/rollout/version_gate.h
+++ b/libraries/rollout/version_gate.h
@@ -39,6 +39,17 @@
   // had the statuses of the others several times.
   static constexpr Duration kUnconfirmedHold = std::chrono::seconds(3);
 
+  struct Options {
+    // Whether operators are known to order roll-outs. If not, a backend server
+    // needs no other one of its version to take requests without an answer of
+    // the store: on a system without roll-outs, the only backend server of its
+    // service would wait for as long as the store is down.
+    bool expects_orders = true;
+  };
+
+  VersionGate() = default;
+  explicit VersionGate(const Options& options) : options_(options) {}
+
   // Records which backend server is at the address; no change if it is the
   // known one.
   void OnBackend(const BackendIdentity& backend, BootTime now);
@@ -70,6 +81,7 @@
     std::int64_t started_at_ms = 0;
   };
 
+  Options options_;
   std::optional<Backend> backend_;
   BootTime first_announced_at_{};
   bool is_confirmed_ = false;
--- a/libraries/sidecar/deployment_settings.cc
+++ b/libraries/sidecar/deployment_settings.cc
@@ -33,7 +33,9 @@
 
 std::string DescribeDeployment() {
   return "\n[rules]\n"
-         "  NAME: whether the rule is in force; true or false\n"
+         "  NAME: whether the rule is in force; true or false; without any "
+         "rule, limits and roll-outs are in force where the configuration or "
+         "an order calls for them\n"
          "\n[bounds]\n"
          "  NAME: bound of the deployment; see docs/platform.md\n";
 }
--- a/libraries/sidecar/sidecar.cc
+++ b/libraries/sidecar/sidecar.cc
@@ -39,6 +39,7 @@
 namespace {
 
 using logging::Level;
+using mesh::FeatureMode;
 
 // Crash reports in one status: those of a backend server's death with all its
 // slots busy.
@@ -135,6 +136,9 @@
   }
 }
 
+// Whether the feature may come in force while the process runs.
+bool IsPossible(FeatureMode mode) { return mode != FeatureMode::kOff; }
+
 std::uint64_t MakeSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -157,6 +161,8 @@
                       1, static_cast<std::uint32_t>(settings.node.link_mbps))},
         started_at_(MonotonicClock::now()),
         budget_(MakeBudgetOptions(settings)),
+        version_gate_({.expects_orders =
+                           settings.deployment.rollouts == FeatureMode::kOn}),
         receiver_(loop,
                   {.backend_server = std::move(backend_server),
                    .standing = {.requires_verification =
@@ -182,7 +188,8 @@
              .random = random_,
              .store_clock = store_clock_,
              .backlog = backlog_,
-             .orders = settings.deployment.has_rollouts ? &orders_ : nullptr,
+             .orders =
+                 IsPossible(settings.deployment.rollouts) ? &orders_ : nullptr,
              .outcomes = &outcomes_,
              .trial_leases = &trial_leases_},
             {.node = identity_.name,
@@ -206,16 +213,16 @@
                                     settings.deployment.configuration_limit)}),
         store_(loop, std::move(store), settings.store.address.ToString(),
                metrics_, store_clock_),
-        source_(
-            {.loop = loop,
-             .store = store_,
-             .holder = holder_,
-             .metrics = metrics_,
-             .random = random_,
-             .clock = store_clock_,
-             .orders = settings.deployment.has_rollouts ? &orders_ : nullptr},
-            identity_, settings.node.is_first_start,
-            [this] { OnConfigurationChanged(); }),
+        source_({.loop = loop,
+                 .store = store_,
+                 .holder = holder_,
+                 .metrics = metrics_,
+                 .random = random_,
+                 .clock = store_clock_,
+                 .orders = IsPossible(settings.deployment.rollouts) ? &orders_
+                                                                    : nullptr},
+                identity_, settings.node.is_first_start,
+                [this] { OnConfigurationChanged(); }),
         members_(loop, store_, random_, identity_, settings.node.is_first_start,
                  [this](const NodeIdentity& node) { links_.Learn(node); }),
         coordination_({.loop = loop,
@@ -238,7 +245,7 @@
         stop_timer_(loop) {
     links_.set_budget(&budget_);
     store_.set_budget(&budget_);
-    if (!settings.deployment.has_limits) return;
+    if (!IsPossible(settings.deployment.limits)) return;
     limits_.emplace(
         Limits::Parts{.loop = loop,
                       .coordination = coordination_,
@@ -279,7 +286,7 @@
       source_.ReadOrders();
     });
     source_.set_links(links_);
-    if (settings_.deployment.has_rollouts) WatchOrders();
+    if (IsPossible(settings_.deployment.rollouts)) WatchOrders();
     OLEANDERTIDE_TRY(clients,
                      HttpServer::Create(
                          loop_, listen.clients,
@@ -321,8 +328,8 @@
     }
     source_.Start();
     members_.Start();
-    if (settings_.deployment.has_rollouts) rollouts_.Start();
-    if (is_coordination_needed()) coordination_.Start(*link_server_);
+    if (IsPossible(settings_.deployment.rollouts)) rollouts_.Start();
+    StartCoordinationIfNeeded();
     return Success();
   }
 
@@ -415,7 +422,7 @@
   void OnPeerStatus(const NodeIdentity& node, const NodeStatus& status) {
     // Before the load: a node that accepts requests for a version on trial
     // tells of the order in the same message.
-    if (settings_.deployment.has_rollouts) MergeOrders(status);
+    if (IsPossible(settings_.deployment.rollouts)) MergeOrders(status);
     ingress_.placement().Update(
         node.name, status.service,
         {.is_in_own_data_centre = node.data_centre == identity_.data_centre,
@@ -471,6 +478,7 @@
   // Orders or what is known of them may have changed.
   void OnOrdersChanged() {
     AdvanceOrders();
+    StartCoordinationIfNeeded();
     auto states = orders_.states();
     const bool accepts = receiver_.load().accepts_requests;
     if (states == told_orders_ && accepts == told_accepts_) return;
@@ -486,9 +494,26 @@
     receiver_.OnConditionChanged();
   }
 
-  // Only these features ask for a node that decides for the fleet.
+  // Only limits and roll-outs ask for a node that decides for the fleet.
   bool is_coordination_needed() const {
-    return settings_.deployment.has_limits || settings_.deployment.has_rollouts;
+    const auto is_needed = [](FeatureMode mode, bool is_demanded) {
+      return mode == FeatureMode::kOn ||
+             (mode == FeatureMode::kOnDemand && is_demanded);
+    };
+    const auto& configuration = holder_.current();
+    return is_needed(settings_.deployment.limits,
+                     configuration && configuration->has_limits()) ||
+           is_needed(settings_.deployment.rollouts, !orders_.is_empty());
+  }
+
+  // Takes part in the coordination from the moment at which it is first needed.
+  void StartCoordinationIfNeeded() {
+    if (was_coordination_started_ || stopping_since_ ||
+        !is_coordination_needed()) {
+      return;
+    }
+    was_coordination_started_ = true;
+    coordination_.Start(*link_server_);
   }
 
   // Of what changes more often than it is asked for.
@@ -547,6 +572,7 @@
       receiver_.set_health_path(service->health_path);
     }
     if (limits_) limits_->OnConfigurationChanged();
+    StartCoordinationIfNeeded();
     link_server_->Broadcast();
   }
 
@@ -697,6 +723,7 @@
   // Since when only the other sides of connections are waited for.
   std::optional<MonotonicTime> closing_since_;
   bool is_receiver_stopped_ = false;
+  bool was_coordination_started_ = false;
   Timer stop_timer_;
 };
 
--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -167,6 +167,8 @@
                 {"first_start", settings.node.is_first_start},
                 {"memory_mb", settings.node.memory_mb},
                 {"descriptors", settings.node.descriptors},
+                {"limits", mesh::ToString(settings.deployment.limits)},
+                {"rollouts", mesh::ToString(settings.deployment.rollouts)},
                 {"stop_deadline_ms", ToMilliseconds(settings.drain.deadline)},
                 {"fence_ms", ToMilliseconds(settings.drain.fence)},
                 {"retry_percent", settings.retries.ratio_percent}});
--- a/tests/deployments/key_test.cc
+++ b/tests/deployments/key_test.cc
@@ -57,6 +57,8 @@
     store().Put("op", "config",
                 KeyConfiguration(2, fmt::format("{},{}", kAlpha, kBeta)));
     for (Instance* instance : {&first, &second}) {
+      // Keys are checked with and without limits.
+      instance->settings.deployment.limits = mesh::FeatureMode::kOff;
       instance->settings.deployment.closes_stale_keys =
           revocation_limit.has_value();
       if (revocation_limit) {
--- a/tests/deployments/limits_test.cc
+++ b/tests/deployments/limits_test.cc
@@ -28,8 +28,9 @@
     R"({"name":"free","api_keys":["key-free"]})";
 
 struct ThreeNodes : MeshFixture {
-  explicit ThreeNodes(RawServer::Script script = Ok) {
-    set_deployment({.has_limits = true});
+  explicit ThreeNodes(RawServer::Script script = Ok,
+                      mesh::FeatureMode mode = mesh::FeatureMode::kOn) {
+    set_deployment({.limits = mode, .rollouts = mesh::FeatureMode::kOff});
     store().Put("op", "config",
                 ConfigurationWithOrganisations(2, kOrganisations));
     first = &AddInstance("rooms", Ok);
@@ -105,7 +106,9 @@
 // Guards against a limit that holds only at each node, one that concerns other
 // organisations, and a Retry-After that is missing or useless.
 TEST_CASE("an organisation beyond its limit is refused, others are served") {
-  ThreeNodes mesh;
+  // On demand, the limits of the configuration alone call for a coordinator.
+  ThreeNodes mesh(
+      Ok, GENERATE(mesh::FeatureMode::kOn, mesh::FeatureMode::kOnDemand));
   mesh.RunFor(milliseconds(1500));
   mesh.set_key("key-large");
   const auto answers = mesh.SendMany(60);
--- a/tests/deployments/rollout_test.cc
+++ b/tests/deployments/rollout_test.cc
@@ -18,6 +18,7 @@
 namespace oleandertide::sidecar {
 namespace {
 
+using mesh::FeatureMode;
 using std::chrono::milliseconds;
 
 constexpr char kOrder[] = R"({"service":"booking","to":"v2","duration_s":1.5})";
@@ -25,8 +26,7 @@
 // Backend servers of `booking` that count their requests by version.
 class RolloutFixture {
  public:
-  explicit RolloutFixture(bool has_rollouts = true)
-      : has_rollouts_(has_rollouts) {}
+  explicit RolloutFixture(FeatureMode mode = FeatureMode::kOn) : mode_(mode) {}
 
   Instance& Add(int& runs) {
     Instance& instance =
@@ -34,7 +34,7 @@
           ++runs;
           return RawReply{.bytes = StampedAnswer(request.target())};
         });
-    instance.settings.deployment.has_rollouts = has_rollouts_;
+    instance.settings.deployment.rollouts = mode_;
     mesh.KillNode(instance);
     mesh.StartNode(instance);
     return instance;
@@ -68,14 +68,15 @@
   mutable MeshFixture mesh;
 
  private:
-  const bool has_rollouts_;
+  const FeatureMode mode_;
 };
 
 // Guards against a version on trial that gets requests from ingresses that do
 // not know the order yet: the order exists before its backend servers, and no
 // decider has begun the trial.
 TEST_CASE("a version that was ordered gets nothing before its trial") {
-  RolloutFixture fixture;
+  // On demand, nobody has told the nodes that there are roll-outs.
+  RolloutFixture fixture(GENERATE(FeatureMode::kOn, FeatureMode::kOnDemand));
   MeshFixture& mesh = fixture.mesh;
   int old_runs = 0;
   int new_runs = 0;
@@ -129,7 +130,7 @@
 
 // Guards against versions that make a difference where nobody asked for it.
 TEST_CASE("without the feature, orders and versions change nothing") {
-  RolloutFixture fixture(false);
+  RolloutFixture fixture(FeatureMode::kOff);
   MeshFixture& mesh = fixture.mesh;
   int old_runs = 0;
   int new_runs = 0;
@@ -176,7 +177,9 @@
   // The hook is called when the old ones serve, before the order is written.
   explicit TrialFixture(
       const std::function<bool()>& answers_bad,
-      const std::function<void(TrialFixture&)>& before_order = {}) {
+      const std::function<void(TrialFixture&)>& before_order = {},
+      FeatureMode mode = FeatureMode::kOn)
+      : RolloutFixture(mode) {
     const auto add = [&](int& runs, std::string_view version,
                          std::function<bool()> is_bad) {
       Instance& instance = mesh.AddInstance(
@@ -191,7 +194,7 @@
                                        is_bad() ? kFailure : kSuccess),
                 .delay = milliseconds(is_long ? 900 : 10)};
           });
-      instance.settings.deployment.has_rollouts = true;
+      instance.settings.deployment.rollouts = mode;
       mesh.KillNode(instance);
       mesh.StartNode(instance);
       REQUIRE(Announce(instance, version) == 200);
@@ -273,7 +276,9 @@
 // share before it is rolled back.
 TEST_CASE("a version that fails is rolled back") {
   int count = 0;
-  TrialFixture fixture([&] { return ++count % 2 == 0; });
+  // On demand, the order alone calls for a decider.
+  const auto mode = GENERATE(FeatureMode::kOn, FeatureMode::kOnDemand);
+  TrialFixture fixture([&] { return ++count % 2 == 0; }, {}, mode);
   fixture.RunTraffic([&] { return fixture.has_status("rolled_back"); });
   REQUIRE(fixture.new_runs > 0);
   REQUIRE(fixture.new_runs <= 50 + (fixture.old_runs + fixture.new_runs) / 10);
@@ -301,7 +306,7 @@
             mesh.AddInstance("booking", [](const RawRequest& request) {
               return RawReply{.bytes = StampedAnswer(request.target(), 200)};
             });
-        joined.settings.deployment.has_rollouts = true;
+        joined.settings.deployment.rollouts = FeatureMode::kOn;
         mesh.KillNode(joined);
         mesh.StartNode(joined);
         REQUIRE(self.Announce(joined, "v1") == 200);
--- a/tests/rollout/version_gate_test.cc
+++ b/tests/rollout/version_gate_test.cc
@@ -55,6 +55,29 @@
   REQUIRE_FALSE(gate.MayAccept(nullptr, later));
 }
 
+// Guards against the only backend server of its service that stays away for as
+// long as the store is down, on a system that may have no roll-outs at all.
+TEST_CASE(
+    "where no orders are expected, a version without another one is "
+    "accepted") {
+  const BootTime later = kStart + VersionGate::kUnconfirmedHold;
+  VersionGate gate({.expects_orders = false});
+  gate.OnBackend(MakeBackend("v1"), kStart);
+  REQUIRE_FALSE(gate.MayAccept(nullptr, later - milliseconds(1)));
+  REQUIRE(gate.MayAccept(nullptr, later));
+  gate.OnOtherVersion("acervo", "v2");
+  REQUIRE_FALSE(gate.MayAccept(nullptr, later));
+  gate.OnConfirmed(kStart);
+  REQUIRE(gate.MayAccept(nullptr, later));
+  // An order is known: the version waits for the store or one like it.
+  VersionGate ordered({.expects_orders = false});
+  ordered.OnBackend(MakeBackend("v1"), kStart);
+  OrderState state;
+  state.order.service = "acervo";
+  state.order.to = "v1";
+  REQUIRE_FALSE(ordered.MayAccept(&state, later));
+}
+
 TEST_CASE("each step names the versions that accept requests") {
   const auto accepts = [](std::string_view version, Step step) {
     VersionGate gate;
--- a/tests/sidecar/settings_test.cc
+++ b/tests/sidecar/settings_test.cc
@@ -234,6 +234,16 @@
   REQUIRE(errors_without("address") == "address");
 }
 
+TEST_CASE("without a list of rules, features are in force on demand") {
+  REQUIRE(ParseWith("").deployment.limits == mesh::FeatureMode::kOnDemand);
+  REQUIRE(ParseWith("").deployment.rollouts == mesh::FeatureMode::kOnDemand);
+  const auto listed = ParseWith("[rules]\nrollout = true\n").deployment;
+  REQUIRE(listed.limits == mesh::FeatureMode::kOff);
+  REQUIRE(listed.rollouts == mesh::FeatureMode::kOn);
+  const auto refused = ParseWith("[rules]\nquota = false\n").deployment;
+  REQUIRE(refused.limits == mesh::FeatureMode::kOff);
+}
+
 TEST_CASE("unlimited is said explicitly") {
   SidecarSettings settings;
   settings.node.is_unlimited = true;
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -43,7 +43,8 @@
     "/status/": "rooms",
 }
 BOUNDS = ("[bounds]", f"grace_s = {GRACE}")
-# Rules and further bounds of the deployment in runs with organisations.
+# Rules and further bounds of the deployment in runs with organisations. Without
+# rules, features are in force on demand.
 RULES = ("[rules]", "quota = true")
 ORGANISATION_BOUNDS = (
     "fail_closed = true",
