deploy: Tell limits, rules and bounds by the environment

Memory, descriptors, rules and bounds come by the environment, which goes before the file. A value of the environment does not change while the process runs; a new limit or bound takes effect at the next start.

--- a/libraries/config/field.cc
+++ b/libraries/config/field.cc
@@ -15,6 +15,37 @@
   return std::move(value).assume_value();
 }
 
+// A value as it was given.
+struct GivenValue {
+  std::string_view text;
+  // Key or variable that gave it, and the line of the key.
+  std::string_view name;
+  std::size_t line = 1;
+};
+
+// Returns what the environment and the text give, the first one first.
+std::vector<GivenValue> FindGiven(const FieldSpecification& specification,
+                                  const IniSection& section,
+                                  const ReadingRules& rules) {
+  std::vector<GivenValue> values;
+  if (rules.environment != nullptr && !specification.variable.empty()) {
+    if (const auto text = rules.environment->Find(specification.variable)) {
+      values.push_back({.text = *text, .name = specification.variable});
+    }
+  }
+  const auto entry =
+      std::ranges::find(section.entries, specification.key, &IniEntry::key);
+  if (entry != section.entries.end()) {
+    values.push_back(
+        {.text = entry->value, .name = entry->key, .line = entry->line});
+  }
+  if (rules.skips_empty) {
+    std::erase_if(
+        values, [](const GivenValue& given) { return IsNoValue(given.text); });
+  }
+  return values;
+}
+
 // Says what stands for a missing value.
 std::string DescribeAbsence(const FieldSpecification& specification) {
   if (specification.default_text) {
@@ -46,19 +77,17 @@
                                const IniSection& section,
                                const ReadingRules& rules,
                                DiagnosticList& diagnostics) {
-  const auto entry =
-      std::ranges::find(section.entries, specification.key, &IniEntry::key);
-  if (entry != section.entries.end() &&
-      !(rules.skips_empty && IsNoValue(entry->value))) {
-    auto value = ParseValue(specification.rule, entry->value);
+  const bool ignores = rules.ignored != nullptr && !specification.is_required();
+  for (const GivenValue& given : FindGiven(specification, section, rules)) {
+    auto value = ParseValue(specification.rule, given.text);
     if (value) return std::move(value).assume_value();
     std::string message = value.assume_error().message;
-    if (rules.ignored == nullptr || specification.is_required()) {
-      diagnostics.Add(entry->line, entry->key, std::move(message));
+    if (!ignores) {
+      diagnostics.Add(given.line, given.name, std::move(message));
       return std::nullopt;
     }
     rules.ignored->Add(
-        entry->line, entry->key,
+        given.line, given.name,
         message + "; counts as missing, " + DescribeAbsence(specification));
   }
   if (specification.default_text) return ParseDefault(specification);
@@ -84,9 +113,14 @@
 }  // namespace detail
 
 std::string Describe(const FieldSpecification& specification) {
-  return std::string(specification.key) + ": " +
-         std::string(specification.meaning) + "; " +
-         Describe(specification.rule) + "; " + DescribeAbsence(specification);
+  std::string text = std::string(specification.key) + ": " +
+                     std::string(specification.meaning) + "; " +
+                     Describe(specification.rule) + "; " +
+                     DescribeAbsence(specification);
+  if (!specification.variable.empty()) {
+    text += "; environment variable " + std::string(specification.variable);
+  }
+  return text;
 }
 
 }  // namespace oleandertide::config
--- a/libraries/config/field.h
+++ b/libraries/config/field.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "config/diagnostic.h"
+#include "config/environment.h"
 #include "config/ini_reader.h"
 #include "config/value.h"
 
@@ -28,6 +29,8 @@
   // What a missing key without default text stands for; if this is empty too,
   // the key is required.
   std::string_view when_missing = {};
+  // Variable of the environment that goes before the text.
+  std::string_view variable = {};
 
   bool is_required() const { return !default_text && when_missing.empty(); }
 };
@@ -37,6 +40,8 @@
   // Whether empty values and `null` count as missing: who writes settings by a
   // template has no value for some keys.
   bool skips_empty = false;
+  // Read for keys that have a variable.
+  const Environment* environment = nullptr;
   // Receives values that are not allowed, which then count as missing. Null, or
   // a required key, makes them errors.
   DiagnosticList* ignored = nullptr;
@@ -82,9 +87,9 @@
 
 namespace detail {
 
-// Finds the value of one field: of its entry, or its default. Adds a
-// diagnostic if the value is not allowed or a required key is missing from a
-// section that is no duplicate.
+// Finds the value of one field: of its variable, of its entry, or its default.
+// Adds a diagnostic if the value is not allowed or a required key is missing
+// from a section that is no duplicate.
 std::optional<Value> FindValue(const FieldSpecification& specification,
                                const IniSection& section,
                                const ReadingRules& rules,
--- a/libraries/sidecar/settings.cc
+++ b/libraries/sidecar/settings.cc
@@ -73,10 +73,11 @@
         "memory that the instance gives the process in MB; 0 is the least of "
         "the limits of its data and address space and of a control group that "
         "it is alone in, or else 128, and never more than the system has",
-        "0"},
+        "0", std::string_view(), "OLEANDERTIDE_MEMORY_MB"},
        Assign<&Settings::node, &Settings::Node::memory_mb>::To},
       {{"node", "descriptors", IntegerRule{0, 10'000'000},
-        "descriptors that the process may open; 0 is the system's limit", "0"},
+        "descriptors that the process may open; 0 is the system's limit", "0",
+        std::string_view(), "OLEANDERTIDE_DESCRIPTORS"},
        Assign<&Settings::node, &Settings::Node::descriptors>::To},
       {{"node", "unlimited", BooleanRule{},
         "whether memory-mb and descriptors are no bound where they are 0",
@@ -229,7 +230,8 @@
 }  // namespace
 
 config::Checked<SidecarSettings> SidecarSettings::Parse(
-    std::string_view text, std::string_view file_name) {
+    std::string_view text, std::string_view file_name,
+    const config::Environment& environment) {
   // Names and bounds of the platform's rules in force; it adds some from time
   // to time, and unknown ones are ignored.
   std::array<config::detail::OpenSection, 2> open = {{
@@ -238,12 +240,13 @@
   }};
   config::DiagnosticList ignored(file_name);
   auto read = config::detail::ReadSettings(
-      Fields(), text, file_name, {.skips_empty = true, .ignored = &ignored},
+      Fields(), text, file_name,
+      {.skips_empty = true, .environment = &environment, .ignored = &ignored},
       std::span(open));
   if (!read) return read;
   SidecarSettings& settings = read.value();
   settings.deployment =
-      ReadDeployment(open[0].entries, open[1].entries, ignored);
+      ReadDeployment(open[0].entries, open[1].entries, environment, ignored);
   settings.Derive();
   if (!ignored.is_empty()) settings.ignored = ignored.Take();
   return read;
--- a/libraries/sidecar/settings.h
+++ b/libraries/sidecar/settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/diagnostic.h"
+#include "config/environment.h"
 #include "core/address.h"
 #include "core/process_limits.h"
 #include "core/time.h"
@@ -117,11 +118,12 @@
   // Values that are not allowed; their defaults hold.
   config::Diagnostics ignored;
 
-  // Reads settings in INI; all errors are reported together. An empty value is
-  // no value, and one that is not allowed is ignored if the node can do
-  // without. Thread-safe.
-  static config::Checked<SidecarSettings> Parse(std::string_view text,
-                                                std::string_view file_name);
+  // Reads settings in INI; all errors are reported together. Variables of the
+  // environment go before the text. An empty value is no value, and one that is
+  // not allowed is ignored if the node can do without. Thread-safe.
+  static config::Checked<SidecarSettings> Parse(
+      std::string_view text, std::string_view file_name,
+      const config::Environment& environment = {});
 
   // Returns what cannot work as a graceful stop, one sentence each.
   // Thread-safe.
--- a/programs/sidecar/main.cc
+++ b/programs/sidecar/main.cc
@@ -15,6 +15,7 @@
 #include <sstream>
 #include <string>
 
+#include "config/environment.h"
 #include "logging/log.h"
 #include "sidecar/event_loop.h"
 #include "sidecar/settings.h"
@@ -72,9 +73,11 @@
 // at SIGTERM.
 class Supervisor {
  public:
-  Supervisor(EventLoop& loop, Sidecar& sidecar, std::string path,
+  Supervisor(EventLoop& loop, Sidecar& sidecar,
+             const config::Environment& environment, std::string path,
              std::string text)
       : sidecar_(sidecar),
+        environment_(environment),
         path_(std::move(path)),
         text_(std::move(text)),
         signals_(loop, SIGTERM, SIGINT, SIGHUP),
@@ -128,7 +131,7 @@
     }
     unsettled_.reset();
     text_ = *text;
-    const auto settings = SidecarSettings::Parse(*text, path_);
+    const auto settings = SidecarSettings::Parse(*text, path_, environment_);
     if (settings) {
       sidecar_.Reload(settings.value());
       return;
@@ -141,6 +144,7 @@
   }
 
   Sidecar& sidecar_;
+  const config::Environment& environment_;
   const std::string path_;
   std::string text_;
   // Content of the file that has not been taken yet, and since when it is so.
@@ -151,7 +155,8 @@
   Timer settle_timer_;
 };
 
-int Serve(const SidecarSettings& settings, const std::string& text) {
+int Serve(const SidecarSettings& settings,
+          const config::Environment& environment, const std::string& text) {
   EventLoop loop(1);
   auto sidecar = Sidecar::Create(loop, settings);
   if (!sidecar) {
@@ -172,7 +177,8 @@
                 {"stop_deadline_ms", ToMilliseconds(settings.drain.deadline)},
                 {"fence_ms", ToMilliseconds(settings.drain.fence)},
                 {"retry_percent", settings.retries.ratio_percent}});
-  Supervisor supervisor(loop, *sidecar.value(), FLAGS_settings, text);
+  Supervisor supervisor(loop, *sidecar.value(), environment, FLAGS_settings,
+                        text);
   const sigset_t signals = SupervisedSignals();
   sigprocmask(SIG_UNBLOCK, &signals, nullptr);
   loop.run();
@@ -204,7 +210,8 @@
     std::cerr << FLAGS_settings << ": cannot be read\n";
     return kExitInvalidSettings;
   }
-  auto settings = SidecarSettings::Parse(*text, FLAGS_settings);
+  const auto environment = config::Environment::OfProcess();
+  auto settings = SidecarSettings::Parse(*text, FLAGS_settings, environment);
   if (!settings) {
     for (const config::Diagnostic& diagnostic : settings.error()) {
       std::cerr << config::ToString(diagnostic) << '\n';
@@ -229,7 +236,7 @@
   if (node.memory_mb == 0 || node.descriptors == 0) {
     settings.value().UseLimits(ReadProcessLimits());
   }
-  return Serve(settings.value(), *text);
+  return Serve(settings.value(), environment, *text);
 }
 
 }  // namespace
--- a/tests/sidecar/settings_test.cc
+++ b/tests/sidecar/settings_test.cc
@@ -17,18 +17,20 @@
 
 // Returns the text of a node's settings, with further keys of [node] and
 // further sections.
-std::string MakeText(std::string_view sections) {
+std::string MakeText(std::string_view sections,
+                     std::string_view node_keys = {}) {
   return fmt::format(
-      "[node]\nname = a\ndata-centre = dc\nservice = booking\n"
+      "[node]\nname = a\ndata-centre = dc\nservice = booking\n{}"
       "[listen]\nclients = 127.0.0.1:1\npeers = 127.0.0.1:2\n"
       "readiness = 127.0.0.1:3\nannouncements = 127.0.0.1:4\n"
       "metrics = 127.0.0.1:5\n"
       "[backend]\naddress = 127.0.0.1:6\n[store]\naddress = 127.0.0.1:7\n{}",
-      sections);
+      node_keys, sections);
 }
 
-config::Checked<SidecarSettings> Read(std::string_view text) {
-  return SidecarSettings::Parse(text, "node.ini");
+config::Checked<SidecarSettings> Read(
+    std::string_view text, const config::Environment& environment = {}) {
+  return SidecarSettings::Parse(text, "node.ini", environment);
 }
 
 // Returns the settings of a node with further sections.
@@ -234,6 +236,36 @@
   REQUIRE(errors_without("address") == "address");
 }
 
+// Guards against limits and bounds that reach the process only by a file whose
+// form not every platform can fill in.
+TEST_CASE("the environment goes before the file") {
+  const config::Environment environment(
+      {{"OLEANDERTIDE_MEMORY_MB", "512"},
+       {"OLEANDERTIDE_DESCRIPTORS", ""},
+       {"OLEANDERTIDE_RULES", "base,quota,platform"},
+       {"OLEANDERTIDE_BOUNDS",
+        "grace_s=10,drain_ms=,fail_closed=true,unknown=1,noise,config_ms=x"}});
+  const auto settings = Read(
+      MakeText("[edge]\nbuffer-mb = 20\n[rules]\nrollout = true\n"
+               "[bounds]\ngrace_s = 4\ndrain_ms = 1000\nconfig_ms = 2000\n",
+               "memory-mb = 100\ndescriptors = 640\n"),
+      environment);
+  REQUIRE(settings);
+  const SidecarSettings& read = settings.value();
+  REQUIRE(read.node.memory_mb == 512);
+  REQUIRE(read.node.descriptors == 640);
+  REQUIRE(read.deployment.limits == mesh::FeatureMode::kOn);
+  REQUIRE(read.deployment.rollouts == mesh::FeatureMode::kOff);
+  REQUIRE(read.deployment.stop_grace == seconds(10));
+  REQUIRE(read.deployment.drain_limit == milliseconds(1000));
+  REQUIRE(read.deployment.closes_stale_keys);
+  REQUIRE(read.deployment.configuration_limit == seconds(2));
+  const std::string ignored = config::ToString(read.ignored);
+  REQUIRE_THAT(ignored, Catch::Matchers::Contains("noise") &&
+                            Catch::Matchers::Contains("config_ms"));
+  REQUIRE(read.ignored.size() == 2);
+}
+
 TEST_CASE("without a list of rules, features are in force on demand") {
   REQUIRE(ParseWith("").deployment.limits == mesh::FeatureMode::kOnDemand);
   REQUIRE(ParseWith("").deployment.rollouts == mesh::FeatureMode::kOnDemand);
