--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -16,6 +16,31 @@
 namespace oleandertide {
 namespace {
 
+// A folder of its own in place of the system's root, with proc/ and sys/.
+class SystemFiles {
+ public:
+  SystemFiles() { std::filesystem::remove_all(root_); }
+  SystemFiles(const SystemFiles&) = delete;
+  SystemFiles& operator=(const SystemFiles&) = delete;
+  ~SystemFiles() { std::filesystem::remove_all(root_); }
+
+  const std::filesystem::path& root() const { return root_; }
+
+  // Returns a function that writes `text` to a path below the root. It must not
+  // outlive this object.
+  auto writer() const {
+    return [this](const std::string& path, const std::string& text) {
+      std::filesystem::create_directories((root_ / path).parent_path());
+      std::ofstream(root_ / path) << text;
+    };
+  }
+
+ private:
+  const std::filesystem::path root_ =
+      std::filesystem::temp_directory_path() /
+      ("oleandertide-limits-" + std::to_string(getpid()));
+};
+
 Result<int> FailEarly() {
   OLEANDERTIDE_TRY(value, Result<int>(Error::kTimeout));
   return value + 1;
@@ -36,19 +61,13 @@
 
 // Guards against a process that takes the machine's memory for its own.
 TEST_CASE("the least limit of a process and its control groups holds") {
-  namespace fs = std::filesystem;
-  const fs::path root = fs::temp_directory_path() /
-                        ("oleandertide-limits-" + std::to_string(getpid()));
-  const auto write = [&root](const std::string& path, const std::string& text) {
-    fs::create_directories((root / path).parent_path());
-    std::ofstream(root / path) << text;
-  };
+  const SystemFiles files;
+  const auto write = files.writer();
   constexpr std::uint64_t kMachineBytes = 24'576'000;
-  const auto memory = [&root] {
-    return ReadProcessLimits(root).memory_bytes.value_or(0);
+  const auto memory = [&files] {
+    return ReadProcessLimits(files.root()).memory_bytes.value_or(0);
   };
-  fs::remove_all(root);
-  REQUIRE_FALSE(ReadProcessLimits(root).memory_bytes);
+  REQUIRE_FALSE(ReadProcessLimits(files.root()).memory_bytes);
   write("proc/meminfo", "MemTotal:       24000 kB\nMemFree:  1 kB\n");
   REQUIRE(memory() == kMachineBytes);
   write("proc/self/cgroup", "0::/pods/one\n");
@@ -61,37 +80,29 @@
   write("proc/self/cgroup", "3:cpu:/pods/one\n2:memory:/old\n");
   write("sys/fs/cgroup/memory/old/memory.limit_in_bytes", "7000000\n");
   REQUIRE(memory() == 7'000'000);
-  fs::remove_all(root);
 }
 
 // Guards against a process that takes for its own what a limit leaves to all
 // processes of a group.
 TEST_CASE("a limit is the process's own if no other process shares it") {
-  namespace fs = std::filesystem;
-  const fs::path root = fs::temp_directory_path() /
-                        ("oleandertide-own-limits-" + std::to_string(getpid()));
-  const auto write = [&root](const std::string& path, const std::string& text) {
-    fs::create_directories((root / path).parent_path());
-    std::ofstream(root / path) << text;
-  };
-  fs::remove_all(root);
+  const SystemFiles files;
+  const auto write = files.writer();
   write("proc/meminfo", "MemTotal:       24000 kB\n");
   write("proc/self/cgroup", "0::/pods/one\n");
   write("sys/fs/cgroup/pods/memory.max", "16000000\n");
   write("sys/fs/cgroup/pods/one/memory.max", "9000000\n");
   write("sys/fs/cgroup/pods/one/cgroup.procs", "7\n8\n");
-  REQUIRE_FALSE(ReadProcessLimits(root).own_memory_bytes);
+  REQUIRE_FALSE(ReadProcessLimits(files.root()).own_memory_bytes);
   write("sys/fs/cgroup/pods/one/cgroup.procs", "7\n");
-  REQUIRE(ReadProcessLimits(root).own_memory_bytes == 9'000'000);
+  REQUIRE(ReadProcessLimits(files.root()).own_memory_bytes == 9'000'000);
   // The limit above it is shared.
   write("sys/fs/cgroup/pods/one/memory.max", "max\n");
-  REQUIRE_FALSE(ReadProcessLimits(root).own_memory_bytes);
+  REQUIRE_FALSE(ReadProcessLimits(files.root()).own_memory_bytes);
   write("proc/self/cgroup", "4:memory:/old\n");
   write("sys/fs/cgroup/memory/old/cgroup.procs", "7\n");
   write("sys/fs/cgroup/memory/old/memory.limit_in_bytes",
         "9223372036854771712\n");
-  REQUIRE_FALSE(ReadProcessLimits(root).own_memory_bytes);
-  fs::remove_all(root);
+  REQUIRE_FALSE(ReadProcessLimits(files.root()).own_memory_bytes);
 }
 
 // Guards against jitter outside its bounds, which would break retry limits.
--- a/tests/system/deploy_settings_test.py
+++ b/tests/system/deploy_settings_test.py
@@ -20,9 +20,7 @@
 NEEDED = ("service", "app", "listen", "provider")
 # Fields that the platform had in its first version.
 FIRST_FIELDS = ("node", "zone", "ip", "internal_ports", "bootstrap")
-# What stands for a field without a use, and for one that is not there.
 NOT_A_NUMBER = "lots"
-ABSENT = object()
 # Of a node that is told nothing of its deployment.
 DEFAULT_MEMORY_MB = 128
 DEFAULT_STOP_DEADLINE_MS = 29_500
@@ -87,8 +85,6 @@
 
 def with_each(fields, value):
     """The fields with `value` in place of each one that is not needed."""
-    if value is ABSENT:
-        return {name: fields[name] for name in NEEDED}
     replaced = copy.deepcopy(fields)
     for name in replaced:
         if name in NEEDED:
@@ -135,6 +131,12 @@
             (node,) = await self.start("orders")
         return node
 
+    def make_node(self):
+        """A node that is not started: for its name and addresses."""
+        return planned.Node(
+            self.folder.name, "n0", "orders", self.take, self.store_address
+        )
+
     async def assert_serves(self, node):
         for method, target in (("GET", "/idem/1"), ("POST", "/once/1")):
             answer = await self.request(node, method, target)
@@ -193,7 +195,7 @@
 
     async def test_needed_fields(self):
         """Without one of these a node cannot serve, and it says which."""
-        (node,) = await self.start("orders")
+        node = self.make_node()
         for name, key in (
             ("service", "service"),
             ("app", "address"),
@@ -215,8 +217,7 @@
 
     async def test_template_needs_no_later_field(self):
         """A platform of the first version can fill in the template."""
-        (node,) = await self.start("orders")
-        fields = example(node)
+        fields = example(self.make_node())
         first = {name: fields[name] for name in (*NEEDED, *FIRST_FIELDS)}
         first["limits"] = {"link_mbps": 1000.0}
         first["provider"] = {"address": fields["provider"]["address"]}
